--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,10 @@
+# The libraries of the house style, all from Debian packages (see .ci/run).
+find_package(PkgConfig REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(absl REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(Threads REQUIRED)
+pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
--- /dev/null
+++ b/include/figwinch/log.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Library `log`: the port to the platform's append-only log. The rules of every other library see
+/// only `log_client`; another wire format is one new adapter.
+
+#include "figwinch/log/log_client.h"
+#include "figwinch/log/log_evidence.h"
--- /dev/null
+++ b/include/figwinch/membership.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// Library `membership`: which of figwinch's own processes and which back ends are there, from
+/// settings, the platform's lagging host list and what this process sees for itself.
+
+#include "figwinch/membership/member.h"
--- /dev/null
+++ b/include/figwinch/net/http_client.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "figwinch/base/clock.h"
+#include "figwinch/net/event_loop.h"
+#include "figwinch/net/http_message.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace figwinch {
+
+/// Where a server listens. `address` is an IP number.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+};
+
+/// Parses "10.0.0.1:8080". Returns nothing on bad input.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+std::string to_string(const endpoint& where);
+
+/// What became of a call, as far as this side can prove.
+enum class call_outcome {
+    /// A whole response arrived.
+    answered,
+    /// No byte of the request left this process: the server can't have run it.
+    not_sent,
+    /// The request may have reached the server, and no whole response arrived.
+    unknown,
+};
+
+/// The end of one call.
+struct call_result {
+    call_outcome outcome = call_outcome::not_sent;
+    http_response response;
+    /// For logs: "connect refused", "timeout", "truncated".
+    std::string reason;
+};
+
+/// Calls one server over a bounded set of kept-alive connections. Each connection carries one
+/// request at a time, so that a late answer can't be taken for another request's. A connection
+/// whose call timed out is closed and never used again. The client never resends by itself.
+class http_client {
+public:
+    using callback = std::function<void(call_result)>;
+
+    /// `max_connections` bounds open connections; a call beyond it ends as `not_sent`.
+    static std::unique_ptr<http_client> create(event_loop& loop, const endpoint& server,
+                                               std::size_t max_connections);
+    virtual ~http_client() = default;
+
+    /// Calls back exactly once, within `timeout`. Destroying the client ends open calls as
+    /// `unknown` without calling back.
+    virtual void call(http_request request, duration timeout, callback done) = 0;
+    virtual std::size_t open_connections() const = 0;
+    /// Closes connections that have been idle for at least `age`, so that one which has silently
+    /// died is not used for the next call.
+    virtual void close_idle(duration age) = 0;
+};
+
+} // namespace figwinch
