Add a hash that is the same in every process

Cause: rendezvous hashing needs one result in every process and build; std::hash and absl::Hash give none. Ruled out: a hash of our own; a library is there (XXH3).

--- a/include/figwinch/base.h
+++ b/include/figwinch/base.h
@@ -7,3 +7,4 @@
 #include "figwinch/base/ids.h"
 #include "figwinch/base/resources.h"
 #include "figwinch/base/result_code.h"
+#include "figwinch/base/stable_hash.h"
