Run the loop on libevent and serve HTTP by evhttp

Daemons and tests need the event loop and the HTTP server of the agreed headers.

evhttp sets no bounds by itself, and answers what exceeds the bounds it is given with a page of its own (400 for headers, 413 for bodies). Its bounds are set to twice ours, so that a message between the two gets our JSON refusal (431, 413).

Seen failing first: a_stopping_server_finishes_what_it_has_and_closes with the "Connection: close" of a stopping server switched off by hand.

--- a/include/figwinch/net/event_loop.h
+++ b/include/figwinch/net/event_loop.h
@@ -9,7 +9,8 @@
 
 namespace figwinch {
 
-/// Cancels its timer or descriptor watch when destroyed. Owned by whoever asked for it.
+/// Cancels its timer or descriptor watch when destroyed. Owned by whoever asked for it; may be
+/// destroyed from inside its own call.
 class event_handle {
 public:
     virtual ~event_handle() = default;
@@ -36,13 +37,17 @@
                                                             std::function<void()> call);
     /// Calls when the process receives `signal`.
     [[nodiscard]] std::unique_ptr<event_handle> on_signal(int signal, std::function<void()> call);
-    /// Runs `call` on the next turn of the loop.
+    /// Runs `call` on the next turn of the loop. Calls that have not run when the loop is destroyed
+    /// are destroyed unrun.
     void post(std::function<void()> call);
 
     event_base* base() const { return base_; }
 
 private:
+    class post_queue;
+
     event_base* base_ = nullptr;
+    std::unique_ptr<post_queue> posted_;
 };
 
 } // namespace figwinch
--- a/include/figwinch/net/http_server.h
+++ b/include/figwinch/net/http_server.h
@@ -15,10 +15,12 @@
 
 /// Bounds of an HTTP server; evhttp sets none by itself.
 struct http_server_limits {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
     /// How long a connection may be silent in mid-request before it is closed.
     duration read_timeout = std::chrono::seconds(30);
+    /// A request on a connection beyond these is refused with `queue_full` and the connection is
+    /// closed. Connections that send no request are closed by `read_timeout` alone.
     std::size_t max_connections = 4096;
 };
 
@@ -32,7 +34,9 @@
     virtual bool is_open() const = 0;
 };
 
-/// An HTTP/1.1 server by evhttp with keep-alive. Owned by the daemon; handlers run on the loop.
+/// An HTTP/1.1 server by evhttp with keep-alive. A header or body beyond its limit is refused with
+/// 431 or 413 and our refusal body; beyond twice the limit evhttp itself answers 400 or 413. Owned
+/// by the daemon; handlers run on the loop.
 class http_server {
 public:
     using handler = std::function<void(http_request, std::shared_ptr<http_responder>)>;
@@ -44,7 +48,8 @@
     virtual ~http_server() = default;
 
     virtual std::uint16_t port() const = 0;
-    /// Stops accepting connections and closes each open one after its current answer.
+    /// Stops accepting connections and closes each open one after its current answer, or after the
+    /// next when it is idle: a request may be on its way, and closing would cut it.
     virtual void stop_accepting() = 0;
     /// Requests that a handler has taken and not yet answered.
     virtual std::size_t in_flight() const = 0;
