Call HTTP servers without ever resending

Entries call executors with requests that may run once at most, so what became of a call has to be proven, not guessed.

A call ends as not_sent only when no byte of it has left the connection's output buffer; answered only when the length says that the body is whole; else unknown. Before an idle connection is used, the socket is looked at, so that a connection closed meanwhile costs no outcome. Results come on a loop turn of their own, so that callbacks may destroy the client.

--- /dev/null
+++ b/src/net/pooled_http_client.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "figwinch/net/http_client.h"
+#include "net/client_connection.h"
+
+#include <vector>
+
+namespace figwinch {
+
+/// `http_client` by evhttp. Owns its connections; the most recently used idle one is taken first,
+/// so that the others grow old and can be closed.
+class pooled_http_client final : public http_client {
+public:
+    pooled_http_client(event_loop& loop, endpoint server, std::size_t max_connections);
+
+    void call(http_request request, duration timeout, callback done) override;
+    std::size_t open_connections() const override { return connections_.size(); }
+    void close_idle(duration age) override;
+
+private:
+    using connection_ptr = std::shared_ptr<client_connection>;
+
+    connection_ptr idle_connection();
+    connection_ptr new_connection();
+    void drop(const client_connection* connection);
+
+    event_loop& loop_;
+    endpoint server_;
+    std::size_t max_connections_;
+    std::vector<connection_ptr> connections_;
+    /// Ends with the client: calls refused but not yet called back are dropped with it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace figwinch
