--- a/include/figwinch/learning/size_estimator.h
+++ b/include/figwinch/learning/size_estimator.h
@@ -21,7 +21,8 @@
     static std::unique_ptr<size_estimator> create(const settings& with);
     virtual ~size_estimator() = default;
 
-    /// One lagging report of a running task.
+    /// One lagging report of a running task. Leave out tasks that are throttled: what they use is
+    /// not what they need. A report without any use, or of a task without a template, is ignored.
     virtual void observe(const customer_id& customer, const template_id& copied_from,
                          const task_id& task, const resources& used) = 0;
     /// What to commit for a task: the declared size until enough is known, then the learned one.
--- /dev/null
+++ b/src/learning/streak_failure_policy.cpp
@@ -0,0 +1,178 @@
+#include "learning/streak_failure_policy.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace figwinch {
+namespace {
+
+constexpr std::size_t max_workers = 20'000;
+constexpr std::size_t max_tasks = 50'000;
+constexpr std::size_t max_jobs = 10'000;
+/// Different workers on which a job has to fail, without a success, to be suspect.
+constexpr std::size_t suspect_workers = 3;
+/// Failed jobs kept for one worker, and the most that a streak can be set to.
+constexpr std::size_t max_streak = 16;
+/// Workers kept for one task; a task is failed for good long before.
+constexpr std::size_t max_failures = 64;
+
+/// The job of a task `<job>/<index>`.
+job_id job_of(const task_id& task) {
+    const std::string_view text = task.str();
+    return job_id(text.substr(0, text.rfind('/')));
+}
+
+} // namespace
+
+std::unique_ptr<failure_policy> failure_policy::create(const settings& with) {
+    return std::make_unique<streak_failure_policy>(with);
+}
+
+streak_failure_policy::streak_failure_policy(const settings& with)
+    : settings_(with), workers_(max_workers), tasks_(max_tasks), jobs_(max_jobs) {
+    settings_.worker_failures =
+        std::clamp(settings_.worker_failures, 1, static_cast<int>(max_streak / 2));
+}
+
+void streak_failure_policy::note_failed(const worker_id& worker, const task_id& task,
+                                        const job_id& job, instant now) {
+    worker_record& record = workers_.touch(worker);
+    remember(task, worker, !record.quarantined);
+    if (suspect(job, worker))
+        release_wrongly_condemned();
+    if (record.quarantined) {
+        if (record.on_trial)
+            note_trial_failed(record, is_suspect(job), now);
+        return;
+    }
+    if (std::ranges::find(record.failed_jobs, job) == record.failed_jobs.end())
+        record.failed_jobs.push_back(job);
+    if (record.failed_jobs.size() > max_streak)
+        record.failed_jobs.erase(record.failed_jobs.begin());
+    if (!streak_condemns(record))
+        return;
+    record.quarantine = std::min(settings_.quarantine, settings_.max_quarantine);
+    quarantine(worker, record, now);
+}
+
+void streak_failure_policy::note_succeeded(const worker_id& worker, const task_id& task,
+                                           instant /*now*/) {
+    jobs_.erase(job_of(task));
+    const worker_record* record = workers_.find(worker);
+    if (record == nullptr)
+        return;
+    // A task that was started before the worker went bad may still finish during the quarantine;
+    // only what was let through as a trial shows that new tasks run there.
+    if (record->quarantined && !record->on_trial)
+        return;
+    workers_.erase(worker);
+}
+
+bool streak_failure_policy::is_quarantined(const worker_id& worker, instant /*now*/) const {
+    const worker_record* record = workers_.find(worker);
+    return record != nullptr && record->quarantined;
+}
+
+bool streak_failure_policy::admit(const worker_id& worker, instant now) {
+    worker_record* record = workers_.find(worker);
+    if (record == nullptr || !record->quarantined)
+        return true;
+    if (now < record->quarantined_until)
+        return false;
+    // A trial whose outcome never comes (its task was cancelled or lost) must not keep the worker
+    // out for ever: after as long again another task may try.
+    if (record->on_trial && now < record->trial_until)
+        return false;
+    record->on_trial = true;
+    record->trial_until = now + record->quarantine;
+    return true;
+}
+
+int streak_failure_policy::counted_failures(const task_id& task) const {
+    const task_failures* failures = tasks_.find(task);
+    if (failures == nullptr)
+        return 0;
+    return static_cast<int>(
+        std::ranges::count(failures->on_workers, true, &task_failures::failure::counted));
+}
+
+bool streak_failure_policy::failed_on(const task_id& task, const worker_id& worker) const {
+    const task_failures* failures = tasks_.find(task);
+    if (failures == nullptr)
+        return false;
+    return std::ranges::find(failures->on_workers, worker, &task_failures::failure::worker) !=
+           failures->on_workers.end();
+}
+
+void streak_failure_policy::remember(const task_id& task, const worker_id& worker, bool counted) {
+    std::vector<task_failures::failure>& failures = tasks_.touch(task).on_workers;
+    const auto same = std::ranges::find(failures, worker, &task_failures::failure::worker);
+    if (same != failures.end()) {
+        same->counted = same->counted || counted;
+        return;
+    }
+    if (failures.size() >= max_failures)
+        failures.erase(failures.begin());
+    failures.push_back({worker, counted});
+}
+
+bool streak_failure_policy::suspect(const job_id& job, const worker_id& worker) {
+    std::vector<worker_id>& failed = jobs_.touch(job).failed_on;
+    const bool known = std::ranges::find(failed, worker) != failed.end();
+    if (known || failed.size() >= suspect_workers)
+        return false;
+    failed.push_back(worker);
+    return failed.size() == suspect_workers;
+}
+
+bool streak_failure_policy::is_suspect(const job_id& job) const {
+    const job_suspicion* suspicion = jobs_.find(job);
+    return suspicion != nullptr && suspicion->failed_on.size() >= suspect_workers;
+}
+
+void streak_failure_policy::note_trial_failed(worker_record& record, bool job_suspect,
+                                              instant now) {
+    record.on_trial = false;
+    // A job that fails everywhere proves nothing here: the next task may try at once.
+    if (job_suspect)
+        return;
+    record.quarantine = std::min(record.quarantine * 2, settings_.max_quarantine);
+    record.quarantined_until = now + record.quarantine;
+}
+
+bool streak_failure_policy::streak_condemns(const worker_record& record) const {
+    // A suspect job counts half: a few jobs that fail everywhere must not empty the cluster, yet a
+    // bad worker that has made suspects of the jobs it failed must not go on failing new ones.
+    int weight = 0;
+    for (const job_id& job : record.failed_jobs)
+        weight += is_suspect(job) ? 1 : 2;
+    return weight >= 2 * settings_.worker_failures;
+}
+
+void streak_failure_policy::release_wrongly_condemned() {
+    // Jobs that fail everywhere look like a bad worker to the first workers that they meet. Once
+    // they are known, the quarantine that rests on them alone has no ground.
+    workers_.for_each([this](const worker_id&, worker_record& record) {
+        if (record.quarantined && !streak_condemns(record))
+            record = worker_record{.failed_jobs = std::move(record.failed_jobs)};
+    });
+}
+
+void streak_failure_policy::quarantine(const worker_id& worker, worker_record& record,
+                                       instant now) {
+    record.quarantined = true;
+    record.on_trial = false;
+    record.quarantined_until = now + record.quarantine;
+    discount(worker);
+}
+
+void streak_failure_policy::discount(const worker_id& worker) {
+    tasks_.for_each([&worker](const task_id&, task_failures& failures) {
+        for (task_failures::failure& failure : failures.on_workers) {
+            if (failure.worker == worker)
+                failure.counted = false;
+        }
+    });
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/learning/streak_failure_policy.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "figwinch/learning/failure_policy.h"
+#include "learning/job_suspicion.h"
+#include "learning/lru_map.h"
+#include "learning/task_failures.h"
+#include "learning/worker_record.h"
+
+namespace figwinch {
+
+/// Quarantines a worker after a streak of failures of different jobs. Jobs that are suspected of
+/// failing everywhere count half.
+class streak_failure_policy final : public failure_policy {
+public:
+    explicit streak_failure_policy(const settings& with);
+
+    void note_failed(const worker_id& worker, const task_id& task, const job_id& job,
+                     instant now) override;
+    void note_succeeded(const worker_id& worker, const task_id& task, instant now) override;
+    bool is_quarantined(const worker_id& worker, instant now) const override;
+    bool admit(const worker_id& worker, instant now) override;
+    int counted_failures(const task_id& task) const override;
+    bool failed_on(const task_id& task, const worker_id& worker) const override;
+    void forget(const task_id& task) override { tasks_.erase(task); }
+
+private:
+    void remember(const task_id& task, const worker_id& worker, bool counted);
+    /// Adds to the job's suspicion and says whether that has just made it suspect.
+    bool suspect(const job_id& job, const worker_id& worker);
+    bool is_suspect(const job_id& job) const;
+    void note_trial_failed(worker_record& record, bool job_suspect, instant now);
+    bool streak_condemns(const worker_record& record) const;
+    void release_wrongly_condemned();
+    void quarantine(const worker_id& worker, worker_record& record, instant now);
+    /// Takes back every failure counted against a task on this worker.
+    void discount(const worker_id& worker);
+
+    settings settings_;
+    lru_map<worker_id, worker_record> workers_;
+    lru_map<task_id, task_failures> tasks_;
+    lru_map<job_id, job_suspicion> jobs_;
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/tests/learning/failure_policy_test.cpp
@@ -0,0 +1,183 @@
+#include "figwinch/learning.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace figwinch {
+namespace {
+
+const worker_id bad("worker-bad");
+
+job_id job(int number) {
+    return job_id("job-" + std::to_string(number));
+}
+task_id task(int number) {
+    return task_id(job(number).str() + "/0");
+}
+worker_id worker(int number) {
+    return worker_id("worker-" + std::to_string(number));
+}
+
+class failure_policy_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(failure_policy_test);
+    CPPUNIT_TEST(a_worker_that_fails_everything_is_quarantined);
+    CPPUNIT_TEST(a_job_that_fails_everywhere_empties_no_worker);
+    CPPUNIT_TEST(jobs_that_fail_everywhere_together_empty_no_worker);
+    CPPUNIT_TEST(a_bad_worker_cannot_hide_behind_the_jobs_it_made_suspect);
+    CPPUNIT_TEST(one_job_failing_many_times_does_not_quarantine);
+    CPPUNIT_TEST(a_success_between_failures_keeps_the_worker);
+    CPPUNIT_TEST(one_trial_is_let_through_and_its_failure_doubles);
+    CPPUNIT_TEST(the_quarantine_stays_under_its_limit);
+    CPPUNIT_TEST(a_successful_trial_ends_the_quarantine);
+    CPPUNIT_TEST(a_trial_without_outcome_is_followed_by_another);
+    CPPUNIT_TEST(an_old_task_that_finishes_does_not_end_the_quarantine);
+    CPPUNIT_TEST(a_forgotten_task_has_no_failures);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<failure_policy> policy_ = failure_policy::create({});
+    manual_clock clock_;
+
+    void fail(const worker_id& at, int number) {
+        policy_->note_failed(at, task(number), job(number), clock_.now());
+    }
+    void condemn() {
+        for (const int number : {1, 2, 3})
+            fail(bad, number);
+    }
+    bool quarantined(const worker_id& at) const {
+        return policy_->is_quarantined(at, clock_.now());
+    }
+    bool admit(const worker_id& at) { return policy_->admit(at, clock_.now()); }
+
+    // A worker's disk has gone: it fails all that it starts, at once, and so it is always free and
+    // draws the next task. Jobs would be failed for good that run anywhere else.
+    void a_worker_that_fails_everything_is_quarantined() {
+        fail(bad, 1);
+        fail(bad, 2);
+        CPPUNIT_ASSERT(!quarantined(bad));
+        CPPUNIT_ASSERT_EQUAL(1, policy_->counted_failures(task(1)));
+        fail(bad, 3);
+        CPPUNIT_ASSERT(quarantined(bad));
+        CPPUNIT_ASSERT(!admit(bad));
+        for (const int number : {1, 2, 3}) {
+            CPPUNIT_ASSERT_EQUAL(0, policy_->counted_failures(task(number)));
+            CPPUNIT_ASSERT(policy_->failed_on(task(number), bad));
+        }
+    }
+
+    // A job crashes wherever it is started. It is tried on worker after worker; each of them is
+    // fine and must go on taking work, while the job reaches its limit and is failed.
+    void a_job_that_fails_everywhere_empties_no_worker() {
+        for (int at = 0; at < 10; ++at) {
+            fail(worker(at), 7);
+            CPPUNIT_ASSERT(!quarantined(worker(at)));
+        }
+        CPPUNIT_ASSERT_EQUAL(10, policy_->counted_failures(task(7)));
+    }
+
+    // Three broken jobs arrive together and go the same round: the first workers see failures of
+    // three different jobs and look bad. Once the jobs are known for what they are, those workers
+    // have to come back without waiting for a trial.
+    void jobs_that_fail_everywhere_together_empty_no_worker() {
+        for (int at = 0; at < 10; ++at) {
+            for (const int number : {1, 2, 3})
+                fail(worker(at), number);
+        }
+        for (int at = 0; at < 10; ++at)
+            CPPUNIT_ASSERT(!quarantined(worker(at)));
+        CPPUNIT_ASSERT(policy_->counted_failures(task(1)) >= 3);
+    }
+
+    // Three workers of one rack go bad together. Single-task jobs fail on all three and so look
+    // like jobs that fail everywhere. If those counted nothing, the rack would eat one job after
+    // another for ever.
+    void a_bad_worker_cannot_hide_behind_the_jobs_it_made_suspect() {
+        for (int number = 0; number < 6; ++number) {
+            for (int at = 0; at < 3; ++at)
+                fail(worker(at), number);
+        }
+        for (int at = 0; at < 3; ++at)
+            CPPUNIT_ASSERT(quarantined(worker(at)));
+    }
+
+    void one_job_failing_many_times_does_not_quarantine() {
+        for (int i = 0; i < 20; ++i)
+            policy_->note_failed(bad, task_id("job-1/" + std::to_string(i)), job(1), clock_.now());
+        CPPUNIT_ASSERT(!quarantined(bad));
+    }
+
+    void a_success_between_failures_keeps_the_worker() {
+        for (int number = 0; number < 20; ++number) {
+            fail(bad, number);
+            if (number % 2 == 1)
+                policy_->note_succeeded(bad, task_id("other/0"), clock_.now());
+        }
+        CPPUNIT_ASSERT(!quarantined(bad));
+    }
+
+    void one_trial_is_let_through_and_its_failure_doubles() {
+        condemn();
+        clock_.advance(std::chrono::minutes(1));
+        CPPUNIT_ASSERT(admit(bad));
+        CPPUNIT_ASSERT(!admit(bad));
+        CPPUNIT_ASSERT(quarantined(bad));
+        fail(bad, 4);
+        CPPUNIT_ASSERT_EQUAL(0, policy_->counted_failures(task(4)));
+        clock_.advance(std::chrono::seconds(119));
+        CPPUNIT_ASSERT(!admit(bad));
+        clock_.advance(std::chrono::seconds(1));
+        CPPUNIT_ASSERT(admit(bad));
+    }
+
+    void the_quarantine_stays_under_its_limit() {
+        condemn();
+        for (int number = 10; number < 30; ++number) {
+            clock_.advance(std::chrono::minutes(30));
+            CPPUNIT_ASSERT(admit(bad));
+            fail(bad, number);
+        }
+    }
+
+    void a_successful_trial_ends_the_quarantine() {
+        condemn();
+        clock_.advance(std::chrono::minutes(1));
+        CPPUNIT_ASSERT(admit(bad));
+        policy_->note_succeeded(bad, task(4), clock_.now());
+        CPPUNIT_ASSERT(!quarantined(bad));
+        CPPUNIT_ASSERT(admit(bad));
+        CPPUNIT_ASSERT(admit(bad));
+    }
+
+    // The task that was let through is cancelled by its customer before it ends. Nobody reports
+    // an outcome, and the mended worker would stay out of work for ever.
+    void a_trial_without_outcome_is_followed_by_another() {
+        condemn();
+        clock_.advance(std::chrono::minutes(1));
+        CPPUNIT_ASSERT(admit(bad));
+        clock_.advance(std::chrono::minutes(1));
+        CPPUNIT_ASSERT(admit(bad));
+    }
+
+    // A long render that was started while the worker was well ends during the quarantine. That
+    // says nothing of what is started now; three more jobs would fail if it set the worker free.
+    void an_old_task_that_finishes_does_not_end_the_quarantine() {
+        condemn();
+        policy_->note_succeeded(bad, task_id("old/0"), clock_.now());
+        CPPUNIT_ASSERT(quarantined(bad));
+    }
+
+    void a_forgotten_task_has_no_failures() {
+        fail(bad, 1);
+        policy_->forget(task(1));
+        CPPUNIT_ASSERT_EQUAL(0, policy_->counted_failures(task(1)));
+        CPPUNIT_ASSERT(!policy_->failed_on(task(1), bad));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(failure_policy_test);
+
+} // namespace
+} // namespace figwinch
