--- a/tests/net/raw_client.cpp
+++ b/tests/net/raw_client.cpp
@@ -1,9 +1,9 @@
 #include "tests/net/raw_client.h"
 
+#include "tests/net/loopback.h"
+
 #include <cppunit/TestAssert.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,16 +26,11 @@
 }
 
 raw_client::raw_client(event_loop& loop, std::uint16_t port)
-    : loop_(loop), socket_(socket(AF_INET, SOCK_STREAM, 0)), connected_(false) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connected_ = connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-}
+    : loop_(loop), socket_(connect_to_loopback(port)) {}
 
 raw_client::~raw_client() {
-    close(socket_);
+    if (socket_ >= 0)
+        close(socket_);
 }
 
 void raw_client::send(const std::string& text) const {
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -20,7 +20,7 @@
     raw_client(const raw_client&) = delete;
     raw_client& operator=(const raw_client&) = delete;
 
-    bool is_connected() const { return connected_; }
+    bool is_connected() const { return socket_ >= 0; }
     void send(const std::string& text) const;
     void close_sending() const;
     /// Everything that the server sends until it closes.
@@ -29,7 +29,6 @@
 private:
     event_loop& loop_;
     int socket_;
-    bool connected_;
 };
 
 } // namespace figwinch
--- a/tests/net/raw_server.cpp
+++ b/tests/net/raw_server.cpp
@@ -1,9 +1,7 @@
 #include "tests/net/raw_server.h"
 
-#include <cppunit/TestAssert.h>
+#include "tests/net/loopback.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,17 +11,10 @@
 namespace figwinch {
 
 raw_server::raw_server(event_loop& loop, answer decide)
-    : loop_(loop), decide_(std::move(decide)), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    constexpr int backlog = 16;
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    CPPUNIT_ASSERT_EQUAL(0, bind(listener_, generic, size));
-    CPPUNIT_ASSERT_EQUAL(0, listen(listener_, backlog));
-    CPPUNIT_ASSERT_EQUAL(0, getsockname(listener_, generic, &size));
-    port_ = ntohs(address.sin_port);
+    : loop_(loop), decide_(std::move(decide)), listener_(-1) {
+    const listening_socket listener = listen_on_loopback();
+    listener_ = listener.descriptor;
+    port_ = listener.port;
     watch_ = loop_.on_readable(listener_, [this] { accept_one(); });
 }
 
