Throttle, then evict batch work that slows services

Cause: which batch task hurts which service is known only from lagging measurements and shifts with load; the scheduler needs the agreed interference_controller. Ruled out: acting on every report (reports older than the last step throttle twice for one cause); believing the worker's list at once (it shows the old throttle for seconds); taking silence for calm. Change: stepwise_controller: one step on a host at a time, halves down to 20 percent, quarters up, eviction when everything stands at its floor, a longer wait after each lift that had to be taken back, harm per service and template learned from what throttling changed.

--- /dev/null
+++ b/src/interference/stepwise_controller.cpp
@@ -0,0 +1,216 @@
+#include "interference/stepwise_controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figwinch {
+namespace {
+
+constexpr std::size_t max_hosts = 20'000;
+constexpr std::size_t max_pairs = 20'000;
+/// Lowest throttle; below it a task hardly runs and is better evicted.
+constexpr int floor_percent = 20;
+constexpr int lift_percent = 25;
+/// Ratios to the limit above which two tasks, and all, are throttled in one step.
+constexpr double bad = 1.25;
+constexpr double very_bad = 1.6;
+/// Steps at the floor before the first eviction: the last throttles may not have shown yet.
+constexpr int floor_steps_before_evict = 2;
+/// A release that is followed by a step within this was too early.
+constexpr duration regret_window = std::chrono::seconds(30);
+constexpr int max_calm_factor = 8;
+/// Without any report for so long nobody is being served from the host.
+constexpr duration silence_before_release = std::chrono::seconds(30);
+/// Change of the logarithm of the latency ratio for each core taken that counts as harm 1.
+constexpr double full_harm_per_core = 0.25;
+constexpr double least_cores = 0.05;
+
+} // namespace
+
+std::unique_ptr<interference_controller> interference_controller::create(const settings& with) {
+    return std::make_unique<stepwise_controller>(with);
+}
+
+stepwise_controller::stepwise_controller(const settings& with)
+    : settings_(with), hosts_(max_hosts), harms_(max_pairs) {}
+
+void stepwise_controller::observe_latency(const std::string& host, const service_id& service,
+                                          duration p99, duration target, std::int64_t samples,
+                                          instant now) {
+    if (target <= duration::zero())
+        return;
+    const double ratio = static_cast<double>(p99.count()) / static_cast<double>(target.count());
+    host_at(host, now).signal(service).add(ratio, samples, now);
+}
+
+stepwise_controller::actions stepwise_controller::decide(const std::string& host,
+                                                         const std::vector<batch_neighbour>& listed,
+                                                         instant now) {
+    host_control& state = host_at(host, now);
+    tasks running = state.ledger.apply(listed, now);
+    const std::optional<host_control::worst_service> worst = state.worst(now);
+    if (!worst)
+        return relax_in_silence(state, running, now);
+    learn_from_last_step(state, *worst, now);
+    if (now - state.last_step < settings_.step_interval)
+        return {};
+    if (worst->ratio > settings_.act_above)
+        return tighten(state, std::move(running), *worst, now);
+    state.steps_at_floor = 0;
+    if (worst->ratio >= settings_.release_below) {
+        state.calm_since.reset();
+        return {};
+    }
+    return relax(state, std::move(running), worst->service, now);
+}
+
+host_control& stepwise_controller::host_at(const std::string& name, instant now) {
+    host_control& host = hosts_.touch(name);
+    if (host.first_seen == instant{})
+        host.first_seen = now;
+    return host;
+}
+
+double stepwise_controller::penalty(const std::string& host, const template_id& copied_from,
+                                    instant now) const {
+    const host_control* state = hosts_.find(host);
+    if (state == nullptr)
+        return 0;
+    double highest = 0;
+    for (const host_control::service_state& service : state->services)
+        highest = std::max(highest, harms_.harm(service.service, copied_from, now));
+    return highest;
+}
+
+stepwise_controller::actions stepwise_controller::tighten(host_control& host, tasks running,
+                                                          const host_control::worst_service& worst,
+                                                          instant now) {
+    note_calm_broken(host, now);
+    if (running.empty())
+        return {};
+    sort_by_cost(running, worst.service, now);
+    const double excess = worst.ratio / settings_.act_above;
+    std::size_t allowed = excess >= very_bad ? running.size() : excess >= bad ? 2 : 1;
+    actions steps;
+    host_control::pending_step pending{.service = worst.service, .ratio_before = worst.ratio};
+    for (const controlled_task& task : running) {
+        if (allowed == 0)
+            break;
+        if (task.percent <= floor_percent)
+            continue;
+        const int percent = std::max(task.percent / 2, floor_percent);
+        steps.push_back({task.task, interference_step::throttle, percent});
+        pending.parts.push_back(
+            {task.copied_from, task.cores * (task.percent - percent) / task.percent});
+        host.ledger.note_throttled(task.task, percent, now);
+        --allowed;
+    }
+    if (steps.empty())
+        return evict_one(host, running, now);
+    host.steps_at_floor = 0;
+    begin_step(host, now);
+    host.pending = std::move(pending);
+    return steps;
+}
+
+stepwise_controller::actions stepwise_controller::evict_one(host_control& host,
+                                                            const tasks& running, instant now) {
+    begin_step(host, now);
+    if (++host.steps_at_floor <= floor_steps_before_evict)
+        return {};
+    // A task with a checkpoint loses nothing but the wait for another worker.
+    const auto with_checkpoint = std::ranges::find(running, true, &controlled_task::checkpointable);
+    const controlled_task& victim =
+        with_checkpoint == running.end() ? running.front() : *with_checkpoint;
+    host.ledger.note_evicted(victim.task, now);
+    return {{victim.task, interference_step::evict, 0}};
+}
+
+stepwise_controller::actions stepwise_controller::relax(host_control& host, tasks running,
+                                                        const service_id& service, instant now) {
+    if (!host.calm_since)
+        host.calm_since = now;
+    if (now - *host.calm_since < std::max(host.calm_needed, settings_.calm_before_release))
+        return {};
+    sort_by_cost(running, service, now);
+    const auto lightest = std::find_if(running.rbegin(), running.rend(),
+                                       [](const auto& task) { return task.percent < 100; });
+    if (lightest == running.rend()) {
+        host.calm_needed = settings_.calm_before_release;
+        return {};
+    }
+    return {lift_one(host, *lightest, now)};
+}
+
+stepwise_controller::actions
+stepwise_controller::relax_in_silence(host_control& host, const tasks& running, instant now) {
+    // Silence is not calm: the entry that reports may have died while requests go on elsewhere.
+    // Its executors have a new owner within seconds, so after a longer silence none is served.
+    if (now - host.last_heard() < silence_before_release)
+        return {};
+    host.pending.reset();
+    if (now - host.last_release < settings_.calm_before_release)
+        return {};
+    const auto throttled =
+        std::ranges::find_if(running, [](const auto& task) { return task.percent < 100; });
+    if (throttled == running.end())
+        return {};
+    return {lift_one(host, *throttled, now)};
+}
+
+interference_action stepwise_controller::lift_one(host_control& host, const controlled_task& task,
+                                                  instant now) {
+    const int percent = std::min(task.percent + lift_percent, 100);
+    host.ledger.note_throttled(task.task, percent, now);
+    host.last_release = now;
+    host.calm_since = now;
+    begin_step(host, now);
+    return {task.task, interference_step::throttle, percent};
+}
+
+void stepwise_controller::learn_from_last_step(host_control& host,
+                                               const host_control::worst_service& worst,
+                                               instant now) {
+    if (!host.pending || host.pending->service != worst.service)
+        return;
+    double cores = 0;
+    for (const auto& part : host.pending->parts)
+        cores += part.cores;
+    if (cores >= least_cores && worst.ratio > 0) {
+        const double drop = std::log(host.pending->ratio_before / worst.ratio);
+        const double observed = drop / cores / full_harm_per_core;
+        for (const auto& part : host.pending->parts)
+            harms_.learn(worst.service, part.copied_from, observed, now);
+    }
+    host.pending.reset();
+}
+
+void stepwise_controller::begin_step(host_control& host, instant now) {
+    host.last_step = now;
+    host.pending.reset();
+    for (host_control::service_state& service : host.services)
+        service.signal.restart(now + settings_.step_interval);
+}
+
+void stepwise_controller::note_calm_broken(host_control& host, instant now) {
+    host.calm_since.reset();
+    const bool too_early =
+        host.last_release != instant{} && now - host.last_release < regret_window;
+    if (!too_early)
+        return;
+    // Load that shifts up and down would make it lift and throttle for ever; each lift that had to
+    // be taken back makes it wait twice as long for the next.
+    host.calm_needed = std::min(std::max(host.calm_needed, settings_.calm_before_release) * 2,
+                                settings_.calm_before_release * max_calm_factor);
+    host.last_release = {};
+}
+
+void stepwise_controller::sort_by_cost(tasks& running, const service_id& service,
+                                       instant now) const {
+    const auto cost = [&](const controlled_task& task) {
+        return harms_.harm(service, task.copied_from, now) * task.cores;
+    };
+    std::ranges::stable_sort(running, std::greater{}, cost);
+}
+
+} // namespace figwinch
