--- a/src/interference/stepwise_controller.cpp
+++ b/src/interference/stepwise_controller.cpp
@@ -98,8 +98,7 @@
             break;
         if (task.percent <= floor_percent)
             continue;
-        const int percent =
-            excess >= very_bad ? floor_percent : std::max(task.percent / 2, floor_percent);
+        const int percent = std::max(task.percent / 2, floor_percent);
         steps.push_back({task.task, interference_step::throttle, percent});
         pending.parts.push_back(
             {task.copied_from, task.cores * (task.percent - percent) / task.percent});
