Keep clang-tidy from flagging ordered ids

Cause: tools/lint fails with modernize-use-nullptr in strong_string.h and strong_number.h as soon as a source sorts ids or keys a map by them: clang-tidy takes the literal 0 of the rewritten operator< for a null pointer. Measured: clang-tidy on src/config/manifest.cpp: one error before, none after.

--- a/include/figwinch/base/strong_number.h
+++ b/include/figwinch/base/strong_number.h
@@ -20,6 +20,8 @@
     constexpr bool is_none() const { return value_ == 0; }
     constexpr strong_number next() const { return strong_number(value_ + 1); }
 
+    // clang-tidy takes the 0 of a rewritten `<` for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(strong_number, strong_number) = default;
     friend std::ostream& operator<<(std::ostream& out, strong_number number) {
         return out << number.value_;
--- a/include/figwinch/base/strong_string.h
+++ b/include/figwinch/base/strong_string.h
@@ -21,6 +21,8 @@
     const std::string& str() const { return value_; }
     bool empty() const { return value_.empty(); }
 
+    // clang-tidy takes the 0 of a rewritten `<` for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const strong_string&, const strong_string&) = default;
     friend std::ostream& operator<<(std::ostream& out, const strong_string& id) {
         return out << id.value_;
