Check manifests strictly and fold the config stream

Cause: operators' pipelines publish manifests that hold copied or wrong values, race each other, and append records twice when an acknowledgement is lost; every process has to judge alike.

--- a/include/figwinch/config.h
+++ b/include/figwinch/config.h
@@ -3,5 +3,9 @@
 /// Library `config`: the manifest, its strict check, the fold of changes from the log, and the view
 /// that rules consult. No I/O.
 
+#include "figwinch/config/config_fold.h"
 #include "figwinch/config/config_view.h"
+#include "figwinch/config/fold_outcome.h"
 #include "figwinch/config/manifest.h"
+#include "figwinch/config/manifest_codec.h"
+#include "figwinch/config/manifest_fault.h"
