--- /dev/null
+++ b/include/figwinch/placement.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// Library `placement`: which queued task goes next and which worker takes it. No I/O.
+
+#include "figwinch/placement/job_queue.h"
+#include "figwinch/placement/worker_index.h"
--- /dev/null
+++ b/src/jobs/job_fold.cpp
@@ -0,0 +1,269 @@
+#include "figwinch/jobs/job_fold.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace figwinch {
+namespace {
+
+std::uint64_t record_number(const std::string& id) {
+    const std::size_t colon = id.rfind(':');
+    std::uint64_t value = 0;
+    if (colon != std::string::npos)
+        std::from_chars(id.data() + colon + 1, id.data() + id.size(), value);
+    return value;
+}
+
+} // namespace
+
+void job_fold::apply(log_offset offset, const std::string& payload) {
+    if (offset <= position_)
+        return;
+    position_ = offset;
+    pb::JobBatch batch;
+    if (!batch.ParseFromString(payload) || !is_new(batch))
+        return;
+    for (const pb::JobEvent& event : batch.events())
+        apply_event(offset, batch, event);
+}
+
+bool job_fold::is_new(const pb::JobBatch& batch) {
+    const incarnation_id writer(batch.writer());
+    if (successors_.contains(writer))
+        return false;
+    writer_state& state = writers_[writer];
+    const std::uint64_t number = record_number(batch.record_id());
+    if (number <= state.last_number)
+        return false;
+    state.last_number = number;
+    if (!batch.data_centre().empty())
+        state.data_centre = data_centre_id(batch.data_centre());
+    return true;
+}
+
+void job_fold::apply_event(log_offset offset, const pb::JobBatch& batch,
+                           const pb::JobEvent& event) {
+    switch (event.body_case()) {
+    case pb::JobEvent::kAccepted:
+        return accept(offset, batch, event.accepted());
+    case pb::JobEvent::kEnded:
+        return end_task(batch, event.ended());
+    case pb::JobEvent::kCancelled:
+        return cancel(batch, event.cancelled());
+    case pb::JobEvent::kMoved:
+        return move(offset, batch, event.moved());
+    case pb::JobEvent::kTakeover:
+        return take_over(offset, batch, event.takeover());
+    case pb::JobEvent::kSnapshot:
+        return snapshot(offset, batch, event.snapshot());
+    case pb::JobEvent::BODY_NOT_SET:
+        return;
+    }
+}
+
+void job_fold::accept(log_offset offset, const pb::JobBatch& batch, const pb::JobAccepted& event) {
+    const job_key key = make_job_key(event.spec().customer(), event.spec().id());
+    const auto [place, inserted] = jobs_.try_emplace(key);
+    if (!inserted)
+        return;
+    job_record& job = place->second;
+    job.key = key;
+    job.spec = event.spec();
+    job.kept_at = offset;
+    set_owner(job, incarnation_id(batch.writer()), data_centre_id(batch.data_centre()), {});
+    if (listener_)
+        listener_->on_accepted(job);
+}
+
+job_record* job_fold::owned(const pb::JobBatch& batch, const std::string& customer,
+                            const std::string& job) {
+    const auto place = jobs_.find(make_job_key(customer, job));
+    if (place == jobs_.end() || place->second.owner.str() != batch.writer())
+        return nullptr;
+    return &place->second;
+}
+
+void job_fold::end_task(const pb::JobBatch& batch, const pb::TaskEnded& event) {
+    job_record* job = owned(batch, event.customer(), event.job());
+    if (!job || event.task_index() < 0 || event.task_index() >= job->spec.tasks())
+        return;
+    const bool was_done = job->done();
+    task_outcome& outcome = job->tasks[event.task_index()];
+    const attempt_number attempt(event.attempt());
+    if (outcome.final || attempt <= outcome.attempt)
+        return;
+    outcome.attempt = attempt;
+    outcome.end = static_cast<pb::TaskEnd>(event.end());
+    if (!event.checkpoint().empty())
+        outcome.checkpoint = event.checkpoint();
+    outcome.worker = event.worker();
+    outcome.final = event.final();
+    if (outcome.final) {
+        outcome.checkpoint.clear();
+        ++job->final_tasks;
+    }
+    if (!was_done && job->done())
+        note_done(*job);
+    if (listener_)
+        listener_->on_task_ended(*job, event.task_index());
+}
+
+void job_fold::cancel(const pb::JobBatch& batch, const pb::JobCancelled& event) {
+    job_record* job = owned(batch, event.customer(), event.job());
+    if (!job || job->done())
+        return;
+    job->cancelled = true;
+    note_done(*job);
+    if (listener_)
+        listener_->on_cancelled(*job);
+}
+
+void job_fold::move(log_offset offset, const pb::JobBatch& batch, const pb::JobMoved& event) {
+    job_record* job = owned(batch, event.customer(), event.job());
+    if (!job)
+        return;
+    const incarnation_id previous = job->owner;
+    const incarnation_id to = newest_successor(incarnation_id(event.to()));
+    set_owner(*job, to, data_centre_id(event.to_data_centre()), offset);
+    if (listener_)
+        listener_->on_owner_changed(*job, previous, false);
+}
+
+void job_fold::take_over(log_offset offset, const pb::JobBatch& batch,
+                         const pb::OwnerTakeover& event) {
+    const incarnation_id from(event.from());
+    const incarnation_id to = newest_successor(incarnation_id(event.to()));
+    const bool by_party = batch.writer() == event.from() || batch.writer() == event.to();
+    if (!by_party || from == to || successors_.contains(from))
+        return;
+    successors_[from] = to;
+    const std::set<job_key> keys = jobs_of(from);
+    for (const job_key& key : keys) {
+        job_record& job = jobs_.at(key);
+        set_owner(job, to, job.owner_data_centre, offset);
+        if (listener_)
+            listener_->on_owner_changed(job, from, true);
+    }
+}
+
+void job_fold::snapshot(log_offset offset, const pb::JobBatch& batch,
+                        const pb::JobSnapshot& event) {
+    const job_key key = make_job_key(event.spec().customer(), event.spec().id());
+    const auto [place, inserted] = jobs_.try_emplace(key);
+    job_record& job = place->second;
+    if (!inserted) {
+        if (job.owner.str() == batch.writer())
+            job.kept_at = offset;
+        return;
+    }
+    job.key = key;
+    job.spec = event.spec();
+    job.kept_at = offset;
+    job.cancelled = event.cancelled();
+    for (const pb::TaskEnded& ended : event.tasks()) {
+        job.tasks[ended.task_index()] =
+            task_outcome{attempt_number(ended.attempt()), static_cast<pb::TaskEnd>(ended.end()),
+                         ended.checkpoint(), ended.worker(), ended.final()};
+        job.final_tasks += ended.final() ? 1 : 0;
+    }
+    set_owner(job, newest_successor(incarnation_id(event.owner())),
+              data_centre_id(event.owner_data_centre()), offset);
+    if (job.done())
+        note_done(job);
+    if (listener_)
+        listener_->on_accepted(job);
+}
+
+void job_fold::set_owner(job_record& job, const incarnation_id& owner, const data_centre_id& centre,
+                         log_offset offset) {
+    if (!job.owner.empty()) {
+        const auto place = by_owner_.find(job.owner);
+        place->second.erase(job.key);
+        if (place->second.empty())
+            by_owner_.erase(place);
+    }
+    job.owner = owner;
+    job.owner_data_centre = centre;
+    job.owned_since = offset;
+    by_owner_[owner].insert(job.key);
+}
+
+incarnation_id job_fold::newest_successor(incarnation_id owner) const {
+    for (auto next = successors_.find(owner); next != successors_.end();
+         next = successors_.find(owner))
+        owner = next->second;
+    return owner;
+}
+
+void job_fold::note_done(const job_record& job) {
+    done_.push_back(job.key);
+}
+
+void job_fold::forget_done(std::size_t keep) {
+    if (done_.size() <= keep)
+        return;
+    const std::size_t excess = done_.size() - keep;
+    for (std::size_t i = 0; i < excess; ++i) {
+        const auto place = jobs_.find(done_[i]);
+        if (place == jobs_.end())
+            continue;
+        const auto owner = by_owner_.find(place->second.owner);
+        owner->second.erase(done_[i]);
+        if (owner->second.empty())
+            by_owner_.erase(owner);
+        jobs_.erase(place);
+    }
+    done_.erase(done_.begin(), done_.begin() + static_cast<std::ptrdiff_t>(excess));
+}
+
+const job_record* job_fold::find(const job_key& key) const {
+    const auto place = jobs_.find(key);
+    return place == jobs_.end() ? nullptr : &place->second;
+}
+
+const std::set<job_key>& job_fold::jobs_of(const incarnation_id& owner) const {
+    static const std::set<job_key> none;
+    const auto place = by_owner_.find(owner);
+    return place == by_owner_.end() ? none : place->second;
+}
+
+std::vector<incarnation_id> job_fold::owners() const {
+    std::vector<incarnation_id> all;
+    all.reserve(by_owner_.size());
+    for (const auto& [owner, jobs] : by_owner_)
+        all.push_back(owner);
+    std::ranges::sort(all);
+    return all;
+}
+
+data_centre_id job_fold::data_centre_of(const incarnation_id& writer) const {
+    const auto place = writers_.find(writer);
+    return place == writers_.end() ? data_centre_id{} : place->second.data_centre;
+}
+
+std::uint64_t job_fold::last_number(const incarnation_id& writer) const {
+    const auto place = writers_.find(writer);
+    return place == writers_.end() ? 0 : place->second.last_number;
+}
+
+pb::JobSnapshot make_snapshot(const job_record& job) {
+    pb::JobSnapshot out;
+    *out.mutable_spec() = job.spec;
+    out.set_owner(job.owner.str());
+    out.set_owner_data_centre(job.owner_data_centre.str());
+    out.set_cancelled(job.cancelled);
+    for (const auto& [index, outcome] : job.tasks) {
+        pb::TaskEnded& task = *out.add_tasks();
+        task.set_job(job.spec.id());
+        task.set_customer(job.spec.customer());
+        task.set_task_index(index);
+        task.set_attempt(outcome.attempt.value());
+        task.set_end(outcome.end);
+        task.set_checkpoint(outcome.checkpoint);
+        task.set_worker(outcome.worker);
+        task.set_final(outcome.final);
+    }
+    return out;
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/scheduler/core_log.cpp
@@ -0,0 +1,130 @@
+// What the jobs stream tells `scheduler_core`.
+
+#include "scheduler/scheduler_core.h"
+
+#include <algorithm>
+
+namespace figwinch {
+
+void scheduler_core::on_jobs_page(const log_page& page, instant sent_at, instant now) {
+    now_ = now;
+    for (const log_record& record : page.records) {
+        if (record.offset <= fold_.position())
+            continue;
+        fold_.apply(record.offset, record.payload);
+        after_record(record.offset);
+    }
+    writer_.on_folded(fold_.last_number(self_));
+    const bool at_tail = fold_.position().next() >= page.next;
+    if (!at_tail) {
+        read_log_ = true;
+        return;
+    }
+    evidence_.note_confirmed(sent_at);
+    const bool first = !recovered_;
+    recovered_ = true;
+    if (!first && page.records.empty())
+        return;
+    fold_.forget_done(with_.keep_done_jobs);
+    for (const auto& [name, worker] : leases_.workers())
+        police(name);
+}
+
+void scheduler_core::after_record(log_offset offset) {
+    if (fold_.was_taken_over(self_))
+        deposed_ = true;
+    if (gained_.empty())
+        return;
+    std::set<worker_id> workers;
+    for (const auto& [name, worker] : leases_.workers())
+        workers.insert(name);
+    for (auto& [previous, jobs] : gained_) {
+        fences_.emplace_back(previous, offset, now_, with_.renew_unconfirmed + with_.leases.lapse(),
+                             workers, std::move(jobs));
+    }
+    gained_.clear();
+    leases_.renew_all(now_);
+    next_fence_ = now_;
+}
+
+void scheduler_core::take_up(const job_record& job, bool fenced_off) {
+    if (job.done())
+        return;
+    book_.add(job, fenced_off);
+    enqueue(job.key);
+    const instant due = now_ + with_.snapshot_every;
+    snapshot_due_[job.key] = due;
+    snapshot_order_.insert({due, job.key});
+}
+
+void scheduler_core::let_go(const job_key& key) {
+    const job_entry* job = book_.find(key);
+    const customer_id customer(job ? job->spec.customer() : "");
+    book_.remove(key);
+    queue_.remove(key);
+    if (job)
+        update_usage(customer);
+    const auto due = snapshot_due_.find(key);
+    if (due == snapshot_due_.end())
+        return;
+    snapshot_order_.erase({due->second, key});
+    snapshot_due_.erase(due);
+}
+
+void scheduler_core::on_accepted(const job_record& job) {
+    if (is_mine(job))
+        take_up(job, false);
+    answer(job.key, false, absl::OkStatus());
+}
+
+void scheduler_core::on_task_ended(const job_record& job, int index) {
+    if (!is_mine(job))
+        return;
+    if (policies_.failures && job.tasks.at(index).final)
+        policies_.failures->forget(make_task_id(job.key, index));
+    if (job.done())
+        let_go(job.key);
+}
+
+void scheduler_core::on_cancelled(const job_record& job) {
+    if (is_mine(job)) {
+        for (const attempt_place& one : book_.cancel(job.key))
+            leases_.stop(one.worker, one.task, false, now_);
+        let_go(job.key);
+    }
+    answer(job.key, true, absl::OkStatus());
+}
+
+void scheduler_core::on_owner_changed(const job_record& job, const incarnation_id& previous,
+                                      bool taken_over) {
+    if (previous == self_)
+        let_go(job.key);
+    if (!is_mine(job))
+        return;
+    take_up(job, taken_over);
+    if (taken_over)
+        gained_[previous].push_back(job.key);
+}
+
+// Records of the log expire. Each owner writes its jobs again before that, one record for many, so
+// that a process that starts later still finds every job.
+void scheduler_core::write_snapshots(instant now) {
+    constexpr int max_at_once = 64;
+    if (!writer_.is_idle())
+        return;
+    for (int i = 0; i < max_at_once && !snapshot_order_.empty(); ++i) {
+        const auto [due, key] = *snapshot_order_.begin();
+        if (now < due)
+            return;
+        snapshot_order_.erase(snapshot_order_.begin());
+        snapshot_due_[key] = now + with_.snapshot_every;
+        snapshot_order_.insert({now + with_.snapshot_every, key});
+        if (const job_record* job = fold_.find(key)) {
+            pb::JobEvent event;
+            *event.mutable_snapshot() = make_snapshot(*job);
+            writer_.add(std::move(event));
+        }
+    }
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/scheduler/core_ownership.cpp
@@ -0,0 +1,308 @@
+// Who owns a job, and when its tasks may start again: `scheduler_core`.
+
+#include "scheduler/scheduler_core.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+const member* highest(const std::vector<const member*>& members, const std::string& key) {
+    const auto best = std::ranges::max_element(
+        members, {}, [&key](const member* one) { return rendezvous_weight(one->node.str(), key); });
+    return best == members.end() ? nullptr : *best;
+}
+
+bool allows(const pb::JobSpec& spec, const data_centre_id& centre) {
+    return spec.data_centres().empty() ||
+           std::ranges::find(spec.data_centres(), centre.str()) != spec.data_centres().end();
+}
+
+resources size_of(const pb::JobSpec& spec) {
+    return {spec.size().cpu_millis(), spec.size().memory_mib(), spec.size().accelerators()};
+}
+
+} // namespace
+
+void scheduler_core::run_fences(instant now, scheduler_actions& out) {
+    const bool settled = now >= schedulers_changed_at_ + with_.leases.lapse();
+    for (takeover_fence& fence : fences_) {
+        for (const worker_id& worker : std::set<worker_id>(fence.open())) {
+            const leased_worker* known = leases_.find(worker);
+            const bool nobodys = !known;
+            if (settled && (nobodys || (known->preferred && leases_.is_quiet(worker, now))))
+                fence.note_quiet(worker, now);
+        }
+    }
+    lift_complete_fences();
+    if (now < next_fence_)
+        return;
+    next_fence_ = now + with_.fence_every;
+    const bool elsewhere = std::ranges::any_of(book_.active_on(), [this, now](const auto& one) {
+        return !leases_.is_held(one.first, now);
+    });
+    if (fences_.empty() && !elsewhere)
+        return;
+    resolve_located({}, {}, {}, now, now);
+    for (const member* peer : live_schedulers(with_.self.data_centre)) {
+        fence_ask ask;
+        ask.peer = *peer;
+        ask.query.set_previous_owner(fences_.empty() ? self_.str()
+                                                     : fences_.front().previous().str());
+        ask.query.set_folded(fold_.position().value());
+        out.asks.push_back(std::move(ask));
+    }
+}
+
+void scheduler_core::lift_complete_fences() {
+    for (auto fence = fences_.begin(); fence != fences_.end();) {
+        if (!fence->is_complete()) {
+            ++fence;
+            continue;
+        }
+        const std::vector<job_key> jobs = fence->jobs();
+        fence = fences_.erase(fence);
+        for (const job_key& key : jobs) {
+            book_.lift_fence(key);
+            enqueue(key);
+        }
+    }
+}
+
+pb::PeerReply scheduler_core::on_fence_query(const incarnation_id& from,
+                                             const pb::FenceQuery& query, instant now) {
+    now_ = now;
+    pb::PeerReply reply;
+    if (!recovered_ || deposed_ || fold_.position().value() < query.folded()) {
+        read_log_ = true;
+        reply.set_code(number(result_code::view_not_fresh));
+        reply.set_reason("the jobs stream has not been read far enough");
+        return reply;
+    }
+    pb::FenceReply& out = *reply.mutable_fence();
+    const auto belongs = [this, &from](const std::string& task) {
+        const std::optional<task_name> name = parse_task_id(task);
+        const job_record* job = name ? fold_.find(name->job) : nullptr;
+        return job && job->owner == from;
+    };
+    for (const auto& [name, worker] : leases_.workers()) {
+        if (worker.preferred && leases_.is_quiet(name, now))
+            out.add_quiet_workers(name.str());
+        if (!leases_.is_held(name, now))
+            continue;
+        out.add_held_workers(name.str());
+        for (const auto& [task, one] : worker.tasks) {
+            if (!belongs(task.str()))
+                continue;
+            pb::FenceTask& entry = *out.add_tasks();
+            entry.set_task(task.str());
+            entry.set_attempt(one.attempt.value());
+            entry.set_worker(name.str());
+        }
+        for (const pb::EndedTask& report : leases_.ends_on(name)) {
+            if (!belongs(report.key().task()))
+                continue;
+            pb::FenceTask& entry = *out.add_tasks();
+            entry.set_task(report.key().task());
+            entry.set_attempt(report.key().attempt());
+            entry.set_worker(name.str());
+            entry.set_ended(true);
+            entry.set_end(report.end());
+            entry.set_checkpoint(report.checkpoint());
+        }
+    }
+    return reply;
+}
+
+void scheduler_core::on_fence_reply(const incarnation_id& from, const pb::FenceReply& reply,
+                                    instant asked_at, instant now) {
+    now_ = now;
+    std::set<worker_id> held;
+    std::set<worker_id> quiet;
+    std::set<task_id> listed;
+    for (const std::string& worker : reply.held_workers())
+        held.insert(worker_id(worker));
+    for (const std::string& worker : reply.quiet_workers())
+        quiet.insert(worker_id(worker));
+    for (const pb::FenceTask& task : reply.tasks()) {
+        listed.insert(task_id(task.task()));
+        if (task.ended()) {
+            pb::EndedTask report;
+            report.mutable_key()->set_task(task.task());
+            report.mutable_key()->set_attempt(task.attempt());
+            report.set_end(static_cast<pb::TaskEnd>(task.end()));
+            report.set_checkpoint(task.checkpoint());
+            take_report(report, worker_id(task.worker()));
+        } else {
+            book_.note_found(task_id(task.task()), attempt_number(task.attempt()),
+                             worker_id(task.worker()), {}, now);
+        }
+    }
+    const bool settled = now >= schedulers_changed_at_ + with_.leases.lapse();
+    for (takeover_fence& fence : fences_) {
+        if (from == fence.previous() || asked_at < fence.folded_at())
+            continue;
+        for (const worker_id& worker : held)
+            fence.note_held(worker);
+        for (const worker_id& worker : quiet) {
+            if (settled)
+                fence.note_quiet(worker, now);
+        }
+    }
+    resolve_located(held, quiet, listed, asked_at, now);
+    lift_complete_fences();
+}
+
+// Attempts of this owner on workers that it no longer holds. One is over when the worker's holder
+// lists it no more, or when nobody has sent the worker anything for a whole lapse.
+void scheduler_core::resolve_located(const std::set<worker_id>& held,
+                                     const std::set<worker_id>& quiet,
+                                     const std::set<task_id>& listed, instant asked_at,
+                                     instant now) {
+    const duration lapse = with_.leases.lapse();
+    const bool settled = now >= schedulers_changed_at_ + lapse;
+    std::vector<std::pair<task_id, attempt_number>> over;
+    for (const auto& [worker, tasks] : book_.active_on()) {
+        if (leases_.is_held(worker, now))
+            continue;
+        const bool known = leases_.find(worker) != nullptr;
+        const bool own_quiet = !known || leases_.is_quiet(worker, now);
+        const bool silent = settled && leases_.untouched_for_lapse(worker, now) &&
+                            (quiet.contains(worker) || own_quiet);
+        for (const task_id& task : tasks) {
+            const task_slot& slot = *book_.slot(task);
+            const bool unlisted =
+                held.contains(worker) && !listed.contains(task) && slot.since < asked_at;
+            if (unlisted || (silent && now >= slot.since + lapse))
+                over.emplace_back(task, slot.attempt);
+        }
+    }
+    for (const auto& [task, attempt] : over) {
+        if (!book_.note_gone(task, attempt))
+            continue;
+        const std::optional<task_name> name = parse_task_id(task.str());
+        enqueue(name->job);
+        update_usage(customer_id(book_.find(name->job)->spec.customer()));
+    }
+}
+
+bool scheduler_core::is_gone(const incarnation_id& owner, instant now) const {
+    for (const member& peer : members_) {
+        if (peer.incarnation == owner)
+            return peer.state == member_state::dead;
+    }
+    return now >= started_at_ + with_.unknown_owner_grace;
+}
+
+void scheduler_core::take_over_dead_owners(instant now) {
+    if (stopping_ || evidence_.judge(now) != freshness::confirmed)
+        return;
+    std::vector<const member*> live = live_schedulers(with_.self.data_centre);
+    live.push_back(&with_.self);
+    for (const incarnation_id& owner : fold_.owners()) {
+        if (owner == self_ || fold_.was_taken_over(owner))
+            continue;
+        const job_record* any = fold_.find(*fold_.jobs_of(owner).begin());
+        if (any->owner_data_centre != with_.self.data_centre || !is_gone(owner, now))
+            continue;
+        if (highest(live, owner.str()) != &with_.self)
+            continue;
+        instant& tried = takeover_tried_[owner];
+        if (tried != instant{} && now < tried + with_.takeover_retry)
+            continue;
+        tried = now;
+        pb::JobEvent event;
+        event.mutable_takeover()->set_from(owner.str());
+        event.mutable_takeover()->set_to(self_.str());
+        writer_.add(std::move(event));
+    }
+}
+
+bool scheduler_core::suits_here(const pb::JobSpec& spec) const {
+    if (!centre_in_service(with_.self.data_centre) || !allows(spec, with_.self.data_centre))
+        return false;
+    const resources size = size_of(spec);
+    return std::ranges::any_of(leases_.workers(), [&size](const auto& one) {
+        return one.second.preferred && fits(size, one.second.spec.capacity);
+    });
+}
+
+const member* scheduler_core::new_home(const pb::JobSpec& spec) const {
+    const auto config = config_.current();
+    if (!config)
+        return nullptr;
+    const resources size = size_of(spec);
+    const std::string key = make_job_key(spec.customer(), spec.id()).str();
+    std::map<node_id, const member*> homes;
+    for (const worker_spec& worker : config->workers) {
+        if (!fits(size, worker.capacity) || !allows(spec, worker.data_centre) ||
+            !centre_in_service(worker.data_centre))
+            continue;
+        const member* holder = highest(live_schedulers(worker.data_centre), worker.name.str());
+        if (holder)
+            homes.emplace(holder->node, holder);
+    }
+    std::vector<const member*> near;
+    std::vector<const member*> all;
+    for (const auto& [node, home] : homes) {
+        all.push_back(home);
+        if (home->data_centre == with_.self.data_centre)
+            near.push_back(home);
+    }
+    return highest(near.empty() ? all : near, key);
+}
+
+// Jobs that can't run here go to a scheduler that can run them, once no attempt of theirs runs: the
+// data centre was taken out, the job may not run in it, or no worker of this scheduler is large
+// enough.
+void scheduler_core::move_jobs(instant now) {
+    constexpr int max_at_once = 256;
+    if (stopping_ || evidence_.judge(now) != freshness::confirmed)
+        return;
+    int moved = 0;
+    std::vector<job_key> movable;
+    for (const auto& [key, job] : book_.entries()) {
+        if (moved >= max_at_once)
+            break;
+        if (job.over() || job.leaving || job.active > 0 || job.blocked > 0 || job.fenced_off)
+            continue;
+        if (suits_here(job.spec))
+            continue;
+        movable.push_back(key);
+        ++moved;
+    }
+    for (const job_key& key : movable) {
+        job_entry* job = book_.find(key);
+        const member* home = new_home(job->spec);
+        if (!home)
+            continue;
+        job->leaving = true;
+        queue_.remove(key);
+        pb::JobEvent event;
+        event.mutable_moved()->set_job(job->spec.id());
+        event.mutable_moved()->set_customer(job->spec.customer());
+        event.mutable_moved()->set_to(home->incarnation.str());
+        event.mutable_moved()->set_to_data_centre(home->data_centre.str());
+        writer_.add(std::move(event));
+    }
+}
+
+void scheduler_core::begin_stop(instant now) {
+    now_ = now;
+    stopping_ = true;
+    leases_.release_all(now);
+    const member* heir = highest(live_schedulers(with_.self.data_centre), self_.str());
+    if (!heir || deposed_ || fold_.jobs_of(self_).empty())
+        return;
+    pb::JobEvent event;
+    event.mutable_takeover()->set_from(self_.str());
+    event.mutable_takeover()->set_to(heir->incarnation.str());
+    writer_.add(std::move(event));
+}
+
+bool scheduler_core::is_stopped() const {
+    const bool released = leases_.held() == 0 && leases_.in_flight() == 0;
+    return released && (deposed_ || writer_.is_idle());
+}
+
+} // namespace figwinch
