--- a/src/interference/host_control.h
+++ b/src/interference/host_control.h
@@ -4,8 +4,6 @@
 #include "interference/latency_signal.h"
 #include "interference/throttle_ledger.h"
 
-#include <absl/container/flat_hash_set.h>
-
 #include <optional>
 #include <vector>
 
@@ -42,8 +40,6 @@
     instant first_seen{};
     std::vector<service_state> services;
     throttle_ledger ledger;
-    /// The tasks of the last list, to tell newcomers.
-    absl::flat_hash_set<task_id> known_tasks;
     std::optional<pending_step> pending;
     instant last_step{};
     instant last_release{};
--- a/src/interference/stepwise_controller.cpp
+++ b/src/interference/stepwise_controller.cpp
@@ -48,14 +48,6 @@
                                                          instant now) {
     host_control& state = host_at(host, now);
     tasks running = state.ledger.apply(listed, now);
-    actions all = restrain_newcomers(state, running, now);
-    const actions steps = next_step(state, std::move(running), now);
-    all.insert(all.end(), steps.begin(), steps.end());
-    return all;
-}
-
-stepwise_controller::actions stepwise_controller::next_step(host_control& state, tasks running,
-                                                            instant now) {
     const std::optional<host_control::worst_service> worst = state.worst(now);
     if (!worst)
         return relax_in_silence(state, running, now);
@@ -84,43 +76,12 @@
     const host_control* state = hosts_.find(host);
     if (state == nullptr)
         return 0;
-    return highest_harm(*state, copied_from, now);
-}
-
-double stepwise_controller::highest_harm(const host_control& host, const template_id& copied_from,
-                                         instant now) const {
     double highest = 0;
-    for (const host_control::service_state& service : host.services)
+    for (const host_control::service_state& service : state->services)
         highest = std::max(highest, harms_.harm(service.service, copied_from, now));
     return highest;
 }
 
-stepwise_controller::actions stepwise_controller::restrain_newcomers(host_control& host,
-                                                                     tasks& running, instant now) {
-    int level = 100;
-    for (const controlled_task& task : running) {
-        if (host.known_tasks.contains(task.task))
-            level = std::min(level, task.percent);
-    }
-    // A task that takes the place of an evicted or finished one begins at full speed. On a host
-    // that is being held down it would undo the last steps, and each wave would be met anew.
-    actions restrained;
-    absl::flat_hash_set<task_id> listed;
-    for (controlled_task& task : running) {
-        listed.insert(task.task);
-        if (host.known_tasks.contains(task.task) || task.percent <= level)
-            continue;
-        if (highest_harm(host, task.copied_from, now) < harm_table::unknown)
-            continue;
-        task.cores = task.cores * level / task.percent;
-        task.percent = level;
-        host.ledger.note_throttled(task.task, level, now);
-        restrained.push_back({task.task, interference_step::throttle, level});
-    }
-    host.known_tasks = std::move(listed);
-    return restrained;
-}
-
 stepwise_controller::actions stepwise_controller::tighten(host_control& host, tasks running,
                                                           const host_control::worst_service& worst,
                                                           instant now) {
--- a/src/interference/stepwise_controller.h
+++ b/src/interference/stepwise_controller.h
@@ -26,9 +26,6 @@
     using tasks = std::vector<controlled_task>;
 
     host_control& host_at(const std::string& name, instant now);
-    /// Throttles newcomers that may hurt to the level of the host's other tasks.
-    actions restrain_newcomers(host_control& host, tasks& running, instant now);
-    actions next_step(host_control& host, tasks running, instant now);
     actions tighten(host_control& host, tasks running, const host_control::worst_service& worst,
                     instant now);
     actions evict_one(host_control& host, const tasks& running, instant now);
@@ -39,9 +36,6 @@
                               instant now);
     void begin_step(host_control& host, instant now);
     void note_calm_broken(host_control& host, instant now);
-    /// Harm to the service of the host that suffers most from the template.
-    double highest_harm(const host_control& host, const template_id& copied_from,
-                        instant now) const;
     /// Orders tasks by what they are expected to cost the service, the worst first.
     void sort_by_cost(tasks& running, const service_id& service, instant now) const;
 
