--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -69,7 +69,11 @@
     // A peer that closes while we write raises SIGPIPE, which would end the process; the write's
     // own error says the same.
     std::signal(SIGPIPE, SIG_IGN);
-    base_ = event_base_new();
+    // The default clock is only as fine as a tick (4 ms): latencies of a few ms would drown in it.
+    event_config* const config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    base_ = event_base_new_with_config(config);
+    event_config_free(config);
     if (base_ == nullptr)
         std::abort();
     posted_ = std::make_unique<post_queue>(base_);
