Learn pairs by a regression over load and neighbours

Ruled out: acting faster and holding newcomers down (both tried and reverted). Change: harm_model fits log(p99/target) = idle + slope*load + sum(harm*cores*load) online, one weight for each service and template; load is the rate of requests over the highest seen. Its fake is now a load that comes and goes beside two templates, in place of one throttle switched by hand; it is stricter (a harmless template has to be told apart as well).

--- a/src/interference/host_control.cpp
+++ b/src/interference/host_control.cpp
@@ -16,21 +16,21 @@
         if (!state.signal.is_current(now))
             continue;
         if (!found || state.signal.ratio() > found->ratio)
-            found = worst_service{state.service, state.signal.ratio()};
+            found = worst_service{state.service, state.signal.ratio(), state.rate.load()};
     }
     return found;
 }
 
-latency_signal& host_control::signal(const service_id& service) {
+host_control::service_state& host_control::state_of(const service_id& service) {
     const auto known = std::ranges::find(services, service, &service_state::service);
     if (known != services.end())
-        return known->signal;
+        return *known;
     if (services.size() < max_services)
-        return services.emplace_back(service_state{.service = service}).signal;
+        return services.emplace_back(service_state{.service = service});
     const auto heard = [](const service_state& state) { return state.signal.heard_at(); };
     const auto oldest = std::ranges::min_element(services, {}, heard);
     *oldest = service_state{.service = service};
-    return oldest->signal;
+    return *oldest;
 }
 
 instant host_control::last_heard() const {
--- a/src/interference/host_control.h
+++ b/src/interference/host_control.h
@@ -2,6 +2,7 @@
 
 #include "figwinch/base.h"
 #include "interference/latency_signal.h"
+#include "interference/request_rate.h"
 #include "interference/throttle_ledger.h"
 
 #include <optional>
@@ -14,33 +15,23 @@
     struct service_state {
         service_id service;
         latency_signal signal{};
+        request_rate rate{};
     };
     struct worst_service {
         service_id service;
         double ratio = 0;
+        double load = 0;
     };
-    /// The step whose effect has not been seen yet.
-    struct pending_step {
-        struct part {
-            template_id copied_from;
-            /// Cores that the step took from tasks of the template.
-            double cores = 0;
-        };
-        service_id service;
-        double ratio_before = 0;
-        std::vector<part> parts{};
-    };
-
     /// The current service furthest above its target; none when no report is current.
     std::optional<worst_service> worst(instant now) const;
-    latency_signal& signal(const service_id& service);
+    /// The state of a service, made when missing.
+    service_state& state_of(const service_id& service);
     /// When any service was last heard of; when the host was first seen if none ever was.
     instant last_heard() const;
 
     instant first_seen{};
     std::vector<service_state> services;
     throttle_ledger ledger;
-    std::optional<pending_step> pending;
     instant last_step{};
     instant last_release{};
     /// Since when the worst ratio has been below the release limit.
--- a/src/interference/stepwise_controller.cpp
+++ b/src/interference/stepwise_controller.cpp
@@ -21,9 +21,8 @@
 constexpr int max_calm_factor = 8;
 /// Without any report for so long nobody is being served from the host.
 constexpr duration silence_before_release = std::chrono::seconds(30);
-/// Change of the logarithm of the latency ratio for each core taken that counts as harm 1.
-constexpr double full_harm_per_core = 0.25;
-constexpr double least_cores = 0.05;
+/// Harm of a core at which the penalty is two thirds.
+constexpr double telling_harm = 0.1;
 
 } // namespace
 
@@ -40,7 +39,9 @@
     if (target <= duration::zero())
         return;
     const double ratio = static_cast<double>(p99.count()) / static_cast<double>(target.count());
-    host_at(host, now).signal(service).add(ratio, samples, now);
+    host_control::service_state& state = host_at(host, now).state_of(service);
+    state.signal.add(ratio, samples, now);
+    state.rate.add(samples, now);
 }
 
 stepwise_controller::actions stepwise_controller::decide(const std::string& host,
@@ -51,7 +52,7 @@
     const std::optional<host_control::worst_service> worst = state.worst(now);
     if (!worst)
         return relax_in_silence(state, running, now);
-    learn_from_last_step(state, *worst, now);
+    learn(state, running, now);
     if (now - state.last_step < settings_.step_interval)
         return {};
     if (worst->ratio > settings_.act_above)
@@ -72,14 +73,14 @@
 }
 
 double stepwise_controller::penalty(const std::string& host, const template_id& copied_from,
-                                    instant now) const {
+                                    instant /*now*/) const {
     const host_control* state = hosts_.find(host);
     if (state == nullptr)
         return 0;
     double highest = 0;
     for (const host_control::service_state& service : state->services)
-        highest = std::max(highest, harms_.harm(service.service, copied_from, now));
-    return highest;
+        highest = std::max(highest, harms_.per_core(service.service, copied_from));
+    return 1 - std::exp(-highest / telling_harm);
 }
 
 stepwise_controller::actions stepwise_controller::tighten(host_control& host, tasks running,
@@ -88,11 +89,10 @@
     note_calm_broken(host, now);
     if (running.empty())
         return {};
-    sort_by_cost(running, worst.service, now);
+    sort_by_cost(running, worst.service);
     const double excess = worst.ratio / settings_.act_above;
     std::size_t allowed = excess >= very_bad ? running.size() : excess >= bad ? 2 : 1;
     actions steps;
-    host_control::pending_step pending{.service = worst.service, .ratio_before = worst.ratio};
     for (const controlled_task& task : running) {
         if (allowed == 0)
             break;
@@ -100,8 +100,6 @@
             continue;
         const int percent = std::max(task.percent / 2, floor_percent);
         steps.push_back({task.task, interference_step::throttle, percent});
-        pending.parts.push_back(
-            {task.copied_from, task.cores * (task.percent - percent) / task.percent});
         host.ledger.note_throttled(task.task, percent, now);
         --allowed;
     }
@@ -109,7 +107,6 @@
         return evict_one(host, running, now);
     host.steps_at_floor = 0;
     begin_step(host, now);
-    host.pending = std::move(pending);
     return steps;
 }
 
@@ -132,7 +129,7 @@
         host.calm_since = now;
     if (now - *host.calm_since < std::max(host.calm_needed, settings_.calm_before_release))
         return {};
-    sort_by_cost(running, service, now);
+    sort_by_cost(running, service);
     const auto lightest = std::find_if(running.rbegin(), running.rend(),
                                        [](const auto& task) { return task.percent < 100; });
     if (lightest == running.rend()) {
@@ -148,7 +145,6 @@
     // Its executors have a new owner within seconds, so after a longer silence none is served.
     if (now - host.last_heard() < silence_before_release)
         return {};
-    host.pending.reset();
     if (now - host.last_release < settings_.calm_before_release)
         return {};
     const auto throttled =
@@ -168,26 +164,23 @@
     return {task.task, interference_step::throttle, percent};
 }
 
-void stepwise_controller::learn_from_last_step(host_control& host,
-                                               const host_control::worst_service& worst,
-                                               instant now) {
-    if (!host.pending || host.pending->service != worst.service)
-        return;
-    double cores = 0;
-    for (const auto& part : host.pending->parts)
-        cores += part.cores;
-    if (cores >= least_cores && worst.ratio > 0) {
-        const double drop = std::log(host.pending->ratio_before / worst.ratio);
-        const double observed = drop / cores / full_harm_per_core;
-        for (const auto& part : host.pending->parts)
-            harms_.learn(worst.service, part.copied_from, observed, now);
+void stepwise_controller::learn(const host_control& host, const tasks& running, instant now) {
+    std::vector<exposure> neighbours;
+    for (const controlled_task& task : running) {
+        const auto same = std::ranges::find(neighbours, task.copied_from, &exposure::copied_from);
+        if (same == neighbours.end())
+            neighbours.push_back({task.copied_from, task.cores});
+        else
+            same->cores += task.cores;
+    }
+    for (const host_control::service_state& state : host.services) {
+        if (state.signal.is_current(now))
+            harms_.learn(state.service, state.rate.load(), state.signal.ratio(), neighbours);
     }
-    host.pending.reset();
 }
 
 void stepwise_controller::begin_step(host_control& host, instant now) {
     host.last_step = now;
-    host.pending.reset();
     for (host_control::service_state& service : host.services)
         service.signal.restart(now + settings_.step_interval);
 }
@@ -205,10 +198,9 @@
     host.last_release = {};
 }
 
-void stepwise_controller::sort_by_cost(tasks& running, const service_id& service,
-                                       instant now) const {
+void stepwise_controller::sort_by_cost(tasks& running, const service_id& service) const {
     const auto cost = [&](const controlled_task& task) {
-        return harms_.harm(service, task.copied_from, now) * task.cores;
+        return harms_.per_core(service, task.copied_from) * task.cores;
     };
     std::ranges::stable_sort(running, std::greater{}, cost);
 }
--- a/src/interference/stepwise_controller.h
+++ b/src/interference/stepwise_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "figwinch/interference/interference_controller.h"
-#include "interference/harm_table.h"
+#include "interference/harm_model.h"
 #include "interference/host_control.h"
 #include "learning/lru_map.h"
 
@@ -32,16 +32,16 @@
     actions relax(host_control& host, tasks running, const service_id& service, instant now);
     actions relax_in_silence(host_control& host, const tasks& running, instant now);
     interference_action lift_one(host_control& host, const controlled_task& task, instant now);
-    void learn_from_last_step(host_control& host, const host_control::worst_service& worst,
-                              instant now);
+    /// Learns from each service of the host that was heard of since its last step.
+    void learn(const host_control& host, const tasks& running, instant now);
     void begin_step(host_control& host, instant now);
     void note_calm_broken(host_control& host, instant now);
     /// Orders tasks by what they are expected to cost the service, the worst first.
-    void sort_by_cost(tasks& running, const service_id& service, instant now) const;
+    void sort_by_cost(tasks& running, const service_id& service) const;
 
     settings settings_;
     lru_map<std::string, host_control> hosts_;
-    harm_table harms_;
+    harm_model harms_;
 };
 
 } // namespace figwinch
--- a/tests/interference/interference_controller_test.cpp
+++ b/tests/interference/interference_controller_test.cpp
@@ -215,21 +215,26 @@
     // A stem render slows reference passes, but only while many are asked for. If quiet hours made
     // the controller forget, every morning would begin with the same pair on one host again.
     void a_pair_that_hurts_only_under_load_is_remembered() {
-        run("render", 4);
-        for (int round = 0; round < 6; ++round) {
-            tick(1.5);
-            for (int i = 0; i < 3; ++i)
-                tick(0.8);
-            running_[0].throttle_percent = 100;
-            running_[0].used.cpu_millis = 4000;
-            clock_.advance(11 * second);
-        }
-        for (int i = 0; i < 600; ++i)
-            tick(0.3);
+        const auto serve = [&](int seconds, double alone, double hurt, std::int64_t requests) {
+            for (int i = 0; i < seconds; ++i) {
+                running_.clear();
+                if (i / 40 % 2 == 0)
+                    run("render", 4);
+                if (i / 20 % 2 == 0)
+                    run("mail", 4);
+                const bool beside_render = i / 40 % 2 == 0;
+                clock_.advance(second);
+                report(beside_render ? hurt : alone, requests);
+                decide();
+            }
+        };
         const auto penalty = [&](const char* name) {
             return control_->penalty(host, template_id(name), clock_.now());
         };
+        serve(1200, 0.5, 0.95, 100);
+        serve(3600, 0.3, 0.3, 10);
         CPPUNIT_ASSERT(penalty("render") > 1.5 * penalty("never-seen"));
+        CPPUNIT_ASSERT(penalty("render") > 2 * penalty("mail"));
         CPPUNIT_ASSERT(penalty("render") <= 1);
         CPPUNIT_ASSERT_EQUAL(0.0,
                              control_->penalty("elsewhere", template_id("render"), clock_.now()));
