Throttle as much as the learned pairs say is needed

Cause: one, two or all tasks were halved by fixed limits, whatever they cost the service. Change: a step throttles the costliest tasks until the predicted fall of log(p99/target) is enough, to the floor when the ratio is over 1.25; tasks that cost nothing are left alone.

--- a/src/interference/stepwise_controller.cpp
+++ b/src/interference/stepwise_controller.cpp
@@ -11,9 +11,12 @@
 /// Lowest throttle; below it a task hardly runs and is better evicted.
 constexpr int floor_percent = 20;
 constexpr int lift_percent = 25;
-/// Ratios to the limit above which two tasks, and all, are throttled in one step.
+/// Ratio to the limit above which tasks go to the floor in one step.
 constexpr double bad = 1.25;
-constexpr double very_bad = 1.6;
+/// How far below the limit a step aims, and what isn't worth a throttle; both in the logarithm of
+/// the ratio.
+constexpr double spare = 0.15;
+constexpr double negligible_gain = 0.01;
 /// Steps at the floor before the first eviction: the last throttles may not have shown yet.
 constexpr int floor_steps_before_evict = 2;
 /// A release that is followed by a step within this was too early.
@@ -91,17 +94,22 @@
         return {};
     sort_by_cost(running, worst.service);
     const double excess = worst.ratio / settings_.act_above;
-    std::size_t allowed = excess >= very_bad ? running.size() : excess >= bad ? 2 : 1;
+    double needed = std::log(excess) + spare;
     actions steps;
     for (const controlled_task& task : running) {
-        if (allowed == 0)
+        if (needed <= 0)
             break;
         if (task.percent <= floor_percent)
             continue;
-        const int percent = std::max(task.percent / 2, floor_percent);
+        const int percent =
+            excess >= bad ? floor_percent : std::max(task.percent / 2, floor_percent);
+        const double cores = task.cores * (task.percent - percent) / task.percent;
+        const double gain = harms_.per_core(worst.service, task.copied_from) * cores * worst.load;
+        if (gain < negligible_gain)
+            continue;
+        needed -= gain;
         steps.push_back({task.task, interference_step::throttle, percent});
         host.ledger.note_throttled(task.task, percent, now);
-        --allowed;
     }
     if (steps.empty())
         return evict_one(host, running, now);
