--- a/include/figwinch/log/log_client.h
+++ b/include/figwinch/log/log_client.h
@@ -32,7 +32,8 @@
 
 /// The platform's log. Calls never block; each calls back exactly once within its timeout.
 /// Errors: `log_unavailable` (the log itself says so: nothing was appended), `log_silent` (no
-/// answer: an append may have taken effect), `log_truncated` (offset older than retention).
+/// answer: an append may have taken effect), `log_truncated` (offset older than retention; see
+/// `first_kept_of`).
 class log_client {
 public:
     using append_callback = std::function<void(absl::StatusOr<log_offset>)>;
