--- a/include/figwinch/config/fold_outcome.h
+++ b/include/figwinch/config/fold_outcome.h
@@ -14,7 +14,9 @@
     refused,
     /// A second append of a change that was judged before.
     duplicate,
-    /// Nothing to judge: a snapshot, or a record that was folded before.
+    /// A snapshot: it repeats a state that is known already.
+    snapshot,
+    /// Not the next record.
     ignored,
 };
 
--- a/src/config/config_fold.cpp
+++ b/src/config/config_fold.cpp
@@ -54,7 +54,9 @@
     outcome.author = record.author().substr(0, max_text);
     outcome.comment = record.comment().substr(0, max_text);
     outcome.written_at = wall_time(std::chrono::milliseconds(record.wall_ms()));
-    if (record.body_case() != pb::ConfigRecord::kSnapshot)
+    if (record.has_snapshot())
+        outcome.result = fold_result::snapshot;
+    else
         judge(record, outcome);
     return outcome;
 }
--- a/tests/config/config_fold_test.cpp
+++ b/tests/config/config_fold_test.cpp
@@ -87,7 +87,7 @@
         append(state_record("drain", 1, "a", "out"));
         CPPUNIT_ASSERT(!fold_.take_over(old));
         CPPUNIT_ASSERT(!fold_.take_over_record(old_record));
-        CPPUNIT_ASSERT(append(old_record).result == fold_result::ignored);
+        CPPUNIT_ASSERT(append(old_record).result == fold_result::snapshot);
         CPPUNIT_ASSERT_EQUAL(config_version(2), fold_.version());
         CPPUNIT_ASSERT(!is_in_service(*fold_.current(), "a"));
     }
