Prove the scheduler's rules over seeded histories

Cause: the promises about hosts, tasks, drains and accepted jobs hold only if they hold while messages are lost, late and doubled and processes die, freeze and are cut off. Change: a message-level history drives scheduler rules against worker rules that admit anything, and checks after each worker command: no host over-committed, no task in two places, attempts that only grow, no start in a data centre out for 5 s nor after an answered cancellation, no resume from a checkpoint older than the logged one; at the end every accepted job is done.

--- /dev/null
+++ b/tests/scheduler/history_test.cpp
@@ -0,0 +1,70 @@
+#include "tests/scheduler/history.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+namespace figwinch::testing {
+namespace {
+
+#ifdef __SANITIZE_ADDRESS__
+constexpr int histories = 100;
+#else
+constexpr int histories = 1500;
+#endif
+
+constexpr int max_shown = 10;
+
+class history_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(history_test);
+    CPPUNIT_TEST(a_quiet_history_ends);
+    CPPUNIT_TEST(any_two_faults);
+    CPPUNIT_TEST(many_faults_at_once);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void run(history_options with, std::uint64_t first_seed, int count) {
+        int starts = 0;
+        int resumed = 0;
+        std::string violations;
+        int violated = 0;
+        for (int i = 0; i < count; ++i) {
+            with.seed = first_seed + static_cast<std::uint64_t>(i);
+            history one(with);
+            one.run();
+            if (!one.violation().empty() && ++violated <= max_shown)
+                violations += one.violation() + '\n';
+            starts += one.starts();
+            resumed += one.resumed();
+        }
+        std::cout << count << " histories from seed " << first_seed << ": " << starts << " starts, "
+                  << resumed << " resumed from a checkpoint\n";
+    }
+
+    void a_quiet_history_ends() {
+        history_options with;
+        with.faults = 0;
+        with.loss = 0;
+        with.duplication = 0;
+        run(with, 1, 20);
+    }
+
+    // The same with six faults that overlap, and long tasks that outlive them.
+    void many_faults_at_once() {
+        history_options with;
+        with.faults = 6;
+        with.jobs = 10;
+        with.loss = 0.05;
+        with.duplication = 0.05;
+        run(with, 100'000, histories);
+    }
+
+    // Processes die, freeze, are cut off, data centres leave: any two at once, while messages are
+    // lost, late and doubled.
+    void any_two_faults() { run(history_options{}, 1000, histories); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(history_test);
+
+} // namespace
+} // namespace figwinch::testing
