--- /dev/null
+++ b/cmake/install.cmake
@@ -0,0 +1,28 @@
+# `cmake --install` puts the libraries, their public headers and the product's programs in place;
+# other projects then find them with find_package(figwinch). Stand-ins and test tools stay here.
+include(GNUInstallDirs)
+include(CMakePackageConfigHelpers)
+
+set(figwinch_package_dir ${CMAKE_INSTALL_LIBDIR}/cmake/figwinch)
+get_property(figwinch_libraries GLOBAL PROPERTY FIGWINCH_LIBRARIES)
+install(TARGETS figwinch_pb ${figwinch_libraries} EXPORT figwinch-targets
+  ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+install(DIRECTORY include/figwinch DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+install(DIRECTORY src/pb/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/figwinch/pb
+  FILES_MATCHING PATTERN "*.pb.h")
+foreach(program figwinch-entry figwinch-scheduler figwinchctl figwinch-load)
+  if(TARGET ${program})
+    install(TARGETS ${program} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+  endif()
+endforeach()
+
+install(EXPORT figwinch-targets NAMESPACE figwinch:: DESTINATION ${figwinch_package_dir})
+configure_package_config_file(cmake/figwinch-config.cmake.in
+  ${PROJECT_BINARY_DIR}/figwinch-config.cmake INSTALL_DESTINATION ${figwinch_package_dir})
+write_basic_package_version_file(${PROJECT_BINARY_DIR}/figwinch-config-version.cmake
+  COMPATIBILITY SameMinorVersion)
+install(FILES
+  ${PROJECT_BINARY_DIR}/figwinch-config.cmake
+  ${PROJECT_BINARY_DIR}/figwinch-config-version.cmake
+  cmake/dependencies.cmake
+  DESTINATION ${figwinch_package_dir})
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -14,6 +14,7 @@
   cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
   add_library(figwinch_${name} STATIC ${arg_SOURCES})
   add_library(figwinch::${name} ALIAS figwinch_${name})
+  set_property(GLOBAL APPEND PROPERTY FIGWINCH_LIBRARIES figwinch_${name})
   set_target_properties(figwinch_${name} PROPERTIES EXPORT_NAME ${name})
   target_link_libraries(figwinch_${name} PRIVATE $<BUILD_INTERFACE:figwinch_flags> PUBLIC ${arg_LINK})
   target_include_directories(figwinch_${name}
