--- a/include/figwinch/config/config_follower_settings.h
+++ b/include/figwinch/config/config_follower_settings.h
@@ -13,7 +13,7 @@
     /// After this a read or a fetch from a peer counts as unanswered.
     duration timeout = std::chrono::seconds(1);
     std::size_t page_records = 256;
-    freshness_limits freshness;
+    freshness_limits freshness{};
     /// How long the log keeps a record, as the platform promises. A snapshot is appended when the
     /// last one is half that old.
     duration retention = std::chrono::hours(1);
