--- a/tests/membership/peer_service_test.cpp
+++ b/tests/membership/peer_service_test.cpp
@@ -129,7 +129,8 @@
         };
         CPPUNIT_ASSERT(ask() == result_code::peer_version);
         all_[0]->peers.handle(pb::PeerRequest::kShowJob,
-                              [](const incarnation_id&, const pb::PeerRequest&, const auto& reply) {
+                              [](const incarnation_id&, const pb::PeerRequest&,
+                                 const std::function<void(pb::PeerReply)>& reply) {
                                   pb::PeerReply refusal;
                                   refusal.set_code(number(result_code::not_found));
                                   reply(refusal);
