--- a/include/figwinch/routing/executor_pool.h
+++ b/include/figwinch/routing/executor_pool.h
@@ -39,6 +39,7 @@
     executor_pool(const settings& with, data_centre_id own, node_id self);
 
     /// Takes over the executors of a newer manifest; slots in use are kept for names that stay.
+    /// None is used while the manifest says that the data centre is out of service.
     void configure(const manifest& config);
     /// The live entries of this data centre, this one included.
     void set_entries(std::span<const node_id> live);
@@ -58,6 +59,8 @@
     bool has_slot(const service_id& service, instant now) const;
     /// Free slots, and all slots of executors that may be used, over owned executors.
     int free_slots(const service_id& service, instant now) const;
+    /// Over all services.
+    int free_slots(instant now) const;
     int usable_slots(const service_id& service, instant now) const;
     /// Mean latency over owned executors.
     duration usual_latency() const { return usual_; }
@@ -81,12 +84,14 @@
         explicit slot_state(const circuit_breaker::settings& with) : breaker(with) {}
     };
 
+    bool is_up(const slot_state& it, instant now) const;
     bool is_usable(const slot_state& it, const service_id& service, instant now) const;
     slot_state* find_state(const executor_id& name);
     void assign_owners();
 
     settings with_;
     data_centre_id own_;
+    bool in_service_ = true;
     node_id self_;
     std::vector<node_id> entries_;
     std::map<executor_id, slot_state> slots_;
--- a/src/routing/executor_pool.cpp
+++ b/src/routing/executor_pool.cpp
@@ -29,6 +29,8 @@
         state.spec = spec;
         next.emplace(spec.name, std::move(state));
     }
+    const data_centre_spec* const here = find(config, own_);
+    in_service_ = here == nullptr || here->in_service;
     slots_ = std::move(next);
     assign_owners();
 }
@@ -122,10 +124,14 @@
     state->leaving_until = leaving ? now + with_.leaving_for : instant{};
 }
 
-bool executor_pool::is_usable(const slot_state& it, const service_id& service, instant now) const {
-    if (it.listed_leaving || now < it.leaving_until || it.missed_checks >= with_.missed_checks)
+bool executor_pool::is_up(const slot_state& it, instant now) const {
+    if (!in_service_ || it.listed_leaving || now < it.leaving_until)
         return false;
-    return it.breaker.allows(now) && serves(it.spec, service);
+    return it.missed_checks < with_.missed_checks && it.breaker.allows(now);
+}
+
+bool executor_pool::is_usable(const slot_state& it, const service_id& service, instant now) const {
+    return is_up(it, now) && serves(it.spec, service);
 }
 
 bool executor_pool::has_slot(const service_id& service, instant now) const {
@@ -142,6 +148,14 @@
     return free;
 }
 
+int executor_pool::free_slots(instant now) const {
+    int free = 0;
+    for (const slot_state* state : owned_)
+        if (is_up(*state, now))
+            free += std::max(0, state->spec.slots - state->busy);
+    return free;
+}
+
 int executor_pool::usable_slots(const service_id& service, instant now) const {
     int all = 0;
     for (const slot_state* state : owned_)
--- a/tools/standin_executor/executor_model.cpp
+++ b/tools/standin_executor/executor_model.cpp
@@ -25,6 +25,11 @@
     return true;
 }
 
+int executor_model::runs_of(const std::string& customer, const std::string& request) const {
+    const auto found = runs_.find(customer + "/" + request);
+    return found == runs_.end() ? 0 : found->second;
+}
+
 duration executor_model::work_of(const std::string& body) const {
     json_text parsed;
     const auto named = parsed.parse(body) ? parsed.number("work_ms") : std::nullopt;
--- a/tools/standin_executor/executor_model.h
+++ b/tools/standin_executor/executor_model.h
@@ -39,6 +39,9 @@
     executor_faults& faults() { return faults_; }
     const executor_faults& faults() const { return faults_; }
     int busy() const { return busy_; }
+    /// The most that ran at once.
+    int max_busy() const { return max_busy_; }
+    int runs_of(const std::string& customer, const std::string& request) const;
 
     /// Takes a slot and counts the run; false when the request is refused before running.
     bool begin(const std::string& customer, const std::string& request);
