Check answers against what the stand-in executors repeat

The stand-in executors answer with request id, customer and the whole body that they got, as JSON, and take the work from a JSON body: figwinch-load sends such a body and compares all three.

--- a/tools/load/job_follower.cpp
+++ b/tools/load/job_follower.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr duration poll_every = std::chrono::milliseconds(250);
-constexpr duration call_timeout = std::chrono::seconds(5);
+// Longer than an entry waits for schedulers.
+constexpr duration call_timeout = std::chrono::seconds(8);
 constexpr int http_ok = 200;
 constexpr int http_created = 201;
 
--- a/tools/load/payload.cpp
+++ b/tools/load/payload.cpp
@@ -1,5 +1,7 @@
 #include "tools/load/payload.h"
 
+#include <google/protobuf/util/json_util.h>
+
 namespace figwinch::load {
 namespace {
 
@@ -10,14 +12,21 @@
 
 std::string payload_of(const pb::TraceLine& line) {
     const std::string key = line.customer() + "/" + line.id() + ";";
-    std::string text = "work_ms=" + std::to_string(line.work_ms()) + ";";
-    while (text.size() < filler_bytes)
-        text += key;
-    return text + "end";
+    std::string filler;
+    while (filler.size() < filler_bytes)
+        filler += key;
+    return R"({"work_ms": )" + std::to_string(line.work_ms()) + R"(, "filler": ")" + filler +
+           R"("})";
 }
 
 bool answers(const http_response& response, const pb::TraceLine& line) {
-    return response.body.find(payload_of(line)) != std::string::npos;
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
+    pb::ExecutorAnswer answer;
+    const auto parsed =
+        google::protobuf::util::JsonStringToMessage(response.body, &answer, options);
+    return parsed.ok() && answer.request_id() == line.id() &&
+           answer.customer() == line.customer() && answer.body() == payload_of(line);
 }
 
 } // namespace figwinch::load
