--- a/include/figwinch/routing/dispatch_guard.h
+++ b/include/figwinch/routing/dispatch_guard.h
@@ -45,7 +45,9 @@
 
     /// It is proven that nothing this node granted can have been forgotten: vote at once.
     void vote_at_once() { votes_from_ = instant{}; }
-    bool may_vote(instant now) const { return now >= votes_from_; }
+    /// Whether this entry may vote at all, besides having waited.
+    void set_vouching(bool vouching) { vouching_ = vouching; }
+    bool may_vote(instant now) const { return vouching_ && now >= votes_from_; }
 
     /// Begins a claim on behalf of a caller; `asked` other entries are going to be asked.
     claim_progress begin(const claim_key& key, send_mark mark, std::size_t asked, instant now);
@@ -85,6 +87,8 @@
         instant begun{};
         send_mark mark = send_mark::unmarked;
         std::size_t waiting = 0;
+        /// Entries that may vote, as far as this one knows.
+        std::size_t voters = 0;
         std::vector<node_id> granted_by;
         claim_progress result;
         bool was_denied = false;
@@ -101,7 +105,7 @@
     void remember(const claim_key& key, std::uint32_t holder, std::uint64_t sequence, instant now);
     std::uint32_t index_of(const incarnation_id& who);
     claim_progress held_by(const record& entry) const;
-    std::size_t needed(send_mark mark) const;
+    std::size_t needed(const open_claim& claim) const;
     claim_progress judge(open_claim& claim) const;
     bool may_go_alone(const open_claim& claim) const;
     bool is_usable(const open_claim& claim, instant now) const;
@@ -110,6 +114,7 @@
     settings with_;
     node_id node_;
     instant votes_from_;
+    bool vouching_ = true;
     std::uint64_t next_sequence_ = 1;
     std::vector<incarnation_id> incarnations_;
     absl::flat_hash_map<claim_key, record> records_;
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr duration give_up_period = std::chrono::milliseconds(10);
+/// How long the holder of a claim is waited for before it is asked again.
+constexpr duration holder_turn = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -106,36 +108,50 @@
     }
     const auto members = peers_.members();
     const auto holder = std::ranges::find(members, progress.holder, &member::incarnation);
-    const bool reachable = holder != members.end() && holder->state != member_state::dead;
-    if (!reachable) {
+    const bool is_there = holder != members.end() && (holder->state == member_state::live ||
+                                                      holder->state == member_state::leaving);
+    if (!is_there) {
         finish(number, final_answer::refusal(result_code::outcome_unknown,
                                              "the entry that had this request is gone"));
         return;
     }
+    const duration left = it.request.deadline - time_.now();
+    if (left <= duration::zero()) {
+        finish(number, final_answer::refusal(result_code::deadline_passed, ""));
+        return;
+    }
     pb::PeerRequest message;
     pb::ForwardRequest& body = *message.mutable_forward();
     body.set_request_id(it.request.id.str());
     body.set_customer(it.request.customer.str());
     body.set_answer_only(true);
-    const duration left = std::max(duration(1), it.request.deadline - time_.now());
-    peers_.ask(holder->address, std::move(message), left,
-               [this, number, request = it.request.id, customer = it.request.customer,
-                dispatched = progress.dispatched](const absl::StatusOr<pb::PeerReply>& reply) {
-                   const bool own = reply.ok() && reply->has_forward() &&
-                                    reply->forward().request_id() == request.str() &&
-                                    reply->forward().customer() == customer.str();
-                   final_answer answer = final_answer::refusal(
-                       dispatched ? result_code::outcome_unknown : result_code::duplicate_in_flight,
-                       "");
-                   if (own) {
-                       answer.code = info(static_cast<result_code>(reply->forward().code())).code;
-                       answer.body = reply->forward().body();
-                       answer.content_type = reply->forward().content_type();
-                   }
-                   finish(number, std::move(answer));
+    // Asked in short turns, so that a holder that dies meanwhile does not keep the caller waiting.
+    peers_.ask(holder->address, std::move(message), std::min(left, holder_turn),
+               [this, number, progress](const absl::StatusOr<pb::PeerReply>& reply) {
+                   note_holder(number, progress, reply);
                });
 }
 
+void request_service::note_holder(std::uint64_t number, const claim_progress& progress,
+                                  const absl::StatusOr<pb::PeerReply>& reply) {
+    const auto found = active_.find(number);
+    if (found == active_.end())
+        return;
+    if (!reply.ok()) {
+        ask_holder(number, progress);
+        return;
+    }
+    const interactive_request& request = found->second->request;
+    const pb::ForwardReply& body = reply->forward();
+    final_answer answer = final_answer::refusal(result_code::outcome_unknown, "");
+    if (body.request_id() == request.id.str() && body.customer() == request.customer.str()) {
+        answer.code = info(static_cast<result_code>(body.code())).code;
+        answer.body = body.body();
+        answer.content_type = body.content_type();
+    }
+    finish(number, std::move(answer));
+}
+
 void request_service::enqueue(std::uint64_t number) {
     active_request& it = *active_[number];
     const bool slot = dispatcher_.has_slot(it.request.service);
--- a/src/entry/request_service.h
+++ b/src/entry/request_service.h
@@ -46,6 +46,8 @@
     void resolve(std::uint64_t number);
     void note_claim(std::uint64_t number, const claim_progress& progress);
     void ask_holder(std::uint64_t number, const claim_progress& progress);
+    void note_holder(std::uint64_t number, const claim_progress& progress,
+                     const absl::StatusOr<pb::PeerReply>& reply);
     void enqueue(std::uint64_t number);
     void wait_in_queue(active_request& it);
     void dispatch(std::uint64_t number);
--- a/src/routing/dispatch_guard.cpp
+++ b/src/routing/dispatch_guard.cpp
@@ -34,6 +34,9 @@
     claim.begun = now;
     claim.mark = mark;
     claim.waiting = asked;
+    // More entries than the settings say, when a replaced host comes back: a majority of the lower
+    // number might miss another one.
+    claim.voters = std::max(with_.voters, asked + 1);
     claim.result.state = claim_state::pending;
     claim.result.sequence = claim.sequence;
     if (may_vote(now))
@@ -168,17 +171,17 @@
     return result;
 }
 
-std::size_t dispatch_guard::needed(send_mark mark) const {
+std::size_t dispatch_guard::needed(const open_claim& claim) const {
     // A first send may have been run by an entry that no other could reach.
-    if (mark == send_mark::resend && with_.first_sends_alone)
-        return with_.voters;
-    return with_.voters / 2 + 1;
+    if (claim.mark == send_mark::resend && with_.first_sends_alone)
+        return claim.voters;
+    return claim.voters / 2 + 1;
 }
 
 claim_progress dispatch_guard::judge(open_claim& claim) const {
     if (claim.result.state != claim_state::pending)
         return claim.result;
-    if (claim.granted_by.size() >= needed(claim.mark))
+    if (claim.granted_by.size() >= needed(claim))
         claim.result.state = claim_state::granted;
     else if (claim.result.dispatched || (claim.waiting == 0 && claim.was_denied))
         claim.result.state = claim_state::held;
--- a/tests/entry/entry_core_test.cpp
+++ b/tests/entry/entry_core_test.cpp
@@ -25,8 +25,10 @@
     CPPUNIT_TEST(a_refusal_before_running_is_tried_elsewhere);
     CPPUNIT_TEST(an_entry_without_executors_forwards);
     CPPUNIT_TEST(a_killed_entry_leaves_no_second_run);
+    CPPUNIT_TEST(a_holder_that_dies_keeps_no_resend_waiting);
     CPPUNIT_TEST(a_cut_off_entry_does_not_guess);
     CPPUNIT_TEST(a_stop_cuts_no_request);
+    CPPUNIT_TEST(a_refusal_does_not_deny_a_run_elsewhere);
     CPPUNIT_TEST(more_requests_than_slots_wait_and_are_answered);
     CPPUNIT_TEST(what_cannot_make_its_deadline_is_refused_at_once);
     CPPUNIT_TEST_SUITE_END();
@@ -166,6 +168,28 @@
         CPPUNIT_ASSERT_EQUAL(200, fresh->response.status);
     }
 
+    // The entry that issues the ticket dies while a resend waits at another for its answer. The
+    // clerk would wait until the deadline for an answer that can't come.
+    void a_holder_that_dies_keeps_no_resend_waiting() {
+        region all(3, 8);
+        const auto lost = all.send("e0", "t1", {}, R"({"work_ms": 2000})");
+        const auto resend = all.send("e1", "t1");
+        const auto cut = all.loop.after(100ms, [&all] {
+            all.network.cut = {"e0"};
+            all.entries.at("e0").peers->note_state(member_state::suspect);
+        });
+        bool before_the_run_ended = false;
+        const auto watch = all.loop.every(5ms, [&] {
+            const bool answered = resend->outcome == call_outcome::answered;
+            if (answered && lost->outcome != call_outcome::answered)
+                before_the_run_ended = true;
+        });
+        all.finish();
+        CPPUNIT_ASSERT(says(*resend, R"("name": "outcome_unknown", "ran": "unknown")"));
+        CPPUNIT_ASSERT(before_the_run_ended);
+        CPPUNIT_ASSERT_EQUAL(1, all.runs("t1"));
+    }
+
     // A yard is cut off from the others with an executor of its own. It can't know what they ran.
     void a_cut_off_entry_does_not_guess() {
         region all(3, 8);
@@ -196,6 +220,20 @@
         CPPUNIT_ASSERT(all.entries.at("e0").core->is_drained());
     }
 
+    // A ticket is issued through one entry, its answer is lost, and the resend reaches another that
+    // is stopping. "Not run" would make the clerk issue a second ticket.
+    void a_refusal_does_not_deny_a_run_elsewhere() {
+        region all(2, 2);
+        all.send("e0", "t1");
+        all.send("e1", "r1", {idempotent});
+        all.finish();
+        all.entries.at("e1").core->stop_taking();
+        const auto resend = all.send("e1", "t1");
+        all.finish();
+        CPPUNIT_ASSERT(says(*resend, R"("name": "entry_stopping", "ran": "unknown")"));
+        CPPUNIT_ASSERT_EQUAL(1, all.runs("t1"));
+    }
+
     void more_requests_than_slots_wait_and_are_answered() {
         region all(1, 1, 2);
         const auto answers = all.send_many("e0", 30, "r", {idempotent});
--- a/tests/entry/fake_peers.h
+++ b/tests/entry/fake_peers.h
@@ -59,18 +59,17 @@
             timers_.push_back(network_.loop.after(std::min<duration>(timeout, short_wait), lost));
             return;
         }
-        network_.loop.post([this, address, request = std::move(request), answer, lost] {
+        timers_.push_back(network_.loop.after(timeout, lost));
+        network_.loop.post([this, address, request = std::move(request), answer] {
             const auto to = network_.by_address.find(address);
             if (to == network_.by_address.end())
-                lost();
-            else
-                to->second->receive(self_.incarnation, request,
-                                    [this, address, answer, lost](pb::PeerReply reply) {
-                                        if (network_.mute.contains(address))
-                                            lost();
-                                        else
-                                            answer(std::move(reply));
-                                    });
+                return;
+            // A reply that is lost lets the ask time out.
+            to->second->receive(self_.incarnation, request,
+                                [this, address, answer](pb::PeerReply reply) {
+                                    if (!network_.mute.contains(address) && !is_cut(address))
+                                        answer(std::move(reply));
+                                });
         });
     }
     std::vector<member> members() const override {
@@ -93,6 +92,8 @@
     }
     void start_leaving() override { self_.state = member_state::leaving; }
 
+    /// How the others see this process from now on.
+    void note_state(member_state state) { self_.state = state; }
     /// Everybody hears everybody once.
     static void exchange_heartbeats(fake_peer_network& network) {
         for (const auto& [address, peer] : network.by_address)
