--- a/bench/interference_policies.cpp
+++ b/bench/interference_policies.cpp
@@ -1,9 +1,12 @@
-// No control, static reservation at four levels, and the controller, with and without learned
-// placement, on the same loads and arrivals; median and spread (highest less lowest) over seeds.
-// `size` is the number of hosts.
+// No control, static reservation at four levels, three simple controllers, and ours, with and
+// without learned placement and acting early, on the same loads and arrivals; median and spread
+// (highest less lowest) over seeds. `size` is the number of hosts.
 
 #include "bench/bench_report.h"
+#include "bench/interference_aimd.h"
 #include "bench/interference_cluster.h"
+#include "bench/interference_evict_first.h"
+#include "bench/interference_usage.h"
 
 #include <functional>
 
@@ -19,13 +22,22 @@
         .name = name, .room_fraction = fraction, .controller = nullptr, .learned_placement = false};
 }
 
-interference_policy controlled(const std::string& name, bool learned_placement) {
+interference_policy controlled(const std::string& name, bool learned_placement,
+                               double act_above = 1) {
     return {.name = name,
             .room_fraction = 1,
-            .controller = interference_controller::create({}),
+            .controller = interference_controller::create({.act_above = act_above}),
             .learned_placement = learned_placement};
 }
 
+interference_policy compared(const std::string& name,
+                             std::unique_ptr<interference_controller> controller) {
+    return {.name = name,
+            .room_fraction = 1,
+            .controller = std::move(controller),
+            .learned_placement = false};
+}
+
 std::vector<policy_maker> policies() {
     std::vector<policy_maker> all;
     all.emplace_back([] { return reservation("service_alone", 0); });
@@ -35,8 +47,14 @@
             return reservation("static_" + std::to_string(percent), percent / 100.0);
         });
     }
+    all.emplace_back(
+        [] { return compared("usage_3_cores", std::make_unique<interference_usage>(3)); });
+    all.emplace_back(
+        [] { return compared("evict_first", std::make_unique<interference_evict_first>()); });
+    all.emplace_back([] { return compared("aimd", std::make_unique<interference_aimd>()); });
     all.emplace_back([] { return controlled("controller_without_pairs", false); });
     all.emplace_back([] { return controlled("controller", true); });
+    all.emplace_back([] { return controlled("controller_early", true, 0.85); });
     return all;
 }
 
