--- a/tools/standin_platform/main.cpp
+++ b/tools/standin_platform/main.cpp
@@ -1,11 +1,10 @@
 // figwinch-standin-platform: the platform's log and host list for tests and the demo.
 
 #include "figwinch/net.h"
+#include "figwinch/observe.h"
 #include "standin_platform/standin_platform.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <csignal>
 #include <cstdint>
@@ -28,8 +27,7 @@
     "  retention   {\"records\": 100}          records kept per stream\n"
     "  partition   {\"nodes\": [\"entry-1\"]}    callers (Figwinch-Node) without any answer\n"
     "  hosts       {\"hosts\": [...], \"lag_ms\": 2000}  the host list, visible after the lag\n"
-    "GET /control/state shows faults and counters.\n"
-    "Example: figwinch-standin-platform --port=7100\n";
+    "GET /control/state shows faults and counters.";
 
 constexpr std::size_t max_record_bytes = 64UL << 20;
 constexpr int exit_bad_settings = 2;
@@ -37,8 +35,11 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    absl::SetProgramUsageMessage(usage);
-    absl::ParseCommandLine(argc, argv);
+    const figwinch::settings_reader settings(
+        {"figwinch-standin-platform", usage, {"figwinch-standin-platform --port=7100"}}, argc,
+        argv);
+    if (!settings.accept())
+        return exit_bad_settings;
     figwinch::event_loop loop;
     const figwinch::system_clock time;
     figwinch::standin_platform platform(loop, time);
