--- a/include/figwinch/config/config_follower.h
+++ b/include/figwinch/config/config_follower.h
@@ -46,6 +46,8 @@
     /// Since this view was confirmed, for heartbeats; empty: never.
     std::optional<duration> age(instant now) const;
     recovery_state state() const { return state_; }
+    /// The last record that is part of the state.
+    log_offset offset() const { return fold_.offset(); }
     /// What is missing before `following`, for logs and readiness; empty when nothing is.
     std::string lacks() const;
     /// The state for a peer whose version is older.
--- a/tests/log/sim_log.h
+++ b/tests/log/sim_log.h
@@ -4,6 +4,7 @@
 #include "tests/log/sim_loop.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
     explicit sim_log(const sim_loop& loop) : loop_(loop) {}
 
     bool is_down = false;
+    /// Called with each record as it is appended.
+    std::function<void(const stream_name&, const log_record&)> on_append;
     /// Records kept per stream.
     std::size_t retention = 1'000'000;
     /// Records older than this are dropped.
@@ -26,6 +29,8 @@
         state.records.push_back({log_offset(state.next), std::move(payload)});
         state.written_at.push_back(loop_.now());
         ++state.next;
+        if (on_append)
+            on_append(stream, state.records.back());
         expire(state);
         return log_offset(state.next - 1);
     }
