--- a/src/interference/stepwise_controller.cpp
+++ b/src/interference/stepwise_controller.cpp
@@ -65,7 +65,7 @@
         state.calm_since.reset();
         return {};
     }
-    return relax(state, std::move(running), worst->service, now);
+    return relax(state, std::move(running), *worst, now);
 }
 
 host_control& stepwise_controller::host_at(const std::string& name, instant now) {
@@ -112,39 +112,58 @@
         host.ledger.note_throttled(task.task, percent, now);
     }
     if (steps.empty())
-        return evict_one(host, running, now);
+        return evict_one(host, running, worst.service, now);
     host.steps_at_floor = 0;
     begin_step(host, now);
     return steps;
 }
 
 stepwise_controller::actions stepwise_controller::evict_one(host_control& host,
-                                                            const tasks& running, instant now) {
+                                                            const tasks& running,
+                                                            const service_id& service,
+                                                            instant now) {
     begin_step(host, now);
     if (++host.steps_at_floor <= floor_steps_before_evict)
         return {};
+    // When no task is known to hurt, the service is slow by its own load, and an eviction would
+    // lose work for nothing.
+    const auto hurts = [&](const controlled_task& task) {
+        return harms_.per_core(service, task.copied_from) >= harm_model::unknown;
+    };
+    const auto worst = std::ranges::find_if(running, hurts);
+    if (worst == running.end())
+        return {};
     // A task with a checkpoint loses nothing but the wait for another worker.
-    const auto with_checkpoint = std::ranges::find(running, true, &controlled_task::checkpointable);
-    const controlled_task& victim =
-        with_checkpoint == running.end() ? running.front() : *with_checkpoint;
+    const auto gentle = std::ranges::find_if(
+        running, [&](const controlled_task& task) { return task.checkpointable && hurts(task); });
+    const controlled_task& victim = gentle == running.end() ? *worst : *gentle;
     host.ledger.note_evicted(victim.task, now);
     return {{victim.task, interference_step::evict, 0}};
 }
 
 stepwise_controller::actions stepwise_controller::relax(host_control& host, tasks running,
-                                                        const service_id& service, instant now) {
+                                                        const host_control::worst_service& worst,
+                                                        instant now) {
     if (!host.calm_since)
         host.calm_since = now;
     if (now - *host.calm_since < std::max(host.calm_needed, settings_.calm_before_release))
         return {};
-    sort_by_cost(running, service);
-    const auto lightest = std::find_if(running.rbegin(), running.rend(),
-                                       [](const auto& task) { return task.percent < 100; });
-    if (lightest == running.rend()) {
-        host.calm_needed = settings_.calm_before_release;
-        return {};
+    sort_by_cost(running, worst.service);
+    double room = std::log(settings_.act_above / worst.ratio) - spare;
+    actions lifts;
+    for (auto task = running.rbegin(); task != running.rend(); ++task) {
+        if (task->percent >= 100)
+            continue;
+        const double cores = task->cores * lift_percent / task->percent;
+        room -= harms_.per_core(worst.service, task->copied_from) * cores * worst.load;
+        // The lightest is lifted in any case: a prediction that is too dark would never be mended.
+        if (room < 0 && !lifts.empty())
+            break;
+        lifts.push_back(lift_one(host, *task, now));
     }
-    return {lift_one(host, *lightest, now)};
+    if (lifts.empty())
+        host.calm_needed = settings_.calm_before_release;
+    return lifts;
 }
 
 stepwise_controller::actions
