--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -16,6 +16,15 @@
   endif()
 endforeach()
 
+# `ninja programs` builds all that tools/run_demo starts.
+add_custom_target(programs)
+foreach(program figwinch-entry figwinch-scheduler figwinchctl figwinch-load
+    figwinch-standin-platform figwinch-standin-executor figwinch-standin-worker)
+  if(TARGET ${program})
+    add_dependencies(programs ${program})
+  endif()
+endforeach()
+
 install(EXPORT figwinch-targets NAMESPACE figwinch:: DESTINATION ${figwinch_package_dir})
 configure_package_config_file(cmake/figwinch-config.cmake.in
   ${PROJECT_BINARY_DIR}/figwinch-config.cmake INSTALL_DESTINATION ${figwinch_package_dir})
