--- a/include/figwinch/learning/failure_policy.h
+++ b/include/figwinch/learning/failure_policy.h
@@ -19,6 +19,8 @@
     static std::unique_ptr<failure_policy> create(const settings& with);
     virtual ~failure_policy() = default;
 
+    /// `job` names the job as the task id does before its last slash, so that a success of the task
+    /// clears the job.
     virtual void note_failed(const worker_id& worker, const task_id& task, const job_id& job,
                              instant now) = 0;
     virtual void note_succeeded(const worker_id& worker, const task_id& task, instant now) = 0;
