--- a/tests/scheduler/history_plan.cpp
+++ b/tests/scheduler/history_plan.cpp
@@ -209,7 +209,7 @@
         ++resumed_;
     for (const auto& [attempt, where] : attempts_[task]) {
         if (attempt >= start.key().attempt())
-            violate(task + " started an older attempt than the one on " + where);
+            violate(where + " had a newer attempt of a task that started");
     }
     attempts_[task].insert({start.key().attempt(), one.spec.name.str()});
     const auto out = out_since_.find(one.spec.data_centre);
