Let requests wait at the entry that owns the slots

Change: a request that finds no free slot goes to the queue that is shortest for its slots, own or peer's, where the owner's fair queue decides; overload refusals of the peer are final. Heartbeat.slots, ForwardReply.slots and queued (new fields).

--- a/include/figwinch/routing/dispatch_guard.h
+++ b/include/figwinch/routing/dispatch_guard.h
@@ -32,7 +32,8 @@
         std::size_t voters = 1;
         /// How long a grant is remembered.
         duration window = std::chrono::seconds(60);
-        /// How long after it was begun a claim may be used; well under `window`.
+        /// How long after it was begun a claim may be used, and then how long an entry that it was
+        /// forwarded to may take to dispatch it; both together well under `window`.
         duration use_within = std::chrono::seconds(20);
         /// Bound on remembered claims and grants; beyond it this entry refuses and abstains.
         std::size_t max_records = 100'000;
@@ -73,6 +74,7 @@
     void note_released(const claim_key& key, const incarnation_id& claimant,
                        std::uint64_t sequence);
 
+    duration use_within() const { return with_.use_within; }
     std::size_t records() const { return records_.size(); }
 
 private:
--- a/include/figwinch/routing/executor_pool.h
+++ b/include/figwinch/routing/executor_pool.h
@@ -61,6 +61,7 @@
     int free_slots(const service_id& service, instant now) const;
     /// Over all services.
     int free_slots(instant now) const;
+    int usable_slots(instant now) const;
     int usable_slots(const service_id& service, instant now) const;
     /// Mean latency over owned executors.
     duration usual_latency() const { return usual_; }
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -46,13 +46,14 @@
         configure(*known, config_.version());
     peers_.on_change([this] { update_members(); });
     peers_.describe_with([this](pb::Heartbeat& beat) {
-        const int free = stopping_ ? 0 : pool_.free_slots(time_.now());
-        beat.set_free_slots(static_cast<std::uint32_t>(free));
-        beat.set_queued(static_cast<std::uint32_t>(requests_.waiting()));
+        const peer_load load = own_load();
+        beat.set_free_slots(load.free_slots);
+        beat.set_slots(load.slots);
+        beat.set_queued(load.queued);
     });
     peers_.on_heartbeat([this](const member& from, const pb::Heartbeat& beat, instant) {
         if (from.role == member_role::entry)
-            lenders_.note_free(from, beat.free_slots());
+            lenders_.note(from, {beat.free_slots(), beat.slots(), beat.queued()});
         requests_.pump();
     });
     peers_.handle(pb::PeerRequest::kForward,
@@ -146,6 +147,12 @@
     }
     taken.idempotent = request.idempotent();
     taken.deadline = time_.now() + std::chrono::milliseconds(request.deadline_ms());
+    if (const auto config = config_.current()) {
+        if (const service_spec* const spec = find(*config, taken.service))
+            taken.request_class = spec->request_class;
+        if (const customer_spec* const known = find(*config, taken.customer))
+            taken.share = known->share;
+    }
     taken.body = request.body();
     taken.content_type = request.content_type();
     requests_.submit_forwarded(std::move(taken), answer);
@@ -164,11 +171,22 @@
     body.set_content_type(answer.content_type);
     body.set_request_id(request.request_id());
     body.set_customer(request.customer());
-    const int free = stopping_ ? 0 : pool_.free_slots(time_.now());
-    body.set_free_slots(static_cast<std::uint32_t>(free));
+    const peer_load load = own_load();
+    body.set_free_slots(load.free_slots);
+    body.set_slots(load.slots);
+    body.set_queued(load.queued);
     return reply;
 }
 
+peer_load entry_core::own_load() const {
+    if (stopping_)
+        return {};
+    const instant now = time_.now();
+    return {static_cast<std::uint32_t>(pool_.free_slots(now)),
+            static_cast<std::uint32_t>(pool_.usable_slots(now)),
+            static_cast<std::uint32_t>(requests_.waiting())};
+}
+
 void entry_core::set_listed_leaving(std::span<const executor_id> leaving) {
     pool_.set_listed_leaving(leaving);
 }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -59,6 +59,7 @@
                         const std::function<void(pb::PeerReply)>& reply);
     pb::PeerReply forward_reply(const pb::ForwardRequest& request,
                                 const final_answer& answer) const;
+    peer_load own_load() const;
     void update_members();
     void every_second();
     void report_latency();
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -15,7 +15,7 @@
 ABSL_FLAG(std::string, peers, "", "bus addresses of other entries and schedulers, by commas");
 ABSL_FLAG(int, entries, 1, "entries of the region, this one included; the same everywhere");
 ABSL_FLAG(int, claim_window_s, 60, "how long claims of non-idempotent requests are kept, s");
-ABSL_FLAG(int, claim_use_s, 20, "how long a claim may be used; under half of the window, s");
+ABSL_FLAG(int, claim_use_s, 20, "how long a claim may be used; at most a third of the window, s");
 ABSL_FLAG(int, max_claims, 100'000, "claims kept; beyond it non-idempotent requests are refused");
 ABSL_FLAG(bool, first_sends_alone, true, "run marked first sends when cut off from other entries");
 ABSL_FLAG(int, max_header_bytes, 16'384, "longest head of a request, bytes");
@@ -54,7 +54,7 @@
     reader.require_range("entries", absl::GetFlag(FLAGS_entries), 1, 1000, "entries");
     const int window = absl::GetFlag(FLAGS_claim_window_s);
     reader.require_range("claim_window_s", window, 2, 3600, "s");
-    reader.require_range("claim_use_s", absl::GetFlag(FLAGS_claim_use_s), 1, window / 2, "s");
+    reader.require_range("claim_use_s", absl::GetFlag(FLAGS_claim_use_s), 1, window / 3, "s");
     reader.require_range("max_claims", absl::GetFlag(FLAGS_max_claims), 100, 10'000'000, "");
     reader.require_range("max_header_bytes", absl::GetFlag(FLAGS_max_header_bytes), 1024, 1 << 20,
                          "bytes");
--- a/src/entry/request_dispatcher.cpp
+++ b/src/entry/request_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "entry/request_dispatcher.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace figwinch {
@@ -9,9 +10,6 @@
 /// An idempotent request leaves an executor that does not answer after this many times the usual
 /// latency, or half of the time left when that is longer.
 constexpr int patience = 10;
-/// What a live peer of this data centre is expected to serve with, before it says more.
-constexpr int slots_of_a_peer = 8;
-
 std::int64_t whole_ms(duration time) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -38,7 +36,7 @@
       counts_(counts) {}
 
 bool request_dispatcher::may_go_far(const service_id& service) const {
-    return pool_.usable_slots(service, time_.now()) == 0 && !lenders_.has_free(false);
+    return pool_.usable_slots(service, time_.now()) == 0 && !lenders_.has_near_slots();
 }
 
 bool request_dispatcher::has_slot(const service_id& service) const {
@@ -46,10 +44,7 @@
 }
 
 service_pace request_dispatcher::pace(const service_id& service) const {
-    int slots = pool_.usable_slots(service, time_.now());
-    if (slots == 0 && (lenders_.has_near_peer() || lenders_.has_free(true)))
-        slots = slots_of_a_peer;
-    return {slots, pool_.usual_latency()};
+    return {pool_.usable_slots(service, time_.now()), pool_.usual_latency()};
 }
 
 dispatch_start request_dispatcher::start(active_request& it, done_handler done) {
@@ -76,6 +71,22 @@
     return dispatch_start::sent;
 }
 
+dispatch_start request_dispatcher::start_elsewhere(active_request& it, std::size_t waiting,
+                                                   done_handler done) {
+    const int slots = pool_.usable_slots(it.request.service, time_.now());
+    const double own =
+        slots == 0 ? std::numeric_limits<double>::infinity() : (double(waiting) + 1) / slots;
+    const auto lender = lenders_.shorter_queue(own, may_go_far(it.request.service));
+    if (!lender.has_value())
+        return dispatch_start::no_slot;
+    if (!use_claim(it))
+        return dispatch_start::claim_lapsed;
+    ++it.history.dispatches;
+    counts_.note_dispatch(true, it.history.dispatches > 1);
+    forward(it, *lender, std::move(done));
+    return dispatch_start::sent;
+}
+
 bool request_dispatcher::use_claim(const active_request& it) {
     return !it.needs_claim() || claims_.use(it.request.key(), it.claim);
 }
@@ -96,19 +107,22 @@
                     if (end == dispatch_end::crossed)
                         counts_.note_crossed();
                     const std::string type(response.headers.find("Content-Type").value_or(""));
-                    done({end, std::move(response.body), type});
+                    done({end, std::move(response.body), type, result_code::executor_refused});
                 });
 }
 
 void request_dispatcher::forward(const active_request& it, const member& to, done_handler done) {
     const duration timeout = timeout_for(it);
+    // The other entry may dispatch it late, out of its queue: well within the claim all the same.
+    const duration run_within =
+        it.request.idempotent ? timeout : std::min(timeout, claims_.guard().use_within());
     pb::PeerRequest message;
     pb::ForwardRequest& body = *message.mutable_forward();
     body.set_service(it.request.service.str());
     body.set_request_id(it.request.id.str());
     body.set_customer(it.request.customer.str());
     body.set_idempotent(it.request.idempotent);
-    body.set_deadline_ms(whole_ms(timeout));
+    body.set_deadline_ms(whole_ms(run_within));
     body.set_body(it.request.body);
     body.set_content_type(it.request.content_type);
     peers_.ask(to.address, std::move(message), timeout,
@@ -125,18 +139,18 @@
     if (!reply.ok() || !reply->has_forward())
         return {};
     const pb::ForwardReply& body = reply->forward();
-    lenders_.note_free(from, body.free_slots());
+    lenders_.note(from, {body.free_slots(), body.slots(), body.queued()});
     if (body.request_id() != request.str() || body.customer() != customer.str()) {
         counts_.note_crossed();
-        return {dispatch_end::crossed, {}, {}};
+        return {dispatch_end::crossed, {}, {}, {}};
     }
     const result_info& row = info(static_cast<result_code>(body.code()));
     if (row.code == result_code::ok)
-        return {dispatch_end::answered, body.body(), body.content_type()};
+        return {dispatch_end::answered, body.body(), body.content_type(), {}};
     if (row.ran == ran_state::no)
-        return {dispatch_end::refused, {}, {}};
+        return {dispatch_end::refused, {}, {}, row.code};
     const bool ran = row.ran == ran_state::yes;
-    return {ran ? dispatch_end::failed : dispatch_end::unknown, {}, {}};
+    return {ran ? dispatch_end::failed : dispatch_end::unknown, {}, {}, {}};
 }
 
 } // namespace figwinch
--- a/src/entry/request_dispatcher.h
+++ b/src/entry/request_dispatcher.h
@@ -13,6 +13,8 @@
     dispatch_end end = dispatch_end::unknown;
     std::string body;
     std::string content_type;
+    /// Why another entry refused it before running.
+    result_code refusal = result_code::executor_refused;
 };
 
 enum class dispatch_start {
@@ -35,10 +37,14 @@
                        request_metrics& counts);
 
     bool has_slot(const service_id& service) const;
-    /// How fast requests of the service move on, own executors and near peers together.
+    /// How fast requests of the service move on at the own executors.
     service_pace pace(const service_id& service) const;
     /// Calls back exactly once when it returns `sent`, and not otherwise.
     dispatch_start start(active_request& it, done_handler done);
+    /// Lets the request wait at the entry whose queue is shortest for its slots: requests that wait
+    /// where they happened to arrive would not hear of slots that become free elsewhere. `no_slot`
+    /// when this entry's own queue, `waiting` long, is the one. Calls back as `start` does.
+    dispatch_start start_elsewhere(active_request& it, std::size_t waiting, done_handler done);
 
 private:
     bool may_go_far(const service_id& service) const;
--- a/src/entry/request_service.cpp
+++ b/src/entry/request_service.cpp
@@ -7,15 +7,18 @@
 namespace {
 
 constexpr duration give_up_period = std::chrono::milliseconds(10);
-/// How long the holder of a claim is waited for before it is asked again.
-constexpr duration holder_turn = std::chrono::milliseconds(500);
+
+bool is_overload(result_code code) {
+    return code == result_code::deadline_unreachable || code == result_code::queue_full ||
+           code == result_code::customer_over_share;
+}
 
 } // namespace
 
 request_service::request_service(event_loop& loop, peer_service& peers, const clock& time,
                                  request_dispatcher& dispatcher, claim_service& claims,
                                  request_metrics& counts, const settings& with)
-    : loop_(loop), peers_(peers), time_(time), dispatcher_(dispatcher), claims_(claims),
+    : loop_(loop), time_(time), holders_(peers, time), dispatcher_(dispatcher), claims_(claims),
       counts_(counts), with_(with), queue_(with.queue), retries_(with.retries, with.seed),
       answers_(with.max_cached_bytes),
       give_up_tick_(loop.every(give_up_period, [this] { give_up_late(); })) {}
@@ -93,65 +96,13 @@
         found->second->claim = progress.sequence;
         enqueue(number);
     } else if (progress.state == claim_state::held) {
-        ask_holder(number, progress);
+        holders_.ask(found->second->request, progress,
+                     [this, number](const final_answer& answer) { finish(number, answer); });
     } else {
         finish(number, final_answer::refusal(result_code::cannot_claim, ""));
     }
 }
 
-void request_service::ask_holder(std::uint64_t number, const claim_progress& progress) {
-    const active_request& it = *active_[number];
-    if (progress.holder == peers_.self().incarnation) {
-        finish(number,
-               final_answer::refusal(result_code::outcome_unknown, "the answer is no longer kept"));
-        return;
-    }
-    const auto members = peers_.members();
-    const auto holder = std::ranges::find(members, progress.holder, &member::incarnation);
-    const bool is_there = holder != members.end() && (holder->state == member_state::live ||
-                                                      holder->state == member_state::leaving);
-    if (!is_there) {
-        finish(number, final_answer::refusal(result_code::outcome_unknown,
-                                             "the entry that had this request is gone"));
-        return;
-    }
-    const duration left = it.request.deadline - time_.now();
-    if (left <= duration::zero()) {
-        finish(number, final_answer::refusal(result_code::deadline_passed, ""));
-        return;
-    }
-    pb::PeerRequest message;
-    pb::ForwardRequest& body = *message.mutable_forward();
-    body.set_request_id(it.request.id.str());
-    body.set_customer(it.request.customer.str());
-    body.set_answer_only(true);
-    // Asked in short turns, so that a holder that dies meanwhile does not keep the caller waiting.
-    peers_.ask(holder->address, std::move(message), std::min(left, holder_turn),
-               [this, number, progress](const absl::StatusOr<pb::PeerReply>& reply) {
-                   note_holder(number, progress, reply);
-               });
-}
-
-void request_service::note_holder(std::uint64_t number, const claim_progress& progress,
-                                  const absl::StatusOr<pb::PeerReply>& reply) {
-    const auto found = active_.find(number);
-    if (found == active_.end())
-        return;
-    if (!reply.ok()) {
-        ask_holder(number, progress);
-        return;
-    }
-    const interactive_request& request = found->second->request;
-    const pb::ForwardReply& body = reply->forward();
-    final_answer answer = final_answer::refusal(result_code::outcome_unknown, "");
-    if (body.request_id() == request.id.str() && body.customer() == request.customer.str()) {
-        answer.code = info(static_cast<result_code>(body.code())).code;
-        answer.body = body.body();
-        answer.content_type = body.content_type();
-    }
-    finish(number, std::move(answer));
-}
-
 void request_service::enqueue(std::uint64_t number) {
     active_request& it = *active_[number];
     const bool slot = dispatcher_.has_slot(it.request.service);
@@ -159,13 +110,21 @@
         dispatch(number);
         return;
     }
-    if (it.is_forwarded) {
-        finish(number, final_answer::refusal(result_code::queue_full, "no slot is free"));
+    if (!it.is_forwarded && wait_elsewhere(it))
         return;
-    }
     wait_in_queue(it);
 }
 
+bool request_service::wait_elsewhere(active_request& it) {
+    const std::uint64_t number = it.number;
+    const dispatch_start started = dispatcher_.start_elsewhere(
+        it, queue_.waiting(),
+        [this, number](const dispatch_result& result) { note_end(number, result); });
+    if (started == dispatch_start::claim_lapsed)
+        finish(number, final_answer::refusal(result_code::cannot_claim, "the claim has lapsed"));
+    return started != dispatch_start::no_slot;
+}
+
 void request_service::wait_in_queue(active_request& it) {
     const service_pace pace = dispatcher_.pace(it.request.service);
     if (pace.slots == 0) {
@@ -231,6 +190,12 @@
         finish(number, std::move(answer));
         return;
     }
+    if (result.end == dispatch_end::refused && is_overload(result.refusal) &&
+        !it.history.may_have_run) {
+        // Sent again it would only wait again: under overload that multiplies the messages.
+        finish(number, final_answer::refusal(result.refusal, ""));
+        return;
+    }
     const duration left = it.request.deadline - time_.now();
     const retry_decision decision = retries_.decide(it.history, result.end, left);
     it.history.may_have_run = it.history.may_have_run || !is_proven_not_run(result.end);
--- a/src/entry/request_service.h
+++ b/src/entry/request_service.h
@@ -2,6 +2,7 @@
 
 #include "entry/active_request.h"
 #include "entry/answer_cache.h"
+#include "entry/holder_query.h"
 #include "entry/request_dispatcher.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -28,7 +29,7 @@
 
     /// Takes a caller's request.
     void submit(interactive_request request, answer_handler done);
-    /// Takes a request that another entry sent because this one had free slots.
+    /// Takes a request that another entry sent because slots were free here, or the queue shorter.
     void submit_forwarded(interactive_request request, answer_handler done);
     /// Answers another entry that received a resend of a request which this one claimed: from what
     /// is known, running nothing.
@@ -45,10 +46,9 @@
     active_request& add(interactive_request request, answer_handler done);
     void resolve(std::uint64_t number);
     void note_claim(std::uint64_t number, const claim_progress& progress);
-    void ask_holder(std::uint64_t number, const claim_progress& progress);
-    void note_holder(std::uint64_t number, const claim_progress& progress,
-                     const absl::StatusOr<pb::PeerReply>& reply);
     void enqueue(std::uint64_t number);
+    /// Whether the request has gone to wait at another entry, or has been refused.
+    bool wait_elsewhere(active_request& it);
     void wait_in_queue(active_request& it);
     void dispatch(std::uint64_t number);
     void note_end(std::uint64_t number, const dispatch_result& result);
@@ -58,8 +58,8 @@
     void give_up_late();
 
     event_loop& loop_;
-    peer_service& peers_;
     const clock& time_;
+    holder_query holders_;
     request_dispatcher& dispatcher_;
     claim_service& claims_;
     request_metrics& counts_;
--- a/src/routing/executor_pool.cpp
+++ b/src/routing/executor_pool.cpp
@@ -156,6 +156,14 @@
     return free;
 }
 
+int executor_pool::usable_slots(instant now) const {
+    int all = 0;
+    for (const slot_state* state : owned_)
+        if (is_up(*state, now))
+            all += state->spec.slots;
+    return all;
+}
+
 int executor_pool::usable_slots(const service_id& service, instant now) const {
     int all = 0;
     for (const slot_state* state : owned_)
--- a/tests/entry/entry_core_test.cpp
+++ b/tests/entry/entry_core_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(a_stop_cuts_no_request);
     CPPUNIT_TEST(a_refusal_does_not_deny_a_run_elsewhere);
     CPPUNIT_TEST(more_requests_than_slots_wait_and_are_answered);
+    CPPUNIT_TEST(requests_wait_where_the_slots_are);
     CPPUNIT_TEST(what_cannot_make_its_deadline_is_refused_at_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -243,6 +244,20 @@
         CPPUNIT_ASSERT_EQUAL(2, all.executors[0]->model().max_busy());
     }
 
+    // All executors belong to one entry, and more requests come to both entries than there are
+    // slots. Those that waited where they came would not hear of free slots before the next
+    // heartbeat.
+    void requests_wait_where_the_slots_are() {
+        region all(2, 1, 2);
+        const auto first = all.send_many("e0", 30, "a", {idempotent});
+        const auto second = all.send_many("e1", 30, "b", {idempotent});
+        all.finish();
+        for (const auto* answers : {&first, &second})
+            for (const auto& answer : *answers)
+                CPPUNIT_ASSERT_EQUAL(200, answer->response.status);
+        CPPUNIT_ASSERT_EQUAL(2, all.executors[0]->model().max_busy());
+    }
+
     void what_cannot_make_its_deadline_is_refused_at_once() {
         region all(1, 1, 1);
         const auto answers = all.send_many(
--- a/tests/routing/dispatch_guard_test.cpp
+++ b/tests/routing/dispatch_guard_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(no_history_runs_a_request_twice_or_denies_a_run);
     CPPUNIT_TEST(a_woken_entry_may_not_use_its_old_claim);
     CPPUNIT_TEST(a_restarted_entry_does_not_vouch);
+    CPPUNIT_TEST(a_delayed_release_does_not_free_a_later_claim);
+    CPPUNIT_TEST(more_entries_than_the_settings_say_need_a_larger_majority);
     CPPUNIT_TEST(a_full_memory_refuses_rather_than_forgets);
     CPPUNIT_TEST(a_cut_off_entry_runs_first_sends_only);
     CPPUNIT_TEST_SUITE_END();
@@ -82,6 +84,31 @@
         CPPUNIT_ASSERT(restarted.vote(key_, b1_, 1, time_.now()).kind == vote_kind::granted);
     }
 
+    // An entry gives a claim up, claims the id again and runs it; the release of the first claim is
+    // delayed on its way and arrives last.
+    void a_delayed_release_does_not_free_a_later_claim() {
+        dispatch_guard voter = guard(3);
+        CPPUNIT_ASSERT(voter.vote(key_, b1_, 1, time_.now()).kind == vote_kind::granted);
+        CPPUNIT_ASSERT(voter.vote(key_, b1_, 2, time_.now()).kind == vote_kind::granted);
+        voter.note_released(key_, b1_, 1);
+        const incarnation_id other("c#1");
+        CPPUNIT_ASSERT(voter.vote(key_, other, 1, time_.now()).kind == vote_kind::denied);
+        voter.note_released(key_, b1_, 2);
+        CPPUNIT_ASSERT(voter.vote(key_, other, 1, time_.now()).kind == vote_kind::granted);
+    }
+
+    // Two hosts were replaced while the settings still say three, and an old one is back: a
+    // majority of three would miss another majority of three among four.
+    void more_entries_than_the_settings_say_need_a_larger_majority() {
+        dispatch_guard one = guard(3);
+        const claim_progress claim = one.begin(key_, send_mark::unmarked, 3, time_.now());
+        const claim_vote grant{vote_kind::granted, {}, false};
+        CPPUNIT_ASSERT(one.note_vote(key_, claim.sequence, b_, grant).state ==
+                       claim_state::pending);
+        CPPUNIT_ASSERT(one.note_vote(key_, claim.sequence, node_id("c"), grant).state ==
+                       claim_state::granted);
+    }
+
     void a_full_memory_refuses_rather_than_forgets() {
         dispatch_guard small = guard(1, 1);
         CPPUNIT_ASSERT(small.vote(key_, b1_, 1, time_.now()).kind == vote_kind::granted);
