--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -33,10 +33,12 @@
         self.starts += 1
         peers = ",".join(other.bus for other in self.cluster.daemons if other is not self)
         command = [path_of(self.program), f"--node={self.node}", f"--data_centre={self.centre}",
-                   f"--bus_address={self.bus}", f"--http_address={self.http}",
-                   f"--platform={self.cluster.platform_address}", f"--peers={peers}"]
+                   f"--bus_address={self.bus}", f"--http_address={self.http}", f"--peers={peers}"]
+        platform = self.cluster.platform_address
         if self.program == "figwinch-entry":
-            command.append(f"--entries={len(self.cluster.entries)}")
+            command += [f"--platform={platform}", f"--entries={len(self.cluster.entries)}"]
+        else:
+            command += [f"--log={platform}", *self.cluster.scheduler_settings]
         self.process = Process(f"{self.node}.{self.starts}", command, self.cluster.folder,
                                clean_environment())
         return self
@@ -46,8 +48,9 @@
     """Use as a context manager: leaving it ends every process by its pid."""
 
     def __init__(self, scenario="mastering", centres=("a", "b", "c"), executors=2, workers=2,
-                 schedulers=True):
+                 schedulers=True, scheduler_settings=()):
         self.scenario = scenario
+        self.scheduler_settings = scheduler_settings
         self.centres = centres
         self._temporary = tempfile.TemporaryDirectory(prefix="figwinch-")
         self.folder = pathlib.Path(self._temporary.name)
@@ -129,9 +132,9 @@
         return result
 
     def wait_ready(self):
-        """Waits until the balancer may send to every entry and every worker has its lease."""
-        for entry in self.entries:
-            wait_for(f"{entry.node} to be ready", lambda e=entry: is_ok(e, "/ready"))
+        """Waits until every daemon knows its configuration and says that it is ready."""
+        for daemon in self.daemons:
+            wait_for(f"{daemon.node} to be ready", lambda d=daemon: is_ok(d, "/ready"))
 
     def load(self, *arguments):
         """Starts figwinch-load against the entries."""
--- a/tests/system/test_golden.py
+++ b/tests/system/test_golden.py
@@ -1,9 +1,11 @@
 """Whole sessions against tests/golden/*.golden."""
+import json
 import unittest
 
 from cluster import Cluster
 from golden import Session
-from http_calls import control
+from http_calls import call, control
+from process import wait_for
 
 A_PASS = "/v1/requests/reference-pass"
 APPROVAL = "/v1/requests/approve-master"
@@ -71,3 +73,47 @@
         session.ctl(region, "--author=ana", "--comment=power is back", "restore", "a")
         session.ctl(region, "state")
         session.check(self)
+
+    def test_refusals_of_jobs(self):
+        region = self.start(centres=("a",), executors=1, workers=1)
+        entry = region.entries[0]
+        headers = {"Figwinch-Customer": "studio-a"}
+        session = Session("refusals_of_jobs")
+        session.call(entry, "POST", "/v1/jobs", headers, "{")
+        session.call(entry, "POST", "/v1/jobs", headers, job("j-1", customer="studio-b"))
+        session.call(entry, "POST", "/v1/jobs", {}, job("j-2"))
+        session.call(entry, "GET", "/v1/jobs/j-3", headers)
+        session.say("the same id with other contents")
+        session.call(entry, "POST", "/v1/jobs", headers, job("j-5"))
+        session.call(entry, "POST", "/v1/jobs", headers, job("j-5", tasks=2))
+        session.check(self)
+
+    def test_the_life_of_a_job(self):
+        region = self.start(centres=("a",), executors=1, workers=1)
+        entry = region.entries[0]
+        headers = {"Figwinch-Customer": "studio-a"}
+        session = Session("life_of_a_job")
+        session.call(entry, "POST", "/v1/jobs", headers, job("album", work_ms=300, tasks=2))
+        session.say("submitted again: the same job")
+        wait_for("the end of the job", lambda: state_of(entry, "album") == "finished")
+        session.call(entry, "POST", "/v1/jobs", headers, job("album", work_ms=300, tasks=2))
+        session.call(entry, "GET", "/v1/jobs/album", headers)
+        session.say("a job that is cancelled while it runs")
+        session.call(entry, "POST", "/v1/jobs", headers, job("wrong-take", work_ms=600000))
+        wait_for("the start of the job", lambda: state_of(entry, "wrong-take") == "running")
+        call(entry.http, "DELETE", "/v1/jobs/wrong-take", headers)
+        wait_for("the end of the job", lambda: state_of(entry, "wrong-take") == "cancelled")
+        session.call(entry, "GET", "/v1/jobs/wrong-take", headers)
+        session.check(self)
+
+
+def job(name, customer="studio-a", tasks=1, work_ms=100):
+    return json.dumps({"id": name, "customer": customer, "template_name": "full-master",
+                       "job_class": "normal", "tasks": tasks, "work_ms": work_ms,
+                       "size": {"cpu_millis": 1000, "memory_mib": 1024},
+                       "checkpointable": False, "max_attempts": 3})
+
+
+def state_of(entry, name):
+    answer = call(entry.http, "GET", f"/v1/jobs/{name}", {"Figwinch-Customer": "studio-a"})
+    return answer.json().get("state")
--- /dev/null
+++ b/tests/system/test_jobs.py
@@ -0,0 +1,85 @@
+"""Batch jobs through real entries and schedulers on stand-in workers."""
+import collections
+import json
+import unittest
+
+from cluster import Cluster, is_ok
+from http_calls import call, state
+from process import wait_for
+from programs import SOURCE
+
+# Short leases, so that a take-over comes within the test.
+SHORT_LEASES = ("--worker_lease_ms=4000", "--renew_ms=500", "--task_lease_ms=5000",
+                "--safety_margin_ms=500")
+CUSTOMER = {"Figwinch-Customer": "studio-a"}
+
+
+def job(name, tasks=1, work_ms=100, cpu_millis=1000):
+    return json.dumps({"id": name, "template_name": "full-master", "job_class": "normal",
+                       "tasks": tasks, "work_ms": work_ms, "max_attempts": 3,
+                       "size": {"cpu_millis": cpu_millis, "memory_mib": 1024}})
+
+
+class Jobs(unittest.TestCase):
+    def start(self, scenario="mastering", **settings):
+        self.region = Cluster(scenario, **settings)
+        self.region.__enter__()
+        self.addCleanup(self.region.__exit__)
+        self.region.publish(self.region.manifest())
+        self.region.wait_ready()
+        return self.region
+
+    def submit(self, text):
+        return call(self.region.entries[0].http, "POST", "/v1/jobs", CUSTOMER, text)
+
+    def shown(self, name):
+        return call(self.region.entries[0].http, "GET", f"/v1/jobs/{name}", CUSTOMER).json()
+
+    def worker_states(self):
+        return [state(address) for _, _, address in self.region.workers]
+
+    def assert_no_worker_was_overcommitted(self):
+        for worker in self.worker_states():
+            for kind, most in worker["max_committed"].items():
+                self.assertLessEqual(most, worker["capacity"][kind], worker["worker"])
+
+    def assert_every_attempt_started_once(self):
+        """No attempt of a task was started on two workers, or twice on one."""
+        started = collections.Counter()
+        for worker in self.worker_states():
+            for task, history in worker["tasks"].items():
+                self.assertEqual(history["starts"], len(history["attempts"]), task)
+                started.update((task, attempt) for attempt in history["attempts"])
+        self.assertTrue(started)
+        self.assertEqual({}, {key: count for key, count in started.items() if count > 1})
+
+    def test_the_log_yards_trace_meets_its_stated_outcomes(self):
+        region = self.start("log_yards")
+        load = region.load(f"--trace={SOURCE}/traces/log_yards.jsonl",
+                           f"--expect={SOURCE}/traces/log_yards.expected.json")
+        region.summary(load)
+        self.assertEqual(0, load.popen.returncode, load.text())
+        self.assert_no_worker_was_overcommitted()
+        self.assert_every_attempt_started_once()
+        self.assertEqual({}, {key: count for key, count in region.runs().items() if count > 1})
+
+    # A scheduler dies with tasks of its job on workers, and is started again at the same place. It
+    # is another incarnation: it may go on only with what the workers say, and start nothing twice.
+    def test_a_killed_scheduler_comes_back_and_finishes_its_jobs(self):
+        region = self.start(centres=("a",), executors=1, scheduler_settings=SHORT_LEASES)
+        self.assertEqual(201, self.submit(job("album", tasks=4, work_ms=4000)).status)
+        wait_for("the start of the job", lambda: self.shown("album").get("state") == "running")
+        scheduler = region.schedulers[0]
+        scheduler.process.kill()
+        scheduler.start()
+        wait_for("the scheduler to be ready", lambda: is_ok(scheduler, "/ready"))
+        wait_for("the end of the job", lambda: self.shown("album").get("state") == "finished")
+        self.assert_no_worker_was_overcommitted()
+        self.assert_every_attempt_started_once()
+
+    # A customer copies a job that is larger than any worker. Accepted, it would wait for ever.
+    def test_a_job_that_fits_no_worker_is_refused(self):
+        self.start(centres=("a",), executors=1)
+        answer = self.submit(job("too-large", cpu_millis=512000))
+        self.assertEqual(422, answer.status, answer.body)
+        self.assertEqual(300, answer.json()["code"])
