Let placement ask whether a worker would be admitted

It can't ask admit while it looks at workers, since that counts the trial. Also, a worker reports an end until it is acknowledged, and a repeated failure counted as the outcome of a trial. Change: failure_policy::would_admit (agreed header: one new const method), which counts nothing; a failure of one task on one worker counts once. Seen failing with the guard switched off by hand: a_repeated_report_is_no_outcome_of_a_trial (the early return off), looking_counts_no_trial (the trial not recorded). Not mended here: src/scheduler/core_placement.cpp has to ask would_admit in place of is_quarantined.

--- a/include/figwinch/learning/failure_policy.h
+++ b/include/figwinch/learning/failure_policy.h
@@ -19,6 +19,7 @@
     static std::unique_ptr<failure_policy> create(const settings& with);
     virtual ~failure_policy() = default;
 
+    /// A repeated report of one task's failure on one worker counts once.
     /// `job` names the job as the task id does before its last slash, so that a success of the task
     /// clears the job.
     virtual void note_failed(const worker_id& worker, const task_id& task, const job_id& job,
@@ -26,8 +27,11 @@
     virtual void note_succeeded(const worker_id& worker, const task_id& task, instant now) = 0;
     /// Whether the worker is in quarantine, trial or not.
     virtual bool is_quarantined(const worker_id& worker, instant now) const = 0;
-    /// Whether the worker may take a task now. After the quarantine one task is let through as a
-    /// trial, which this call counts; its failure doubles the quarantine, its success ends it.
+    /// Whether `admit` would say yes, for choosing among workers; counts nothing.
+    virtual bool would_admit(const worker_id& worker, instant now) const = 0;
+    /// Whether the worker may take a task now; call it right before the start. After the quarantine
+    /// one task is let through as a trial, which this call counts; its failure doubles the
+    /// quarantine, its success ends it.
     virtual bool admit(const worker_id& worker, instant now) = 0;
     /// Failures of the task on different workers that were not in quarantine then or since.
     virtual int counted_failures(const task_id& task) const = 0;
--- a/src/learning/streak_failure_policy.cpp
+++ b/src/learning/streak_failure_policy.cpp
@@ -36,6 +36,10 @@
 
 void streak_failure_policy::note_failed(const worker_id& worker, const task_id& task,
                                         const job_id& job, instant now) {
+    // A worker reports an end until it is acknowledged, which needs the log. During a trial the
+    // report of an earlier failure would count as the outcome, and each one double the quarantine.
+    if (failed_on(task, worker))
+        return;
     worker_record& record = workers_.touch(worker);
     remember(task, worker, !record.quarantined);
     if (suspect(job, worker))
@@ -73,16 +77,23 @@
     return record != nullptr && record->quarantined;
 }
 
-bool streak_failure_policy::admit(const worker_id& worker, instant now) {
-    worker_record* record = workers_.find(worker);
+bool streak_failure_policy::would_admit(const worker_id& worker, instant now) const {
+    const worker_record* record = workers_.find(worker);
     if (record == nullptr || !record->quarantined)
         return true;
     if (now < record->quarantined_until)
         return false;
     // A trial whose outcome never comes (its task was cancelled or lost) must not keep the worker
     // out for ever: after as long again another task may try.
-    if (record->on_trial && now < record->trial_until)
+    return !record->on_trial || now >= record->trial_until;
+}
+
+bool streak_failure_policy::admit(const worker_id& worker, instant now) {
+    if (!would_admit(worker, now))
         return false;
+    worker_record* record = workers_.find(worker);
+    if (record == nullptr || !record->quarantined)
+        return true;
     record->on_trial = true;
     record->trial_until = now + record->quarantine;
     return true;
--- a/src/learning/streak_failure_policy.h
+++ b/src/learning/streak_failure_policy.h
@@ -18,6 +18,7 @@
                      instant now) override;
     void note_succeeded(const worker_id& worker, const task_id& task, instant now) override;
     bool is_quarantined(const worker_id& worker, instant now) const override;
+    bool would_admit(const worker_id& worker, instant now) const override;
     bool admit(const worker_id& worker, instant now) override;
     int counted_failures(const task_id& task) const override;
     bool failed_on(const task_id& task, const worker_id& worker) const override;
--- a/tests/learning/failure_policy_test.cpp
+++ b/tests/learning/failure_policy_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(one_trial_is_let_through_and_its_failure_doubles);
     CPPUNIT_TEST(the_quarantine_stays_under_its_limit);
     CPPUNIT_TEST(a_successful_trial_ends_the_quarantine);
+    CPPUNIT_TEST(looking_counts_no_trial);
+    CPPUNIT_TEST(a_repeated_report_is_no_outcome_of_a_trial);
     CPPUNIT_TEST(a_trial_without_outcome_is_followed_by_another);
     CPPUNIT_TEST(an_old_task_that_finishes_does_not_end_the_quarantine);
     CPPUNIT_TEST(a_forgotten_task_has_no_failures);
@@ -151,6 +153,30 @@
         CPPUNIT_ASSERT(admit(bad));
     }
 
+    // Placement looks at every worker for every task. Only the one that gets the task may be
+    // counted as on trial; and a worker whose quarantine is over must be among those that are
+    // looked at, or it never comes back.
+    void looking_counts_no_trial() {
+        condemn();
+        CPPUNIT_ASSERT(!policy_->would_admit(bad, clock_.now()));
+        clock_.advance(std::chrono::minutes(1));
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(policy_->would_admit(bad, clock_.now()));
+        CPPUNIT_ASSERT(admit(bad));
+        CPPUNIT_ASSERT(!policy_->would_admit(bad, clock_.now()));
+    }
+
+    // The log is down, so the worker goes on reporting the failures that condemned it. They arrive
+    // during the trial; taken for its outcome they would double the quarantine again and again.
+    void a_repeated_report_is_no_outcome_of_a_trial() {
+        condemn();
+        clock_.advance(std::chrono::minutes(1));
+        CPPUNIT_ASSERT(admit(bad));
+        condemn();
+        policy_->note_succeeded(bad, task(4), clock_.now());
+        CPPUNIT_ASSERT(!quarantined(bad));
+    }
+
     // The task that was let through is cancelled by its customer before it ends. Nobody reports
     // an outcome, and the mended worker would stay out of work for ever.
     void a_trial_without_outcome_is_followed_by_another() {
