--- a/bench/capacity_messages.cpp
+++ b/bench/capacity_messages.cpp
@@ -26,34 +26,6 @@
     return bytes(envelope);
 }
 
-void fill(pb::MemberInfo& info) {
-    info.set_node("mu-north-1-s3");
-    info.set_incarnation(incarnation);
-    info.set_role("scheduler");
-    info.set_data_centre("mu-north-1");
-    info.set_address("10.20.30.40:17402");
-}
-
-pb::Heartbeat heartbeat() {
-    pb::Heartbeat beat;
-    fill(*beat.mutable_self());
-    beat.set_config_version(48'000);
-    beat.set_config_age_ms(150);
-    beat.set_free_slots(12);
-    beat.set_queued(3);
-    return beat;
-}
-
-/// One question and its answer.
-double heartbeat_exchange() {
-    pb::PeerRequest request;
-    request.set_protocol(1);
-    *request.mutable_heartbeat() = heartbeat();
-    pb::PeerReply reply;
-    *reply.mutable_heartbeat() = heartbeat();
-    return bytes(request) + bytes(reply) + 2 * envelope_bytes();
-}
-
 double claim_exchange() {
     pb::PeerRequest request;
     request.set_protocol(1);
@@ -147,8 +119,6 @@
 
 FIGWINCH_BENCH(capacity_messages) {
     using namespace figwinch;
-    for (const int peers : {12, 24, 48, 96, 192, 528})
-        out.add("heartbeats_a_round", peers, (peers - 1) * heartbeat_exchange(), "bytes");
     for (const int entries : {3, 6, 12, 24})
         out.add("claims_a_request", entries, (entries - 1) * claim_exchange(), "bytes");
     for (const int tasks : {5, 10, 20, 40})
