--- a/bench/routing_policies.cpp
+++ b/bench/routing_policies.cpp
@@ -94,5 +94,26 @@
     }
 }
 
+/// Heap that an entry's memory of granted claims takes, and the time of one grant.
+FIGWINCH_BENCH(routing_claims) {
+    const incarnation_id claimant("entry-2#1");
+    const instant now{std::chrono::hours(1)};
+    for (const int claims : {1000, 10'000, 50'000, 100'000}) {
+        const double before = heap_bytes();
+        dispatch_guard::settings with;
+        with.max_records = static_cast<std::size_t>(claims);
+        dispatch_guard guard(with, node_id("entry-1"), incarnation_id("entry-1#1"), now);
+        guard.vote_at_once();
+        const double seconds = median_seconds(1, [&] {
+            for (int i = 0; i < claims; ++i) {
+                const auto id = static_cast<std::uint64_t>(i);
+                guard.vote({stable_hash(std::to_string(i)), id}, claimant, id + 1, now);
+            }
+        });
+        out.add("heap", claims, heap_bytes() - before, "bytes");
+        out.add("grant", claims, seconds * 1e9 / claims, "ns");
+    }
+}
+
 } // namespace
 } // namespace figwinch
