Let operators recover a configuration that the log has lost

Cause: after a stop of the whole system for longer than the log keeps records nothing can be published any more, since every change names a base that nobody knows; the system could not be started again. Ruled out: accepting any base when the state is unknown (processes that still know it would part from those that don't).

--- a/include/figwinch/config/config_follower.h
+++ b/include/figwinch/config/config_follower.h
@@ -48,6 +48,10 @@
     recovery_state state() const { return state_; }
     /// The last record that is part of the state.
     log_offset offset() const { return fold_.offset(); }
+    /// The next record of the `config` stream that will be read.
+    log_offset next_read() const {
+        return scan_from_.is_none() ? fold_.offset().next() : scan_from_;
+    }
     /// What is missing before `following`, for logs and readiness; empty when nothing is.
     std::string lacks() const;
     /// The state for a peer whose version is older.
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -63,8 +63,7 @@
     read_at_once_ = false;
     read_sent_ = now;
     const std::uint64_t mine = ++read_number_;
-    const log_offset from = scan_from_.is_none() ? fold_.offset().next() : scan_from_;
-    log_.read(config_stream, from, settings_.page_records,
+    log_.read(config_stream, next_read(), settings_.page_records,
               [this, mine, now,
                alive = std::weak_ptr<bool>(alive_)](const absl::StatusOr<log_page>& page) {
                   if (alive.expired() || mine != read_number_ || !read_open_)
--- a/tools/ctl/ctl_commands.cpp
+++ b/tools/ctl/ctl_commands.cpp
@@ -3,6 +3,7 @@
 #include "config/manifest_message.h"
 #include "ctl/audit_reader.h"
 #include "ctl/change_publisher.h"
+#include "ctl/config_recovery.h"
 #include "ctl/log_session.h"
 
 #include <algorithm>
@@ -56,6 +57,7 @@
         command_row{"drain", true, &ctl_commands::drain},
         command_row{"history", false, &ctl_commands::history},
         command_row{"publish", true, &ctl_commands::publish},
+        command_row{"recover", true, &ctl_commands::recover},
         command_row{"restore", true, &ctl_commands::restore},
         command_row{"state", false, &ctl_commands::state},
     };
@@ -85,6 +87,32 @@
     return change(std::move(request));
 }
 
+ctl_report ctl_commands::recover(const std::string& file) {
+    const std::optional<std::string> text = read_file(file);
+    if (!text.has_value())
+        return unreadable(file);
+    if (!settings_.base.has_value())
+        return {exit_code::usage, "error 900: --base_version: recover needs the last version\n"};
+    checked_manifest wanted = parse_manifest(*text);
+    if (!wanted.value.has_value())
+        return report_faults(wanted.faults, settings_.form);
+    log_session session(settings_.log, settings_.self);
+    change_result result;
+    bool is_done = false;
+    config_recovery recovery(session.log(), session.time(), follower_settings(settings_),
+                             {settings_.author, settings_.comment, random_id(), *settings_.base,
+                              std::move(*wanted.value)},
+                             settings_.limit, [&](const change_result& end) {
+                                 result = end;
+                                 is_done = true;
+                             });
+    session.run(2 * settings_.limit, [&](instant now) {
+        recovery.tick(now);
+        return is_done;
+    });
+    return report_change(result, settings_.form);
+}
+
 ctl_report ctl_commands::drain(const std::string& data_centre) {
     return set_in_service(data_centre, false);
 }
--- a/tools/ctl/ctl_commands.h
+++ b/tools/ctl/ctl_commands.h
@@ -43,6 +43,7 @@
     ctl_report check(const std::string& file);
     ctl_report publish(const std::string& file);
     ctl_report drain(const std::string& data_centre);
+    ctl_report recover(const std::string& file);
     ctl_report restore(const std::string& data_centre);
     ctl_report diff(const std::string& file);
     ctl_report history(const std::string& none);
