Keep the simulated bus from using processes that are gone

Cause: with the address sanitizer, a_restarted_process_is_another_incarnation of membership_test read the incarnation of a process that the test had ended while its message was under way (use after free in the test's sim_bus; the product's buses are not concerned). Change: messages carry the sender's incarnation, and replies look their sender up. Seen failing first: build-asan/tests/membership/membership_test before, heap-use-after-free; after, 20 passed. Also with -DFIGWINCH_SANITIZE=ON: config_test, config_fuzz_test, ctl_test and log_test pass. config_history_test was not run with sanitizers. Measured: build/tests/membership/membership_test: 20 passed, 0 failed.

--- a/tests/membership/sim_bus.h
+++ b/tests/membership/sim_bus.h
@@ -52,9 +52,13 @@
         network_.loop.after(timeout, [call] {
             finish(call, make_error(result_code::peer_unreachable, "timeout"));
         });
-        deliver(where, [this, from = address_, body = std::move(body), call](sim_bus& to) {
-            to.receive(body, self_, [&to, from, call](const std::string& reply) {
-                to.send_back(from, reply, call);
+        // Either side may be gone when the message arrives.
+        deliver(where, [&network = network_, where, from = address_, self = self_,
+                        body = std::move(body), call](sim_bus& to) {
+            to.receive(body, self, [&network, where, from, call](const std::string& reply) {
+                const auto answerer = network.buses.find(where);
+                if (answerer != network.buses.end())
+                    answerer->second->send_back(from, reply, call);
             });
         });
     }
