--- a/tests/membership/peer_service_test.cpp
+++ b/tests/membership/peer_service_test.cpp
@@ -123,7 +123,7 @@
             pb::PeerRequest request;
             request.mutable_show_job()->set_job("j");
             all_[1]->peers.ask("p0", request, 1s,
-                               [&](absl::StatusOr<pb::PeerReply> reply) { answer = reply; });
+                               [&](const absl::StatusOr<pb::PeerReply>& reply) { answer = reply; });
             loop_.run_for(2s);
             return code_of(answer->status());
         };
