Give each run of the system tests ports of its own

Two runs at once took the same free port between the look and the bind: one of two runs failed in test_a_lost_answer_is_never_called_not_run, whose executors could not listen. Ruled out: a fault of the entry (the test failed before any daemon was started).

--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -8,7 +8,7 @@
 
 import manifest
 from http_calls import call, state
-from ports import free_port, free_ports
+from ports import free_port
 from process import Process, wait_for
 from programs import clean_environment, path_of
 
@@ -57,7 +57,7 @@
         self.executors = []
         self.workers = []
         self.processes = []
-        self.platform_address = f"127.0.0.1:{free_port()}"
+        self.platform_address = ""
         self.platform = None
         self._executor_count = executors
         self._worker_count = workers
@@ -87,9 +87,8 @@
         self._temporary.cleanup()
 
     def _start(self):
-        port = self.platform_address.rsplit(":", 1)[1]
-        self.platform = self._stand_in("platform", "figwinch-standin-platform", f"--port={port}")
-        self.platform.wait_text(r"^listening on ")
+        self.platform = self._stand_in("platform", "figwinch-standin-platform", "--port=0")
+        self.platform_address = self.platform.wait_text(r"^listening on (\S+)").group(1)
         for centre in self.centres:
             self._start_back_ends(centre)
         for daemon in self.daemons:
@@ -104,10 +103,10 @@
 
     def _start_back_ends(self, centre):
         executors = self._stand_in(f"executors-{centre}", "figwinch-standin-executor",
-                                   f"--port={free_ports(self._executor_count)}",
+                                   "--port=0",
                                    f"--count={self._executor_count}", f"--name=executor-{centre}")
         workers = self._stand_in(f"workers-{centre}", "figwinch-standin-worker",
-                                 f"--port={free_ports(self._worker_count)}",
+                                 "--port=0",
                                  f"--count={self._worker_count}", f"--name=worker-{centre}",
                                  "--report_lag_ms=500")
         self.executors += _addresses(centre, executors, self._executor_count)
