Refuse at submission what can never run or breaks a bound

Cause: a job copied from an example that no worker can hold waited for ever, and a customer could queue without bound.

--- a/include/figwinch/jobs/job_fold.h
+++ b/include/figwinch/jobs/job_fold.h
@@ -53,6 +53,8 @@
     data_centre_id data_centre_of(const incarnation_id& writer) const;
     /// The newest record number of a writer; 0 when none.
     std::uint64_t last_number(const incarnation_id& writer) const;
+    /// Jobs of a customer that are not done.
+    std::int64_t open_jobs_of(const customer_id& customer) const;
     /// Forgets the oldest jobs that are done, beyond `keep`.
     void forget_done(std::size_t keep);
 
@@ -81,6 +83,7 @@
     log_offset position_;
     std::unordered_map<job_key, job_record> jobs_;
     std::unordered_map<incarnation_id, std::set<job_key>> by_owner_;
+    std::unordered_map<customer_id, std::int64_t> open_jobs_;
     std::unordered_map<incarnation_id, writer_state> writers_;
     std::unordered_map<incarnation_id, incarnation_id> successors_;
     /// Done jobs, oldest first.
--- a/src/jobs/job_fold.cpp
+++ b/src/jobs/job_fold.cpp
@@ -70,6 +70,7 @@
     job.key = key;
     job.spec = event.spec();
     job.kept_at = offset;
+    ++open_jobs_[customer_id(job.spec.customer())];
     set_owner(job, incarnation_id(batch.writer()), data_centre_id(batch.data_centre()), {});
     if (listener_)
         listener_->on_accepted(job);
@@ -170,6 +171,7 @@
     }
     set_owner(job, newest_successor(incarnation_id(event.owner())),
               data_centre_id(event.owner_data_centre()), offset);
+    ++open_jobs_[customer_id(job.spec.customer())];
     if (job.done())
         note_done(job);
     if (listener_)
@@ -199,6 +201,14 @@
 
 void job_fold::note_done(const job_record& job) {
     done_.push_back(job.key);
+    const auto open = open_jobs_.find(customer_id(job.spec.customer()));
+    if (--open->second == 0)
+        open_jobs_.erase(open);
+}
+
+std::int64_t job_fold::open_jobs_of(const customer_id& customer) const {
+    const auto open = open_jobs_.find(customer);
+    return open == open_jobs_.end() ? 0 : open->second;
 }
 
 void job_fold::forget_done(std::size_t keep) {
--- a/src/scheduler/core_requests.cpp
+++ b/src/scheduler/core_requests.cpp
@@ -71,6 +71,31 @@
     return absl::OkStatus();
 }
 
+absl::Status scheduler_core::check_limits(const pb::JobSpec& spec) const {
+    const auto config = config_.current();
+    if (!config)
+        return make_error(result_code::state_not_recovered, "no configuration is known yet");
+    std::vector<data_centre_id> allowed;
+    for (const std::string& centre : spec.data_centres())
+        allowed.emplace_back(centre);
+    const resources size = size_of(spec);
+    if (const auto refusal = check_shape(*config, size, allowed))
+        return make_error(result_code::job_fits_no_worker, refusal->reason);
+    const customer_id customer(spec.customer());
+    const customer_spec* bounds = figwinch::find(*config, customer);
+    if (!bounds)
+        return absl::OkStatus();
+    if (bounds->quota && !fits(size, *bounds->quota))
+        return make_error(result_code::job_over_quota, "one task of " + to_string(size) +
+                                                           " is above the customer's quota of " +
+                                                           to_string(*bounds->quota));
+    if (fold_.open_jobs_of(customer) >= bounds->max_queued_jobs)
+        return make_error(result_code::job_over_quota, "the customer has " +
+                                                           std::to_string(bounds->max_queued_jobs) +
+                                                           " jobs that are not done, its bound");
+    return absl::OkStatus();
+}
+
 void scheduler_core::submit(const pb::JobSpec& spec, reply_handler done, instant now) {
     now_ = now;
     if (const absl::Status status = check_spec(spec); !status.ok())
@@ -83,6 +108,8 @@
             return done(make_error(result_code::job_conflict, "the id is taken: " + key.str()), {});
         return done(absl::OkStatus(), *show(key));
     }
+    if (const absl::Status status = check_limits(spec); !status.ok())
+        return done(status, {});
     const auto [first, last] = requests_.equal_range(key);
     const bool asked =
         std::any_of(first, last, [](const auto& one) { return !one.second.cancelling; });
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -141,6 +141,8 @@
 
     // Requests (core_requests.cpp)
     absl::Status check_spec(const pb::JobSpec& spec) const;
+    /// Refuses what can never run and what is over the customer's bounds.
+    absl::Status check_limits(const pb::JobSpec& spec) const;
     void answer(const job_key& key, bool cancelling, const absl::Status& status);
     void expire_requests(instant now);
     void declare_manifest_jobs(instant now);
