Tell a silent worker from one's own silence, and wire interference

Change: a pause of this process, or of its sending, restarts the count. Entries' latency reports reach the interference controller; its steps are carried out, and a host takes no batch work for 30 s after an eviction.

--- a/include/figwinch/lease/worker_lease_table.h
+++ b/include/figwinch/lease/worker_lease_table.h
@@ -83,6 +83,7 @@
     };
 
     void collect(leased_worker& worker, std::vector<worker_command>& out, instant now);
+    void forgive_own_pause(instant now);
     void watch_silence(leased_worker& worker, instant now);
     void send_lease(leased_worker& worker, std::vector<worker_command>& out, instant now);
     void send_tasks(leased_worker& worker, std::vector<worker_command>& out, instant now);
@@ -113,6 +114,7 @@
     bool renewal_allowed_ = true;
     bool starts_allowed_ = true;
     bool releasing_all_ = false;
+    instant last_due_{};
     std::uint64_t last_token_ = 0;
     std::map<worker_id, leased_worker> workers_;
     std::unordered_map<std::uint64_t, sent_command> sent_;
--- a/src/lease/lease_commands.cpp
+++ b/src/lease/lease_commands.cpp
@@ -15,6 +15,7 @@
 
 std::vector<worker_command> worker_lease_table::due(instant now) {
     std::vector<worker_command> out;
+    forgive_own_pause(now);
     for (auto& [name, worker] : workers_)
         collect(worker, out, now);
     std::erase_if(workers_, [this, now](const auto& one) {
@@ -38,6 +39,17 @@
         send_tasks(worker, out, now);
 }
 
+// A process that was frozen finds old unanswered commands when it wakes, while the answers wait
+// unread. Taking that for a silent worker would run its tasks again, finished ones too.
+void worker_lease_table::forgive_own_pause(instant now) {
+    const bool paused = now > last_due_ + with_.retry_after;
+    last_due_ = now;
+    if (!paused)
+        return;
+    for (auto& [name, worker] : workers_)
+        worker.unanswered_since = now;
+}
+
 // A worker that doesn't answer may still get what it is sent: a renewal whose reply is lost keeps
 // its tasks running. Only silence makes their leases lapse for sure, so that the attempts can be
 // declared over and tried elsewhere.
@@ -55,6 +67,10 @@
     }
     if (!worker.unanswered || now < worker.unanswered_since + with_.give_up_after)
         return;
+    // Without tries up to now the silence may be this side's own: renewals stop while the log can't
+    // be confirmed.
+    if (now > worker.last_sent + 3 * with_.retry_after)
+        return;
     if (worker.state == hold_state::held)
         lose(worker, now);
     worker.state = hold_state::silent;
@@ -164,9 +180,10 @@
     command.body.set_epoch(worker.epoch.value());
     what.sent_at = now;
     sent_.emplace(command.token, std::move(what));
+    const bool resumed = now > worker.last_sent + 3 * with_.retry_after;
     worker.last_sent = now;
     worker.ever_sent = true;
-    if (!worker.unanswered) {
+    if (!worker.unanswered || resumed) {
         worker.unanswered = true;
         worker.unanswered_since = now;
     }
--- a/src/scheduler/core_placement.cpp
+++ b/src/scheduler/core_placement.cpp
@@ -98,9 +98,13 @@
         if (policies_.failures && (policies_.failures->failed_on(task, room.worker) ||
                                    policies_.failures->is_quarantined(room.worker, now)))
             return std::nullopt;
+        const std::optional<double> neighbours =
+            neighbour_cost(room.host, template_id(job.spec.template_name()), now);
+        if (!neighbours)
+            return std::nullopt;
         const auto siblings = book_.active_on().find(room.worker);
         const std::size_t busy = siblings == book_.active_on().end() ? 0 : siblings->second.size();
-        return same_worker_cost * static_cast<double>(busy > 0 ? 1 : 0);
+        return *neighbours + (busy > 0 ? same_worker_cost : 0);
     };
     const std::optional<worker_id> worker = index_.best_fit(size, cost);
     if (!worker || (policies_.failures && !policies_.failures->admit(*worker, now)))
--- a/src/scheduler/daemon_requests.cpp
+++ b/src/scheduler/daemon_requests.cpp
@@ -51,6 +51,11 @@
                    [this](const incarnation_id& from, const request& what, const reply_to& reply) {
                        reply(core_->on_fence_query(from, what.fence_query(), time_.now()));
                    });
+    peers_->handle(request::kLatency,
+                   [this](const incarnation_id&, const request& what, const reply_to& reply) {
+                       core_->on_latency(what.latency(), time_.now());
+                       reply({});
+                   });
     peers_->on_change([this] { tell_members(); });
 }
 
--- a/src/scheduler/scheduler_core.cpp
+++ b/src/scheduler/scheduler_core.cpp
@@ -108,6 +108,7 @@
             declare_manifest_jobs(now);
             write_snapshots(now);
         }
+        run_interference(now);
         if (may_start)
             place(now);
     }
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -2,6 +2,7 @@
 
 #include "figwinch/base.h"
 #include "figwinch/config.h"
+#include "figwinch/interference.h"
 #include "figwinch/jobs.h"
 #include "figwinch/learning.h"
 #include "figwinch/lease.h"
@@ -23,10 +24,11 @@
 
 namespace figwinch {
 
-/// What a scheduler learns from; either may be null.
+/// What a scheduler learns from; any may be null.
 struct scheduler_policies {
     size_estimator* sizes = nullptr;
     failure_policy* failures = nullptr;
+    interference_controller* interference = nullptr;
 };
 
 /// All decisions of a scheduler, without I/O. The daemon feeds it pages of the jobs stream, replies
@@ -51,6 +53,9 @@
     void on_fence_reply(const incarnation_id& from, const pb::FenceReply& reply, instant asked_at,
                         instant now);
 
+    /// What an entry saw of executors that share hosts with workers.
+    void on_latency(const pb::LatencyReport& report, instant now);
+
     // Requests of callers; `done` is called once.
     void submit(const pb::JobSpec& spec, reply_handler done, instant now);
     void cancel(const job_key& job, reply_handler done, instant now);
@@ -139,6 +144,13 @@
     void update_usage(const customer_id& customer);
     bool over_quota(const customer_id& customer, const resources& size) const;
 
+    // Latency-critical neighbours (core_interference.cpp)
+    void run_interference(instant now);
+    void apply(const interference_action& action, const worker_id& worker, const std::string& host,
+               instant now);
+    std::optional<double> neighbour_cost(const std::string& host, const template_id& copied_from,
+                                         instant now) const;
+
     // Requests (core_requests.cpp)
     absl::Status check_spec(const pb::JobSpec& spec) const;
     /// Refuses what can never run and what is over the customer's bounds.
@@ -180,6 +192,9 @@
     std::multimap<job_key, waiting_request> requests_;
     std::unordered_map<job_key, instant> snapshot_due_;
     std::set<std::pair<instant, job_key>> snapshot_order_;
+    /// Hosts of which entries report, and until when no batch work is placed on them.
+    std::map<std::string, instant> watched_hosts_;
+    instant next_interference_{};
     instant next_fence_{};
     instant next_ownership_{};
     std::uint64_t queue_age_ = 0;
--- a/src/scheduler/scheduler_daemon.cpp
+++ b/src/scheduler/scheduler_daemon.cpp
@@ -53,8 +53,10 @@
     exchange_config(*config_, *peers_, time_);
     sizes_ = size_estimator::create(size_estimator::settings{});
     failures_ = failure_policy::create(failure_policy::settings{});
+    interference_ = interference_controller::create(interference_controller::settings{});
     core_ = std::make_unique<scheduler_core>(
-        with_.rules, *config_, scheduler_policies{sizes_.get(), failures_.get()}, time_.now());
+        with_.rules, *config_,
+        scheduler_policies{sizes_.get(), failures_.get(), interference_.get()}, time_.now());
     config_->on_change([this](const manifest&, config_version version) {
         log_event(log_level::info, "config_changed",
                   {{"version", static_cast<std::int64_t>(version.value())}});
--- a/src/scheduler/scheduler_daemon.h
+++ b/src/scheduler/scheduler_daemon.h
@@ -75,6 +75,7 @@
     std::unique_ptr<config_follower> config_;
     std::unique_ptr<size_estimator> sizes_;
     std::unique_ptr<failure_policy> failures_;
+    std::unique_ptr<interference_controller> interference_;
     std::unique_ptr<scheduler_core> core_;
     std::unique_ptr<http_worker_client> workers_;
     std::unique_ptr<http_server> http_;
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -32,6 +32,10 @@
     double first_start_rate = 4;
     /// Time in which the rate after a return doubles.
     duration start_ramp = std::chrono::seconds(3);
+    /// How often batch work on hosts of executors is judged.
+    duration interference_every = std::chrono::milliseconds(500);
+    /// How long a host takes no batch work after a task was evicted from it.
+    duration closed_after_eviction = std::chrono::seconds(30);
     /// Queued jobs that one placement pass looks at.
     std::size_t max_visits = 512;
     std::size_t keep_done_jobs = 20'000;
--- a/tests/scheduler/history.h
+++ b/tests/scheduler/history.h
@@ -150,6 +150,7 @@
     void submit(const pb::JobSpec& spec, int tries);
     void cancel(const std::string& job, int tries);
     void on_started(const worker& one, const pb::StartTask& start);
+    void check_resume(const pb::StartTask& start);
     void check_workers(const worker& changed);
     void check_all_done();
     void heal();
@@ -175,6 +176,7 @@
     int starts_ = 0;
     int resumed_ = 0;
     int drains_ = 0;
+    instant log_needed_until_{};
     bool healed_ = false;
 };
 
--- a/tests/scheduler/history_test.cpp
+++ b/tests/scheduler/history_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(a_quiet_history_ends);
     CPPUNIT_TEST(any_two_faults);
     CPPUNIT_TEST(many_faults_at_once);
+    CPPUNIT_TEST(work_resumes_once_from_its_newest_checkpoint);
     CPPUNIT_TEST_SUITE_END();
 
     static void run(history_options with, std::uint64_t first_seed, int count) {
@@ -50,6 +51,16 @@
         run(with, 1, 20);
     }
 
+    // Schedulers die, freeze and stop, data centres leave and the log is down, while every worker
+    // stays up. A task that finished never runs again, and an evicted one loses no work.
+    void work_resumes_once_from_its_newest_checkpoint() {
+        history_options with;
+        with.faults = 5;
+        with.worker_faults = false;
+        with.partitions = false;
+        run(with, 200'000, histories / 2);
+    }
+
     // The same with six faults that overlap, and long tasks that outlive them.
     void many_faults_at_once() {
         history_options with;
--- a/tools/standin_worker/worker_model.h
+++ b/tools/standin_worker/worker_model.h
@@ -30,6 +30,9 @@
     std::vector<std::uint64_t> attempts;
     /// Work done here, in milliseconds at full speed.
     double work_ms = 0;
+    int finished = 0;
+    /// The most work that a checkpoint written here holds.
+    double checkpoint_ms = 0;
 };
 
 /// Rules of the stand-in for a worker (docs/PORTS.md), without I/O. All times are the worker's own.
