--- a/include/figwinch/routing/dispatch_guard.h
+++ b/include/figwinch/routing/dispatch_guard.h
@@ -32,7 +32,8 @@
         std::size_t voters = 1;
         /// How long a grant is remembered.
         duration window = std::chrono::seconds(60);
-        /// How long after it was begun a claim may be used; well under `window`.
+        /// How long after it was begun a claim may be used, and then how long an entry that it was
+        /// forwarded to may take to dispatch it; both together well under `window`.
         duration use_within = std::chrono::seconds(20);
         /// Bound on remembered claims and grants; beyond it this entry refuses and abstains.
         std::size_t max_records = 100'000;
@@ -45,7 +46,9 @@
 
     /// It is proven that nothing this node granted can have been forgotten: vote at once.
     void vote_at_once() { votes_from_ = instant{}; }
-    bool may_vote(instant now) const { return now >= votes_from_; }
+    /// Whether this entry may vote at all, besides having waited.
+    void set_vouching(bool vouching) { vouching_ = vouching; }
+    bool may_vote(instant now) const { return vouching_ && now >= votes_from_; }
 
     /// Begins a claim on behalf of a caller; `asked` other entries are going to be asked.
     claim_progress begin(const claim_key& key, send_mark mark, std::size_t asked, instant now);
@@ -71,6 +74,7 @@
     void note_released(const claim_key& key, const incarnation_id& claimant,
                        std::uint64_t sequence);
 
+    duration use_within() const { return with_.use_within; }
     std::size_t records() const { return records_.size(); }
 
 private:
@@ -85,6 +89,8 @@
         instant begun{};
         send_mark mark = send_mark::unmarked;
         std::size_t waiting = 0;
+        /// Entries that may vote, as far as this one knows.
+        std::size_t voters = 0;
         std::vector<node_id> granted_by;
         claim_progress result;
         bool was_denied = false;
@@ -101,7 +107,7 @@
     void remember(const claim_key& key, std::uint32_t holder, std::uint64_t sequence, instant now);
     std::uint32_t index_of(const incarnation_id& who);
     claim_progress held_by(const record& entry) const;
-    std::size_t needed(send_mark mark) const;
+    std::size_t needed(const open_claim& claim) const;
     claim_progress judge(open_claim& claim) const;
     bool may_go_alone(const open_claim& claim) const;
     bool is_usable(const open_claim& claim, instant now) const;
@@ -110,6 +116,7 @@
     settings with_;
     node_id node_;
     instant votes_from_;
+    bool vouching_ = true;
     std::uint64_t next_sequence_ = 1;
     std::vector<incarnation_id> incarnations_;
     absl::flat_hash_map<claim_key, record> records_;
