--- a/bench/jobs_recovery.cpp
+++ b/bench/jobs_recovery.cpp
@@ -55,7 +55,7 @@
             keep(fold.jobs().size());
         });
         out.add("fold", tasks, seconds * 1e3, "ms");
-        out.add("memory", tasks, bytes / (tasks / tasks_per_job), "bytes/job");
+        out.add("memory", tasks, bytes * tasks_per_job / tasks, "bytes/job");
     }
 }
 
@@ -75,7 +75,8 @@
             }
             runs.push_back(median_seconds(1, [&] {
                 for (int i = 0; i < cancelled; ++i)
-                    queue.remove(keys[static_cast<std::size_t>(i * (queued / cancelled))]);
+                    queue.remove(keys[static_cast<std::size_t>(i) *
+                                      static_cast<std::size_t>(queued / cancelled)]);
             }));
         }
         out.add("cancel", queued, median(runs) * 1e6 / cancelled, "us");
--- a/tests/scheduler/core_interference_test.cpp
+++ b/tests/scheduler/core_interference_test.cpp
@@ -23,6 +23,7 @@
     std::vector<interference_action>
     decide(const std::string&, const std::vector<batch_neighbour>& tasks, instant) override {
         std::vector<interference_action> out;
+        out.reserve(tasks.size());
         for (const batch_neighbour& one : tasks)
             out.push_back({one.task, step, percent});
         if (step == interference_step::evict && !tasks.empty())
--- a/tests/scheduler/history.h
+++ b/tests/scheduler/history.h
@@ -37,6 +37,10 @@
     bool drains = true;
     bool planned_stops = true;
     bool cancellations = true;
+    /// When data centre 1 is taken out, to stay out until the end; zero: never.
+    duration drain_at{};
+    /// When every scheduler is killed at once; zero: never.
+    duration kill_all_at{};
 };
 
 /// One seeded run of scheduler rules against worker rules, with messages that are lost, delayed and
@@ -150,6 +154,8 @@
     void submit(const pb::JobSpec& spec, int tries);
     void cancel(const std::string& job, int tries);
     void on_started(const worker& one, const pb::StartTask& start);
+    void plan_disasters();
+    void check_drained();
     void check_resume(const pb::StartTask& start);
     void check_workers(const worker& changed);
     void check_all_done();
@@ -177,7 +183,6 @@
     int resumed_ = 0;
     int drains_ = 0;
     instant log_needed_until_{};
-    bool healed_ = false;
 };
 
 } // namespace figwinch::testing
--- a/tests/scheduler/history_plan.cpp
+++ b/tests/scheduler/history_plan.cpp
@@ -14,6 +14,7 @@
 constexpr duration settle_limit = 6min;
 constexpr duration caller_patience = 4s;
 constexpr int max_tries = 200;
+constexpr duration drain_limit = 10s;
 constexpr int schedulers_per_centre[] = {3, 1};
 constexpr int workers_per_centre[] = {4, 2};
 
@@ -50,6 +51,7 @@
     for (node& one : nodes_)
         launch(one);
     plan_jobs();
+    plan_disasters();
     for (int i = 0; i < with_.faults; ++i) {
         const instant when =
             began_ + std::chrono::milliseconds(pick(3000, with_.length.count() / 1000 - 1000));
@@ -57,6 +59,31 @@
     }
 }
 
+void history::plan_disasters() {
+    if (with_.drain_at > duration{}) {
+        at(began_ + with_.drain_at, [this] { set_centre(data_centre_id("dc1"), false); });
+        at(began_ + with_.drain_at + drain_limit, [this] { check_drained(); });
+    }
+    if (with_.kill_all_at == duration{})
+        return;
+    at(began_ + with_.kill_all_at, [this] {
+        for (node& one : nodes_)
+            kill(one);
+    });
+    at(began_ + with_.kill_all_at + 5s, [this] {
+        for (node& one : nodes_)
+            launch(one);
+    });
+}
+
+// With no other fault, a data centre is empty soon after it was taken out.
+void history::check_drained() {
+    for (const worker& one : workers_) {
+        if (one.spec.data_centre == data_centre_id("dc1") && !one.model->running().empty())
+            violate(one.spec.name.str() + " still runs tasks of a data centre taken out");
+    }
+}
+
 void history::plan_jobs() {
     for (int i = 0; i < with_.jobs; ++i) {
         pb::JobSpec spec;
@@ -288,7 +315,6 @@
 }
 
 void history::heal() {
-    healed_ = true;
     log_.available = true;
     for (node& one : nodes_) {
         one.frozen_until = std::min(one.frozen_until, now_);
--- a/tests/scheduler/history_test.cpp
+++ b/tests/scheduler/history_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(any_two_faults);
     CPPUNIT_TEST(many_faults_at_once);
     CPPUNIT_TEST(work_resumes_once_from_its_newest_checkpoint);
+    CPPUNIT_TEST(a_data_centre_that_is_taken_out_is_empty_within_seconds);
+    CPPUNIT_TEST(jobs_survive_every_process_and_the_end_of_retention);
     CPPUNIT_TEST_SUITE_END();
 
     static void run(history_options with, std::uint64_t first_seed, int count) {
@@ -51,6 +53,30 @@
         run(with, 1, 20);
     }
 
+    // Operators take a data centre out while it is full. Its tasks are checkpointed and resume in
+    // the other one; nothing is left running after ten seconds.
+    void a_data_centre_that_is_taken_out_is_empty_within_seconds() {
+        history_options with;
+        with.faults = 0;
+        with.jobs = 10;
+        with.worker_faults = false;
+        with.partitions = false;
+        with.drain_at = std::chrono::seconds(12);
+        run(with, 300'000, histories / 20);
+    }
+
+    // Every scheduler dies at once, after the log has dropped the records by which most jobs were
+    // accepted. Processes that know nothing find the jobs in snapshots.
+    void jobs_survive_every_process_and_the_end_of_retention() {
+        history_options with;
+        with.faults = 0;
+        with.length = std::chrono::seconds(80);
+        with.jobs = 20;
+        with.retention = std::chrono::seconds(25);
+        with.kill_all_at = std::chrono::seconds(55);
+        run(with, 400'000, histories / 20);
+    }
+
     // Schedulers die, freeze and stop, data centres leave and the log is down, while every worker
     // stays up. A task that finished never runs again, and an evicted one loses no work.
     void work_resumes_once_from_its_newest_checkpoint() {
