Recover from a truncated log, and keep finished manifest jobs known

Cause: three faults found by reading, each shown by a test. - The daemon passed over log_truncated, so that a scheduler started after the first records of the jobs stream had expired never recovered: every job was refused for ever. Jobs were also forgotten at the end of a page, so at different records in different processes. Ruled out: forgetting a declared job when the manifest drops it without a record: processes that see manifests at different times would fold a later submission differently.

--- a/include/figwinch/jobs/job_fold.h
+++ b/include/figwinch/jobs/job_fold.h
@@ -3,6 +3,7 @@
 #include "figwinch/base.h"
 #include "figwinch/jobs/job_record.h"
 
+#include <deque>
 #include <functional>
 #include <set>
 #include <string>
@@ -34,7 +35,10 @@
 /// skipped, since the new owner can't know of it.
 class job_fold {
 public:
-    explicit job_fold(job_fold_listener* listener = nullptr) : listener_(listener) {}
+    /// Of the jobs that are done, the newest `keep_done` are remembered, besides those that the
+    /// manifest declares (`job_record::is_kept_when_done`).
+    explicit job_fold(job_fold_listener* listener = nullptr, std::size_t keep_done = 5'000)
+        : listener_(listener), keep_done_(keep_done) {}
 
     /// Folds one record; payloads that can't be parsed change nothing.
     void apply(log_offset offset, const std::string& payload);
@@ -55,8 +59,8 @@
     std::uint64_t last_number(const incarnation_id& writer) const;
     /// Jobs of a customer that are not done.
     std::int64_t open_jobs_of(const customer_id& customer) const;
-    /// Forgets the oldest jobs that are done, beyond `keep`.
-    void forget_done(std::size_t keep);
+    /// Starts with the record `first`, because older ones have expired. Only before the first fold.
+    void begin_at(log_offset first);
 
 private:
     bool is_new(const pb::JobBatch& batch);
@@ -73,6 +77,7 @@
                    log_offset offset);
     incarnation_id newest_successor(incarnation_id owner) const;
     void note_done(const job_record& job);
+    void forget_later(const job_key& key);
 
     struct writer_state {
         std::uint64_t last_number = 0;
@@ -86,8 +91,9 @@
     std::unordered_map<customer_id, std::int64_t> open_jobs_;
     std::unordered_map<incarnation_id, writer_state> writers_;
     std::unordered_map<incarnation_id, incarnation_id> successors_;
-    /// Done jobs, oldest first.
-    std::vector<job_key> done_;
+    std::size_t keep_done_;
+    /// Done jobs that may be forgotten, oldest first.
+    std::deque<job_key> done_;
 };
 
 /// One job's whole state as a record, for the time when its first records expire.
--- a/include/figwinch/jobs/job_key.h
+++ b/include/figwinch/jobs/job_key.h
@@ -24,4 +24,9 @@
 task_id make_task_id(const job_key& job, int index);
 std::optional<task_name> parse_task_id(std::string_view task);
 
+/// Ids of jobs that the manifest declares begin with this; callers can't choose such ids.
+constexpr std::string_view manifest_job_prefix = "manifest:";
+
+bool is_manifest_job_id(std::string_view id);
+
 } // namespace figwinch
--- a/include/figwinch/jobs/job_record.h
+++ b/include/figwinch/jobs/job_record.h
@@ -36,6 +36,9 @@
     log_offset kept_at;
 
     bool done() const { return cancelled || final_tasks >= spec.tasks(); }
+    /// A finished job that the manifest declares must be known for as long as it does, or it would
+    /// be created and run again. Its owner cancels it once the manifest has dropped it.
+    bool is_kept_when_done() const { return is_manifest_job_id(spec.id()) && !cancelled; }
 };
 
 } // namespace figwinch
--- a/src/jobs/job_fold.cpp
+++ b/src/jobs/job_fold.cpp
@@ -1,6 +1,7 @@
 #include "figwinch/jobs/job_fold.h"
 
 #include <algorithm>
+#include <cassert>
 #include <charconv>
 
 namespace figwinch {
@@ -111,10 +112,14 @@
 
 void job_fold::cancel(const pb::JobBatch& batch, const pb::JobCancelled& event) {
     job_record* job = owned(batch, event.customer(), event.job());
-    if (!job || job->done())
+    if (!job || job->cancelled || (job->done() && !job->is_kept_when_done()))
         return;
+    const bool was_done = job->done();
     job->cancelled = true;
-    note_done(*job);
+    if (was_done)
+        forget_later(job->key);
+    else
+        note_done(*job);
     if (listener_)
         listener_->on_cancelled(*job);
 }
@@ -200,7 +205,8 @@
 }
 
 void job_fold::note_done(const job_record& job) {
-    done_.push_back(job.key);
+    if (!job.is_kept_when_done())
+        forget_later(job.key);
     const auto open = open_jobs_.find(customer_id(job.spec.customer()));
     if (--open->second == 0)
         open_jobs_.erase(open);
@@ -211,21 +217,24 @@
     return open == open_jobs_.end() ? 0 : open->second;
 }
 
-void job_fold::forget_done(std::size_t keep) {
-    if (done_.size() <= keep)
+// By count and in log order, so that every process forgets the same job at the same record; a later
+// submission of its id is then new to all of them, or to none.
+void job_fold::forget_later(const job_key& key) {
+    done_.push_back(key);
+    if (done_.size() <= keep_done_)
         return;
-    const std::size_t excess = done_.size() - keep;
-    for (std::size_t i = 0; i < excess; ++i) {
-        const auto place = jobs_.find(done_[i]);
-        if (place == jobs_.end())
-            continue;
-        const auto owner = by_owner_.find(place->second.owner);
-        owner->second.erase(done_[i]);
-        if (owner->second.empty())
-            by_owner_.erase(owner);
-        jobs_.erase(place);
-    }
-    done_.erase(done_.begin(), done_.begin() + static_cast<std::ptrdiff_t>(excess));
+    const auto place = jobs_.find(done_.front());
+    const auto owner = by_owner_.find(place->second.owner);
+    owner->second.erase(place->first);
+    if (owner->second.empty())
+        by_owner_.erase(owner);
+    jobs_.erase(place);
+    done_.pop_front();
+}
+
+void job_fold::begin_at(log_offset first) {
+    assert(position_.is_none() && !first.is_none());
+    position_ = log_offset(first.value() - 1);
 }
 
 const job_record* job_fold::find(const job_key& key) const {
--- a/src/jobs/job_key.cpp
+++ b/src/jobs/job_key.cpp
@@ -31,4 +31,8 @@
     return task_name{job_key(task.substr(0, slash)), index};
 }
 
+bool is_manifest_job_id(std::string_view id) {
+    return id.starts_with(manifest_job_prefix);
+}
+
 } // namespace figwinch
--- a/src/scheduler/core_log.cpp
+++ b/src/scheduler/core_log.cpp
@@ -30,11 +30,22 @@
     recovered_ = true;
     if (!first && page.records.empty())
         return;
-    fold_.forget_done(with_.keep_done_jobs);
     for (const auto& [name, worker] : leases_.workers())
         police(name);
 }
 
+// A process that starts reads from the oldest record left: whatever is older has been written again
+// since. One that has fallen behind the retention, because it was frozen or cut off for so long,
+// has missed records that nobody will show it again; it stops and comes back as a new incarnation.
+void scheduler_core::on_log_truncated(log_offset first_kept, instant now) {
+    now_ = now;
+    read_log_ = true;
+    if (fold_.position().is_none())
+        fold_.begin_at(first_kept);
+    else if (first_kept > fold_.position().next())
+        deposed_ = true;
+}
+
 // A previous owner that has not read the take-over may start tasks for as long as its view counts
 // as fresh, also on a worker whose lease it takes after this. So what a holder sees of a worker
 // proves nothing about that owner until this time has passed; an owner that hands its jobs over
@@ -67,13 +78,20 @@
 }
 
 void scheduler_core::take_up(const job_record& job, bool fenced_off) {
-    if (job.done())
+    if (job.done()) {
+        if (job.is_kept_when_done())
+            keep_in_log(job.key);
         return;
+    }
     book_.add(job, fenced_off);
     enqueue(job.key);
+    keep_in_log(job.key);
+}
+
+void scheduler_core::keep_in_log(const job_key& key) {
     const instant due = now_ + with_.snapshot_every;
-    snapshot_due_[job.key] = due;
-    snapshot_order_.insert({due, job.key});
+    snapshot_due_[key] = due;
+    snapshot_order_.insert({due, key});
 }
 
 void scheduler_core::let_go(const job_key& key) {
@@ -101,11 +119,15 @@
         return;
     if (policies_.failures && job.tasks.at(index).final)
         policies_.failures->forget(make_task_id(job.key, index));
-    if (job.done())
-        let_go(job.key);
+    if (!job.done())
+        return;
+    let_go(job.key);
+    if (job.is_kept_when_done())
+        keep_in_log(job.key);
 }
 
 void scheduler_core::on_cancelled(const job_record& job) {
+    releasing_.erase(job.key);
     if (is_mine(job)) {
         for (const attempt_place& one : book_.cancel(job.key))
             leases_.stop(one.worker, one.task, false, now_);
--- a/src/scheduler/core_requests.cpp
+++ b/src/scheduler/core_requests.cpp
@@ -9,7 +9,6 @@
 namespace figwinch {
 namespace {
 
-constexpr std::string_view manifest_prefix = "manifest:";
 constexpr int max_tasks = 100'000;
 
 resources size_of(const pb::JobSpec& spec) {
@@ -22,7 +21,8 @@
                        std::to_string(job.work.count()) + '|' + std::to_string(job.max_attempts);
     for (const data_centre_id& centre : job.data_centres)
         text += '|' + centre.str();
-    return std::string(manifest_prefix) + job.name.str() + ':' + std::to_string(stable_hash(text));
+    return std::string(manifest_job_prefix) + job.name.str() + ':' +
+           std::to_string(stable_hash(text));
 }
 
 pb::JobSpec to_spec(const job_spec& job) {
@@ -97,6 +97,15 @@
 }
 
 void scheduler_core::submit(const pb::JobSpec& spec, reply_handler done, instant now) {
+    if (is_manifest_job_id(spec.id()))
+        return done(make_error(result_code::invalid_value,
+                               "ids that begin with \"" + std::string(manifest_job_prefix) +
+                                   "\" are kept for jobs of the manifest"),
+                    {});
+    accept(spec, std::move(done), now);
+}
+
+void scheduler_core::accept(const pb::JobSpec& spec, reply_handler done, instant now) {
     now_ = now;
     if (const absl::Status status = check_spec(spec); !status.ok())
         return done(status, {});
@@ -278,15 +287,26 @@
             return rendezvous_weight(one->node.str(), key.str());
         });
         if (*best == &with_.self)
-            submit(
+            accept(
                 spec, [](const absl::Status&, const pb::JobView&) {}, now);
     }
+    drop_undeclared_jobs(declared, now);
+}
+
+void scheduler_core::drop_undeclared_jobs(const std::set<job_key>& declared, instant now) {
     for (const job_key& key : fold_.jobs_of(self_)) {
-        const job_record* job = fold_.find(key);
-        if (job->spec.id().starts_with(manifest_prefix) && !job->done() &&
-            !declared.contains(key) && !requests_.contains(key))
+        const job_record& job = *fold_.find(key);
+        if (!job.is_kept_when_done() || declared.contains(key) || requests_.contains(key))
+            continue;
+        if (!job.done()) {
             cancel(
                 key, [](const absl::Status&, const pb::JobView&) {}, now);
+        } else if (releasing_.insert(key).second) {
+            pb::JobEvent event;
+            event.mutable_cancelled()->set_job(job.spec.id());
+            event.mutable_cancelled()->set_customer(job.spec.customer());
+            writer_.add(std::move(event));
+        }
     }
 }
 
--- a/src/scheduler/scheduler_core.cpp
+++ b/src/scheduler/scheduler_core.cpp
@@ -7,7 +7,7 @@
 scheduler_core::scheduler_core(scheduler_settings with, const config_view& config,
                                scheduler_policies policies, instant now)
     : with_(std::move(with)), config_(config), policies_(policies), self_(with_.self.incarnation),
-      started_at_(now), now_(now), evidence_(with_.freshness), fold_(this),
+      started_at_(now), now_(now), evidence_(with_.freshness), fold_(this, with_.keep_done_jobs),
       leases_(with_.leases, with_.self.node, self_, *this),
       writer_(self_, with_.self.data_centre, with_.flush_every, with_.append_retry),
       pacer_(with_.max_start_rate, with_.first_start_rate, with_.start_ramp),
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -44,6 +44,8 @@
     void on_config(instant now);
     void on_members(const std::vector<member>& members, instant now);
     void on_jobs_page(const log_page& page, instant sent_at, instant now);
+    /// The record that is to be read next has expired; `first_kept` is the oldest one left.
+    void on_log_truncated(log_offset first_kept, instant now);
     void on_log_unavailable(instant sent_at) { evidence_.note_unavailable(sent_at); }
     void on_append_outcome(append_outcome outcome, instant now);
     void on_worker_reply(std::uint64_t token, const pb::WorkerReply& reply, instant now);
@@ -114,6 +116,7 @@
     // Log and ownership (core_log.cpp)
     void take_up(const job_record& job, bool fenced_off);
     void let_go(const job_key& key);
+    void keep_in_log(const job_key& key);
     void after_record(log_offset offset);
     void write_snapshots(instant now);
 
@@ -157,7 +160,9 @@
     absl::Status check_limits(const pb::JobSpec& spec) const;
     void answer(const job_key& key, bool cancelling, const absl::Status& status);
     void expire_requests(instant now);
+    void accept(const pb::JobSpec& spec, reply_handler done, instant now);
     void declare_manifest_jobs(instant now);
+    void drop_undeclared_jobs(const std::set<job_key>& declared, instant now);
 
     bool is_mine(const job_record& job) const { return job.owner == self_; }
     bool centre_in_service(const data_centre_id& centre) const;
@@ -192,6 +197,8 @@
     std::multimap<job_key, waiting_request> requests_;
     std::unordered_map<job_key, instant> snapshot_due_;
     std::set<std::pair<instant, job_key>> snapshot_order_;
+    /// Finished jobs that the manifest no longer declares and whose release is being written.
+    std::set<job_key> releasing_;
     /// Hosts of which entries report, and until when no batch work is placed on them.
     std::map<std::string, instant> watched_hosts_;
     instant next_interference_{};
--- a/src/scheduler/scheduler_daemon.cpp
+++ b/src/scheduler/scheduler_daemon.cpp
@@ -162,6 +162,8 @@
     }
     if (code_of(page.status()) == result_code::log_unavailable)
         core_->on_log_unavailable(sent_at);
+    if (code_of(page.status()) == result_code::log_truncated)
+        core_->on_log_truncated(first_kept_of(page.status()), time_.now());
 }
 
 void scheduler_daemon::ask_fence(const fence_ask& ask) {
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -38,7 +38,8 @@
     duration closed_after_eviction = std::chrono::seconds(30);
     /// Queued jobs that one placement pass looks at.
     std::size_t max_visits = 512;
-    std::size_t keep_done_jobs = 20'000;
+    /// Done jobs that are remembered, so that one which is submitted again is not run again.
+    std::size_t keep_done_jobs = 5'000;
 };
 
 } // namespace figwinch
--- a/tests/scheduler/core_interference_test.cpp
+++ b/tests/scheduler/core_interference_test.cpp
@@ -1,11 +1,8 @@
-#include "scheduler/scheduler_core.h"
-#include "tests/scheduler/fake_config_view.h"
-#include "tools/standin_worker/worker_model.h"
+#include "tests/scheduler/one_worker_region.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <memory>
 #include <string>
 
 namespace figwinch::testing {
@@ -45,72 +42,16 @@
 
     static constexpr const char* task = "studio/render/0";
 
-    manual_clock time_;
-    fake_config_view config_;
+    one_worker_region region_;
     scripted_controller controller_;
-    std::unique_ptr<scheduler_core> core_;
-    standin::worker_model worker_{{worker_id("w"), {4000, 8192, 0}}, time_.now()};
-    std::vector<std::string> log_;
-
-    void launch() {
-        auto config = std::make_shared<manifest>();
-        config->data_centres.push_back({data_centre_id("dc"), true});
-        worker_spec worker;
-        worker.name = worker_id("w");
-        worker.data_centre = data_centre_id("dc");
-        worker.capacity = {4000, 8192, 0};
-        worker.host = "host";
-        config->workers.push_back(worker);
-        executor_spec executor;
-        executor.name = executor_id("executor");
-        executor.host = "host";
-        config->executors.push_back(executor);
-        config_.set(config, config_version(1));
-        scheduler_settings with;
-        with.self.node = node_id("s");
-        with.self.incarnation = incarnation_id("s#1");
-        with.self.data_centre = data_centre_id("dc");
-        core_ = std::make_unique<scheduler_core>(
-            with, config_, scheduler_policies{nullptr, nullptr, &controller_}, time_.now());
-    }
-
-    void step() {
-        time_.advance(200ms);
-        const instant now = time_.now();
-        config_.evidence().note_confirmed(now);
-        log_page page;
-        page.next = log_offset(log_.size() + 1);
-        for (std::size_t i = core_->next_offset().value() - 1; i < log_.size(); ++i)
-            page.records.push_back({log_offset(i + 1), log_[i]});
-        core_->on_jobs_page(page, now, now);
-        scheduler_actions actions = core_->tick(now);
-        if (actions.append) {
-            log_.push_back(actions.append->payload);
-            core_->on_append_outcome(append_outcome::acknowledged, now);
-        }
-        for (const worker_command& command : actions.commands)
-            core_->on_worker_reply(command.token, worker_.handle(command.body, now), now);
-    }
+    standin::worker_model& worker_ = region_.worker;
 
-    void run_for(duration length) {
-        const instant end = time_.now() + length;
-        while (time_.now() < end)
-            step();
-    }
+    void run_for(duration length) { region_.run_for(length); }
 
     void start_render() {
-        launch();
+        region_.launch({nullptr, nullptr, &controller_});
         run_for(1s);
-        pb::JobSpec spec;
-        spec.set_id("render");
-        spec.set_customer("studio");
-        spec.mutable_size()->set_cpu_millis(2000);
-        spec.mutable_size()->set_memory_mib(1024);
-        spec.set_tasks(1);
-        spec.set_work_ms(3'600'000);
-        spec.set_checkpointable(true);
-        core_->submit(
-            spec, [](const absl::Status&, const pb::JobView&) {}, time_.now());
+        region_.submit("render", 3'600'000);
         run_for(2s);
         CPPUNIT_ASSERT(worker_.running().contains(task));
     }
@@ -122,7 +63,7 @@
         seen.set_p99_us(500'000);
         seen.set_target_us(100'000);
         seen.set_samples(100);
-        core_->on_latency(report, time_.now());
+        region_.core->on_latency(report, region_.time.now());
         CPPUNIT_ASSERT_EQUAL(std::string("host"), controller_.observed);
     }
 
--- a/tests/scheduler/history_messages.cpp
+++ b/tests/scheduler/history_messages.cpp
@@ -137,7 +137,10 @@
     one.config.evidence().note_confirmed(sent_at);
     if (newer)
         one.core->on_config(now_);
-    one.core->on_jobs_page(answer.page, sent_at, now_);
+    if (one.core->next_offset() < answer.page.first_kept)
+        one.core->on_log_truncated(answer.page.first_kept, now_);
+    else
+        one.core->on_jobs_page(answer.page, sent_at, now_);
 }
 
 void history::ask_fence(node& one, const fence_ask& ask) {
