Try quarantined workers again, and let one stuck task block nobody

Cause: placement left out quarantined workers for good (never asked admit). The test for it showed a second fault: a task that had failed on every worker with room counted as too large, and each job of its size or more waited behind it for ever. Ruled out: asking admit while workers are compared, since that counts the trial. Change: place_task asks would_admit, and tells no room from unsuitable for this task.

--- a/src/scheduler/core_placement.cpp
+++ b/src/scheduler/core_placement.cpp
@@ -81,34 +81,41 @@
             return job_queue::verdict::next_job;
         if (!pacer_.take(now))
             return job_queue::verdict::stop;
-        if (!place_task(*job, *job->queued.begin(), size, now)) {
+        const placing outcome = place_task(*job, *job->queued.begin(), size, now);
+        if (outcome == placing::no_room)
             too_large.push_back(size);
+        if (outcome != placing::placed)
             return job_queue::verdict::next_job;
-        }
     }
     return job_queue::verdict::next_job;
 }
 
-bool scheduler_core::place_task(job_entry& job, int index, const resources& size, instant now) {
+scheduler_core::placing scheduler_core::place_task(job_entry& job, int index, const resources& size,
+                                                   instant now) {
     const task_id task = make_task_id(job.key, index);
+    // A task that has failed on every worker with room must not keep others of its size waiting.
+    placing failing = placing::no_room;
     const auto cost = [&](const worker_room& room) -> std::optional<double> {
-        const leased_worker* worker = leases_.find(room.worker);
-        if (!leases_.may_start(room.worker, now) || worker->tasks.contains(task))
+        if (!leases_.may_start(room.worker, now))
             return std::nullopt;
-        if (policies_.failures && (policies_.failures->failed_on(task, room.worker) ||
-                                   policies_.failures->is_quarantined(room.worker, now)))
+        if (policies_.failures && !policies_.failures->would_admit(room.worker, now))
             return std::nullopt;
+        const bool had_it =
+            leases_.find(room.worker)->tasks.contains(task) ||
+            (policies_.failures && policies_.failures->failed_on(task, room.worker));
         const std::optional<double> neighbours =
             neighbour_cost(room.host, template_id(job.spec.template_name()), now);
-        if (!neighbours)
+        if (had_it || !neighbours) {
+            failing = placing::unsuitable;
             return std::nullopt;
+        }
         const auto siblings = book_.active_on().find(room.worker);
         const std::size_t busy = siblings == book_.active_on().end() ? 0 : siblings->second.size();
         return *neighbours + (busy > 0 ? same_worker_cost : 0);
     };
     const std::optional<worker_id> worker = index_.best_fit(size, cost);
     if (!worker || (policies_.failures && !policies_.failures->admit(*worker, now)))
-        return false;
+        return failing;
     const std::string checkpoint = job.tasks[static_cast<std::size_t>(index)].checkpoint;
     const attempt_number attempt =
         book_.begin(job, index, {*worker, leases_.find(*worker)->epoch, size, now});
@@ -126,7 +133,7 @@
     start.set_work_ms(job.spec.work_ms());
     start.set_lease_ms(in_ms(with_.leases.task_lease));
     leases_.start(*worker, start, now);
-    return true;
+    return placing::placed;
 }
 
 } // namespace figwinch
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -142,7 +142,14 @@
     void place(instant now);
     job_queue::verdict place_job(const job_key& key, std::vector<resources>& too_large,
                                  instant now);
-    bool place_task(job_entry& job, int index, const resources& size, instant now);
+    enum class placing {
+        placed,
+        /// No worker has room for the size; nor has it for a larger one.
+        no_room,
+        /// Some worker has room, but not for this very task.
+        unsuitable,
+    };
+    placing place_task(job_entry& job, int index, const resources& size, instant now);
     void enqueue(const job_key& key);
     void update_usage(const customer_id& customer);
     bool over_quota(const customer_id& customer, const resources& size) const;
--- a/tests/scheduler/core_memory_test.cpp
+++ b/tests/scheduler/core_memory_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_finished_manifest_job_is_not_crowded_out);
     CPPUNIT_TEST(a_manifest_job_that_was_removed_is_forgotten_in_the_end);
     CPPUNIT_TEST(callers_cannot_take_the_id_of_a_manifest_job);
+    CPPUNIT_TEST(a_quarantined_worker_is_tried_again);
     CPPUNIT_TEST_SUITE_END();
 
     one_worker_region region_;
@@ -100,6 +101,26 @@
         region_.submit("manifest:master:1", 100);
         CPPUNIT_ASSERT(code_of(region_.last_answer) == result_code::invalid_value);
     }
+
+    // A worker fails the first tasks of three jobs, because its scratch disk is full; somebody
+    // clears the disk. Its quarantine ends, and the region's only worker must take work again.
+    void a_quarantined_worker_is_tried_again() {
+        const auto failures = failure_policy::create({});
+        region_.launch({nullptr, failures.get(), nullptr});
+        region_.run_for(1s);
+        region_.worker.fail_all(true);
+        for (int i = 0; i < 3; ++i) {
+            region_.submit("pass-" + std::to_string(i), 100);
+            region_.run_for(8s);
+        }
+        CPPUNIT_ASSERT(failures->is_quarantined(worker_id("w"), region_.time.now()));
+        region_.worker.fail_all(false);
+        region_.submit("later", 100);
+        region_.run_for(3min);
+        const job_record* later = region_.core->fold().find(make_job_key("studio", "later"));
+        CPPUNIT_ASSERT(later != nullptr && later->done());
+        CPPUNIT_ASSERT(!failures->is_quarantined(worker_id("w"), region_.time.now()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(core_memory_test);
