Write a job to the log again as soon as its owner changes

A job whose owners change once in each period loses its last record to the retention and is gone, though it was accepted. Ruled out: keeping the time of the record in the fold; a process that recovers does not know it. Seen failing first: an_accepted_job_outlives_owners_that_change_often.

--- a/src/scheduler/core_log.cpp
+++ b/src/scheduler/core_log.cpp
@@ -80,16 +80,18 @@
 void scheduler_core::take_up(const job_record& job, bool fenced_off) {
     if (job.done()) {
         if (job.is_kept_when_done())
-            keep_in_log(job.key);
+            keep_in_log(job.key, now_);
         return;
     }
     book_.add(job, fenced_off);
     enqueue(job.key);
-    keep_in_log(job.key);
+    keep_in_log(job.key, job.owned_since.is_none() ? now_ + with_.snapshot_every : now_);
 }
 
-void scheduler_core::keep_in_log(const job_key& key) {
-    const instant due = now_ + with_.snapshot_every;
+// A new owner does not know how old the record is that holds the whole job, and writes it again at
+// once. Were it to wait for a period of its own, a job that changes hands once in each period would
+// outlive the retention with no record left.
+void scheduler_core::keep_in_log(const job_key& key, instant due) {
     snapshot_due_[key] = due;
     snapshot_order_.insert({due, key});
 }
@@ -123,7 +125,7 @@
         return;
     let_go(job.key);
     if (job.is_kept_when_done())
-        keep_in_log(job.key);
+        keep_in_log(job.key, now_ + with_.snapshot_every);
 }
 
 void scheduler_core::on_cancelled(const job_record& job) {
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -116,7 +116,7 @@
     // Log and ownership (core_log.cpp)
     void take_up(const job_record& job, bool fenced_off);
     void let_go(const job_key& key);
-    void keep_in_log(const job_key& key);
+    void keep_in_log(const job_key& key, instant due);
     void after_record(log_offset offset);
     void write_snapshots(instant now);
 
--- a/tests/scheduler/core_memory_test.cpp
+++ b/tests/scheduler/core_memory_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_finished_manifest_job_is_not_crowded_out);
     CPPUNIT_TEST(a_manifest_job_that_was_removed_is_forgotten_in_the_end);
     CPPUNIT_TEST(callers_cannot_take_the_id_of_a_manifest_job);
+    CPPUNIT_TEST(an_accepted_job_outlives_owners_that_change_often);
     CPPUNIT_TEST(a_quarantined_worker_is_tried_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +103,24 @@
         CPPUNIT_ASSERT(code_of(region_.last_answer) == result_code::invalid_value);
     }
 
+    // Each owner of a render is replaced before it has written the render to the log again, for
+    // longer than the log keeps records. No process knows of the render any more; the studio was
+    // told that it was accepted.
+    void an_accepted_job_outlives_owners_that_change_often() {
+        region_.settings.snapshot_every = 60s;
+        region_.retention = 180s;
+        region_.launch({});
+        region_.run_for(1s);
+        region_.submit("render", 3'600'000);
+        region_.run_for(5s);
+        CPPUNIT_ASSERT(region_.last_answer.ok());
+        for (int replaced = 0; replaced < 6; ++replaced) {
+            region_.launch({});
+            region_.run_for(50s);
+        }
+        CPPUNIT_ASSERT(region_.core->fold().find(make_job_key("studio", "render")) != nullptr);
+    }
+
     // A worker fails the first tasks of three jobs, because its scratch disk is full; somebody
     // clears the disk. Its quarantine ends, and the region's only worker must take work again.
     void a_quarantined_worker_is_tried_again() {
