Refuse starts that reach a worker late

Ruled out: a shorter lease on workers (renewals are over their bytes already); civil time in starts. Change: every acquire gives a new epoch; a start names the last answered lease command and counts only for start_within (2 s) on top of what had passed since, on the worker's own clock. New result code 606, proto fields AcquireLease.serial, RenewLease.serial, StartTask.after_serial and within_ms.

--- a/include/figwinch/base/result_code.h
+++ b/include/figwinch/base/result_code.h
@@ -65,6 +65,7 @@
     worker_full = 603,
     attempt_superseded = 604,
     worker_unreachable = 605,
+    start_too_late = 606,
     // 7xx: between our own processes
     peer_unreachable = 700,
     peer_version = 701,
--- a/include/figwinch/lease/lease_settings.h
+++ b/include/figwinch/lease/lease_settings.h
@@ -13,6 +13,10 @@
     /// Nothing is started when less than this is left of the lease by the holder's own count.
     /// Covers the way to the worker and the difference of two clocks over one lease.
     duration safety_margin = std::chrono::seconds(2);
+    /// How long after it was sent a start may still take effect, however late it arrives. Together
+    /// with the freshness of the view this bounds how long after a data centre was taken out, or a
+    /// job cancelled, anything starts.
+    duration start_within = std::chrono::seconds(2);
     /// Longest difference of two clocks over one task lease, and of a command's way.
     duration drift = std::chrono::seconds(5);
     duration retry_after = std::chrono::seconds(1);
--- a/include/figwinch/lease/leased_worker.h
+++ b/include/figwinch/lease/leased_worker.h
@@ -56,6 +56,9 @@
     instant valid_until{};
     /// When the lease command was sent whose answer gave the present lists.
     instant listed_at{};
+    /// The newest answered lease command, and when its answer came.
+    std::uint64_t answered_serial = 0;
+    instant answered_at{};
     resources capacity;
     resources committed;
     std::map<task_id, held_task> tasks;
--- a/include/figwinch/lease/worker_lease_table.h
+++ b/include/figwinch/lease/worker_lease_table.h
@@ -80,6 +80,7 @@
         attempt_number attempt;
         lease_epoch epoch;
         instant sent_at{};
+        std::uint64_t serial = 0;
     };
 
     void collect(leased_worker& worker, std::vector<worker_command>& out, instant now);
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -108,6 +108,8 @@
                 "the worker has seen this or a later attempt of the task end"},
     result_info{rc::worker_unreachable, "worker_unreachable", 503, unknown, 1s,
                 "the worker does not answer"},
+    result_info{rc::start_too_late, "start_too_late", 409, no, never,
+                "the start reached the worker too long after it was decided"},
     result_info{rc::peer_unreachable, "peer_unreachable", 503, unknown, 1s,
                 "another process of figwinch does not answer"},
     result_info{rc::peer_version, "peer_version", 503, no, never,
--- a/src/lease/lease_commands.cpp
+++ b/src/lease/lease_commands.cpp
@@ -120,6 +120,7 @@
         ask.set_holder(self_.str());
         ask.set_known_epoch(worker.epoch.value());
         ask.set_duration_ms(in_ms(with_.worker_lease));
+        ask.set_serial(last_token_);
     } else if (wants_release(worker, now) && is_idle(worker)) {
         worker.releasing = true;
         what.kind = pb::WorkerCommand::kRelease;
@@ -134,6 +135,7 @@
         ask.set_holder(self_.str());
         ask.set_epoch(worker.epoch.value());
         ask.set_duration_ms(in_ms(with_.worker_lease));
+        ask.set_serial(last_token_);
         for (const pb::EndedTask& report : ends_[worker.spec.name]) {
             if (listener_.may_acknowledge(report))
                 *ask.add_acknowledged() = report;
@@ -149,11 +151,16 @@
         if (one.in_flight || now < one.next_send)
             continue;
         sent_command what{
-            worker.spec.name, pb::WorkerCommand::kStart, task, one.attempt, worker.epoch, now};
+            worker.spec.name, pb::WorkerCommand::kStart, task, one.attempt, worker.epoch, now, 0};
         if (one.phase == held_phase::starting) {
             if (!starts_allowed_ || !may_start(worker.spec.name, now))
                 continue;
-            *send(worker, what, out, now).mutable_start() = one.start;
+            pb::StartTask& ask = *send(worker, what, out, now).mutable_start();
+            ask = one.start;
+            // The worker handled that lease command before its answer came, so that counted from
+            // there it refuses the start at the latest `start_within` after now.
+            ask.set_after_serial(worker.answered_serial);
+            ask.set_within_ms(in_ms(now - worker.answered_at + with_.start_within));
         } else if (one.phase == held_phase::stopping) {
             what.kind = pb::WorkerCommand::kStop;
             pb::StopTask& ask = *send(worker, what, out, now).mutable_stop();
@@ -179,6 +186,7 @@
     command.body.set_holder(self_.str());
     command.body.set_epoch(worker.epoch.value());
     what.sent_at = now;
+    what.serial = command.token;
     sent_.emplace(command.token, std::move(what));
     const bool resumed = now > worker.last_sent + 3 * with_.retry_after;
     worker.last_sent = now;
--- a/src/lease/lease_replies.cpp
+++ b/src/lease/lease_replies.cpp
@@ -87,6 +87,8 @@
     worker.state = hold_state::held;
     worker.valid_until = sent.sent_at + with_.worker_lease;
     worker.listed_at = sent.sent_at;
+    worker.answered_serial = sent.serial;
+    worker.answered_at = now;
     worker.next_lease = now + with_.renew_every;
     worker.capacity = from_pb(reply.capacity());
     take_lists(worker, sent, reply, newer);
--- a/tools/standin_worker/worker_model.cpp
+++ b/tools/standin_worker/worker_model.cpp
@@ -52,6 +52,7 @@
     epoch_ = epoch;
     holder_.clear();
     lease_until_ = now;
+    handled_.clear();
     running_.clear();
     ended_.clear();
     closed_.clear();
@@ -108,17 +109,17 @@
 }
 
 result_code worker_model::acquire(const pb::AcquireLease& ask, instant now) {
-    if (ask.holder() != holder_) {
-        if (lease_valid(now))
-            return result_code::lease_held_by_other;
-        epoch_ = std::max(epoch_, ask.known_epoch()) + 1;
-        holder_ = ask.holder();
-    }
+    if (ask.holder() != holder_ && lease_valid(now))
+        return result_code::lease_held_by_other;
+    epoch_ = std::max(epoch_, ask.known_epoch()) + 1;
+    holder_ = ask.holder();
+    note_handled(ask.serial(), now);
     extend(milliseconds(ask.duration_ms()), now);
     return result_code::ok;
 }
 
 result_code worker_model::renew(const pb::RenewLease& ask, instant now) {
+    note_handled(ask.serial(), now);
     extend(milliseconds(ask.duration_ms()), now);
     for (const pb::EndedTask& known : ask.acknowledged()) {
         std::erase_if(ended_,
@@ -127,6 +128,20 @@
     return result_code::ok;
 }
 
+void worker_model::note_handled(std::uint64_t serial, instant now) {
+    constexpr std::size_t kept = 16;
+    handled_.push_back({serial, now});
+    if (handled_.size() > kept)
+        handled_.pop_front();
+}
+
+bool worker_model::is_late(const pb::StartTask& ask, instant now) const {
+    if (ask.within_ms() == 0)
+        return false;
+    const auto handled = std::ranges::find(handled_, ask.after_serial(), &handled_lease::serial);
+    return handled == handled_.end() || now > handled->at + milliseconds(ask.within_ms());
+}
+
 void worker_model::extend(duration lease, instant now) {
     lease_until_ = now + lease;
     for (auto& [name, one] : running_)
@@ -143,6 +158,8 @@
     const auto closed = closed_.find(name);
     if (closed != closed_.end() && ask.key().attempt() <= closed->second)
         return result_code::attempt_superseded;
+    if (is_late(ask, now))
+        return result_code::start_too_late;
     const resources size = from_pb(ask.size());
     if (with_.admission && !fits(committed_ + size, with_.capacity))
         return result_code::worker_full;
--- a/tools/standin_worker/worker_model.h
+++ b/tools/standin_worker/worker_model.h
@@ -4,6 +4,7 @@
 #include "worker.pb.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -75,6 +76,8 @@
     const worker_model_settings& settings() const { return with_; }
     std::uint64_t epoch() const { return epoch_; }
     const std::string& holder() const { return holder_; }
+    bool is_late(const pb::StartTask& ask, instant now) const;
+    void note_handled(std::uint64_t serial, instant now);
     bool lease_valid(instant now) const { return !holder_.empty() && now < lease_until_; }
 
 private:
@@ -93,6 +96,12 @@
     std::uint64_t epoch_ = 0;
     std::string holder_;
     instant lease_until_{};
+    struct handled_lease {
+        std::uint64_t serial = 0;
+        instant at{};
+    };
+    /// The newest lease commands, oldest first.
+    std::deque<handled_lease> handled_;
     bool fail_all_ = false;
     std::map<std::string, task> running_;
     std::vector<pb::EndedTask> ended_;
