Give starved jobs to schedulers that have room

Cause: a job runs only on its owner's workers; in a trial by hand jobs waited while other schedulers' workers were idle. Ruled out: ownership of single tasks (every rule of take-over would change); placement on workers of others by asking their holder (two owners of one start). Conclusion: whole jobs move; a job of many tasks still runs on one scheduler's workers.

--- a/include/figwinch/jobs/job_entry.h
+++ b/include/figwinch/jobs/job_entry.h
@@ -45,6 +45,8 @@
     std::vector<task_slot> tasks;
     std::set<int> queued;
     int active = 0;
+    /// When this process took the job up.
+    instant taken_up_at{};
     int blocked = 0;
     int done = 0;
     bool cancelled = false;
--- a/include/figwinch/placement/worker_index.h
+++ b/include/figwinch/placement/worker_index.h
@@ -32,6 +32,8 @@
     /// The cheapest of the workers with the least free processors that hold `size`; nothing when
     /// none has room. Looks at a bounded number of workers.
     std::optional<worker_id> best_fit(const resources& size, const cost_function& cost) const;
+    /// Room of the worker with the most free processors; zero when there is no worker.
+    resources largest_room() const;
     const worker_room* find(const worker_id& worker) const;
     std::size_t size() const { return workers_.size(); }
     const std::unordered_map<worker_id, worker_room>& workers() const { return workers_; }
--- a/src/placement/worker_index.cpp
+++ b/src/placement/worker_index.cpp
@@ -46,6 +46,10 @@
     workers_.erase(place);
 }
 
+resources worker_index::largest_room() const {
+    return by_room_.empty() ? resources{} : workers_.at(by_room_.rbegin()->second).room;
+}
+
 const worker_room* worker_index::find(const worker_id& worker) const {
     const auto place = workers_.find(worker);
     return place == workers_.end() ? nullptr : &place->second;
--- a/src/scheduler/core_log.cpp
+++ b/src/scheduler/core_log.cpp
@@ -83,7 +83,7 @@
             keep_in_log(job.key, now_);
         return;
     }
-    book_.add(job, fenced_off);
+    book_.add(job, fenced_off).taken_up_at = now_;
     enqueue(job.key);
     keep_in_log(job.key, job.owned_since.is_none() ? now_ + with_.snapshot_every : now_);
 }
--- a/src/scheduler/core_ownership.cpp
+++ b/src/scheduler/core_ownership.cpp
@@ -2,27 +2,11 @@
 
 #include "scheduler/scheduler_core.h"
 
+#include "scheduler/highest_member.h"
+
 #include <algorithm>
 
 namespace figwinch {
-namespace {
-
-const member* highest(const std::vector<const member*>& members, const std::string& key) {
-    const auto best = std::ranges::max_element(
-        members, {}, [&key](const member* one) { return rendezvous_weight(one->node.str(), key); });
-    return best == members.end() ? nullptr : *best;
-}
-
-bool allows(const pb::JobSpec& spec, const data_centre_id& centre) {
-    return spec.data_centres().empty() ||
-           std::ranges::find(spec.data_centres(), centre.str()) != spec.data_centres().end();
-}
-
-resources size_of(const pb::JobSpec& spec) {
-    return {spec.size().cpu_millis(), spec.size().memory_mib(), spec.size().accelerators()};
-}
-
-} // namespace
 
 void scheduler_core::run_fences(instant now, scheduler_actions& out) {
     const bool settled = now >= schedulers_changed_at_ + with_.leases.lapse();
@@ -225,7 +209,7 @@
         const job_record* any = fold_.find(*fold_.jobs_of(owner).begin());
         if (any->owner_data_centre != with_.self.data_centre || !is_gone(owner, now))
             continue;
-        if (highest(live, owner.str()) != &with_.self)
+        if (highest_member(live, owner.str()) != &with_.self)
             continue;
         instant& tried = takeover_tried_[owner];
         if (tried != instant{} && now < tried + with_.takeover_retry)
@@ -238,80 +222,11 @@
     }
 }
 
-bool scheduler_core::suits_here(const pb::JobSpec& spec) const {
-    if (!centre_in_service(with_.self.data_centre) || !allows(spec, with_.self.data_centre))
-        return false;
-    const resources size = size_of(spec);
-    return std::ranges::any_of(leases_.workers(), [&size](const auto& one) {
-        return one.second.preferred && fits(size, one.second.spec.capacity);
-    });
-}
-
-const member* scheduler_core::new_home(const pb::JobSpec& spec) const {
-    const auto config = config_.current();
-    if (!config)
-        return nullptr;
-    const resources size = size_of(spec);
-    const std::string key = make_job_key(spec.customer(), spec.id()).str();
-    std::map<node_id, const member*> homes;
-    for (const worker_spec& worker : config->workers) {
-        if (!fits(size, worker.capacity) || !allows(spec, worker.data_centre) ||
-            !centre_in_service(worker.data_centre))
-            continue;
-        const member* holder = highest(live_schedulers(worker.data_centre), worker.name.str());
-        if (holder)
-            homes.emplace(holder->node, holder);
-    }
-    std::vector<const member*> near;
-    std::vector<const member*> all;
-    for (const auto& [node, home] : homes) {
-        all.push_back(home);
-        if (home->data_centre == with_.self.data_centre)
-            near.push_back(home);
-    }
-    return highest(near.empty() ? all : near, key);
-}
-
-// Jobs that can't run here go to a scheduler that can run them, once no attempt of theirs runs: the
-// data centre was taken out, the job may not run in it, or no worker of this scheduler is large
-// enough.
-void scheduler_core::move_jobs(instant now) {
-    constexpr int max_at_once = 256;
-    if (stopping_ || evidence_.judge(now) != freshness::confirmed)
-        return;
-    int moved = 0;
-    std::vector<job_key> movable;
-    for (const auto& [key, job] : book_.entries()) {
-        if (moved >= max_at_once)
-            break;
-        if (job.over() || job.leaving || job.active > 0 || job.blocked > 0 || job.fenced_off)
-            continue;
-        if (suits_here(job.spec))
-            continue;
-        movable.push_back(key);
-        ++moved;
-    }
-    for (const job_key& key : movable) {
-        job_entry* job = book_.find(key);
-        const member* home = new_home(job->spec);
-        if (!home)
-            continue;
-        job->leaving = true;
-        queue_.remove(key);
-        pb::JobEvent event;
-        event.mutable_moved()->set_job(job->spec.id());
-        event.mutable_moved()->set_customer(job->spec.customer());
-        event.mutable_moved()->set_to(home->incarnation.str());
-        event.mutable_moved()->set_to_data_centre(home->data_centre.str());
-        writer_.add(std::move(event));
-    }
-}
-
 void scheduler_core::begin_stop(instant now) {
     now_ = now;
     stopping_ = true;
     leases_.release_all(now);
-    const member* heir = highest(live_schedulers(with_.self.data_centre), self_.str());
+    const member* heir = highest_member(live_schedulers(with_.self.data_centre), self_.str());
     if (!heir || deposed_ || fold_.jobs_of(self_).empty())
         return;
     pb::JobEvent event;
--- a/src/scheduler/core_placement.cpp
+++ b/src/scheduler/core_placement.cpp
@@ -1,6 +1,7 @@
 // Which queued tasks `scheduler_core` starts, and where.
 
 #include "scheduler/scheduler_core.h"
+#include "scheduler/spec_values.h"
 
 #include <algorithm>
 
@@ -10,10 +11,6 @@
 /// How much a second task of one job on a worker, or on a rack, counts against it.
 constexpr double same_worker_cost = 0.05;
 
-resources size_of(const pb::JobSpec& spec) {
-    return {spec.size().cpu_millis(), spec.size().memory_mib(), spec.size().accelerators()};
-}
-
 std::int64_t in_ms(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
--- a/src/scheduler/core_requests.cpp
+++ b/src/scheduler/core_requests.cpp
@@ -1,6 +1,7 @@
 // Submissions, cancellations and questions of callers: `scheduler_core`.
 
 #include "scheduler/scheduler_core.h"
+#include "scheduler/spec_values.h"
 
 #include <google/protobuf/util/message_differencer.h>
 
@@ -11,10 +12,6 @@
 
 constexpr int max_tasks = 100'000;
 
-resources size_of(const pb::JobSpec& spec) {
-    return {spec.size().cpu_millis(), spec.size().memory_mib(), spec.size().accelerators()};
-}
-
 std::string manifest_job_id(const job_spec& job) {
     std::string text = job.copied_from.str() + '|' + std::string(to_string(job.job_class)) + '|' +
                        to_string(job.size) + '|' + std::to_string(job.tasks) + '|' +
--- a/src/scheduler/scheduler_core.cpp
+++ b/src/scheduler/scheduler_core.cpp
@@ -47,6 +47,9 @@
     std::ranges::sort(live);
     live.erase(std::unique(live.begin(), live.end()), live.end());
     leases_.set_schedulers(live, now);
+    std::erase_if(peer_rooms_, [&members](const auto& known) {
+        return std::ranges::find(members, known.first, &member::incarnation) == members.end();
+    });
     if (live != schedulers_) {
         schedulers_ = std::move(live);
         schedulers_changed_at_ = now;
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -55,6 +55,11 @@
     void on_fence_reply(const incarnation_id& from, const pb::FenceReply& reply, instant asked_at,
                         instant now);
 
+    /// Room of the roomiest worker of a peer, by its heartbeat.
+    void on_peer_room(const incarnation_id& peer, const resources& room);
+    /// The same of this process, for its own heartbeats; zero while nothing may be started here.
+    resources largest_room(instant now) const;
+
     /// What an entry saw of executors that share hosts with workers.
     void on_latency(const pb::LatencyReport& report, instant now);
 
@@ -136,6 +141,9 @@
     void lift_complete_fences();
     void move_jobs(instant now);
     const member* new_home(const pb::JobSpec& spec) const;
+    bool is_starved(const job_entry& job, instant now) const;
+    const member* roomy_home(const pb::JobSpec& spec);
+    void give_away(job_entry& job, const member& home);
     bool suits_here(const pb::JobSpec& spec) const;
 
     // Placement (core_placement.cpp)
@@ -199,6 +207,7 @@
     std::map<incarnation_id, instant> takeover_tried_;
     /// By take-over record: when the previous owner can't start anything any more.
     std::map<log_offset, instant> starts_over_at_;
+    std::map<incarnation_id, resources> peer_rooms_;
     instant renew_all_at_{};
     bool renew_all_ = false;
     std::multimap<job_key, waiting_request> requests_;
--- a/src/scheduler/scheduler_daemon.cpp
+++ b/src/scheduler/scheduler_daemon.cpp
@@ -57,6 +57,7 @@
     core_ = std::make_unique<scheduler_core>(
         with_.rules, *config_,
         scheduler_policies{sizes_.get(), failures_.get(), interference_.get()}, time_.now());
+    exchange_rooms();
     config_->on_change([this](const manifest&, config_version version) {
         log_event(log_level::info, "config_changed",
                   {{"version", static_cast<std::int64_t>(version.value())}});
@@ -81,6 +82,21 @@
     return absl::OkStatus();
 }
 
+void scheduler_daemon::exchange_rooms() {
+    peers_->describe_with([this](pb::Heartbeat& beat) {
+        const resources room = core_->largest_room(time_.now());
+        beat.mutable_largest_room()->set_cpu_millis(room.cpu_millis);
+        beat.mutable_largest_room()->set_memory_mib(room.memory_mib);
+        beat.mutable_largest_room()->set_accelerators(room.accelerators);
+    });
+    peers_->on_heartbeat([this](const member& from, const pb::Heartbeat& beat, instant) {
+        const pb::ManifestSize& room = beat.largest_room();
+        if (from.role == member_role::scheduler)
+            core_->on_peer_room(from.incarnation,
+                                {room.cpu_millis(), room.memory_mib(), room.accelerators()});
+    });
+}
+
 void scheduler_daemon::begin_stop() {
     if (stopping_)
         return;
--- a/src/scheduler/scheduler_daemon.h
+++ b/src/scheduler/scheduler_daemon.h
@@ -54,6 +54,7 @@
     void finish_if_stopped();
 
     void handle_peers();
+    void exchange_rooms();
     void on_submit(const pb::PeerRequest& request, std::function<void(pb::PeerReply)> reply);
     void on_show(const pb::PeerRequest& request, const std::function<void(pb::PeerReply)>& reply);
     void on_cancel(const pb::PeerRequest& request, std::function<void(pb::PeerReply)> reply);
--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -38,6 +38,9 @@
     duration closed_after_eviction = std::chrono::seconds(30);
     /// Queued jobs that one placement pass looks at.
     std::size_t max_visits = 512;
+    /// A job of which nothing runs, and for which there has been no room here for this long, is
+    /// given to a scheduler that has room.
+    duration starved_after = std::chrono::seconds(3);
     /// Done jobs that are remembered, so that one which is submitted again is not run again.
     std::size_t keep_done_jobs = 5'000;
 };
--- a/tests/scheduler/history_messages.cpp
+++ b/tests/scheduler/history_messages.cpp
@@ -168,11 +168,15 @@
 void history::heartbeat(node& one) {
     one.next_heartbeat = now_ + 500ms;
     const member self = self_of(one);
+    const resources room = one.core->largest_room(now_);
     for (node& peer : nodes_) {
         const bool cut = now_ < one.cut_peers_until || now_ < peer.cut_peers_until;
         if (&peer == &one || cut || chance(with_.loss))
             continue;
-        send_to(process_of(peer), [this, self](node& to) { hear(to, self, now_); });
+        send_to(process_of(peer), [this, self, room](node& to) {
+            hear(to, self, now_);
+            to.core->on_peer_room(self.incarnation, room);
+        });
     }
     tell_members(one);
 }
