--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -9,9 +9,9 @@
 
 ABSL_FLAG(std::string, node, "", "name of this entry, the same after a restart");
 ABSL_FLAG(std::string, data_centre, "", "data centre of this entry");
-ABSL_FLAG(std::string, http_address, "127.0.0.1:8080", "IP number and port for callers; port 0 ok");
-ABSL_FLAG(std::string, bus_address, "127.0.0.1:7000", "IP number and port for peers; port 0 ok");
-ABSL_FLAG(std::string, platform, "127.0.0.1:7500", "IP number and port of the platform");
+ABSL_FLAG(std::string, http_address, "127.0.0.1:8080", "IP number and port for callers");
+ABSL_FLAG(std::string, bus_address, "127.0.0.1:7000", "IP number and port for peers");
+ABSL_FLAG(std::string, log, "127.0.0.1:7100", "the platform's log and host list");
 ABSL_FLAG(std::string, peers, "", "bus addresses of other entries and schedulers, by commas");
 ABSL_FLAG(int, entries, 1, "entries of the region, this one included; the same everywhere");
 ABSL_FLAG(int, claim_window_s, 60, "how long claims of non-idempotent requests are kept, s");
@@ -48,7 +48,7 @@
                    "1 to 128 visible ASCII characters");
     reader.require_endpoint("http_address", absl::GetFlag(FLAGS_http_address));
     reader.require_endpoint("bus_address", absl::GetFlag(FLAGS_bus_address));
-    reader.require_endpoint("platform", absl::GetFlag(FLAGS_platform));
+    reader.require_endpoint("log", absl::GetFlag(FLAGS_log));
     for (const std::string& peer : peer_addresses())
         reader.require_endpoint("peers", peer);
     reader.require_range("entries", absl::GetFlag(FLAGS_entries), 1, 1000, "entries");
@@ -76,7 +76,7 @@
     with.data_centre = absl::GetFlag(FLAGS_data_centre);
     with.http = read_endpoint(absl::GetFlag(FLAGS_http_address));
     with.bus = read_endpoint(absl::GetFlag(FLAGS_bus_address));
-    with.platform = read_endpoint(absl::GetFlag(FLAGS_platform));
+    with.platform = read_endpoint(absl::GetFlag(FLAGS_log));
     with.peers = peer_addresses();
     with.log_retention = seconds(absl::GetFlag(FLAGS_log_retention_s));
     with.drain_notice = milliseconds(absl::GetFlag(FLAGS_drain_notice_ms));
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -140,7 +140,7 @@
     settings_reader reader({"figwinch-entry",
                             std::string(summary),
                             {"figwinch-entry --node=entry-1 --data_centre=lugo-1 "
-                             "--platform=127.0.0.1:7500 --entries=3"}},
+                             "--log=127.0.0.1:7100 --entries=3"}},
                            argc, argv);
     check_entry_flags(reader);
     if (!reader.accept())
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -36,7 +36,7 @@
                    f"--bus_address={self.bus}", f"--http_address={self.http}", f"--peers={peers}"]
         platform = self.cluster.platform_address
         if self.program == "figwinch-entry":
-            command += [f"--platform={platform}", f"--entries={len(self.cluster.entries)}"]
+            command += [f"--log={platform}", f"--entries={len(self.cluster.entries)}"]
         else:
             command += [f"--log={platform}", *self.cluster.scheduler_settings]
         self.process = Process(f"{self.node}.{self.starts}", command, self.cluster.folder,
