Look for a job at every scheduler before saying where it is not

Cause: a job that has moved is owned by another scheduler than hashing names; the first one's "owned by" ended a cancel, and with the owner silent the others' "not found" was passed on. Ruled out: following the owner's name in the reason: the owner may have changed since. Change: job_service asks on after no_scheduler, state_not_recovered and silence; not_found is said only when every scheduler answered so. Seen failing first: a_job_is_found_wherever_it_has_moved on the former job_service. Conclusion: jobs are found wherever they have moved.

--- a/src/entry/job_service.cpp
+++ b/src/entry/job_service.cpp
@@ -97,7 +97,8 @@
         done(refusal(result_code::unknown_path, ""));
         return;
     }
-    find(schedulers_for(name + "/" + id), request, time_.now() + job_deadline, done);
+    find(schedulers_for(name + "/" + id), request, time_.now() + job_deadline, done,
+         absl::OkStatus());
 }
 
 void job_service::submit(const std::string& customer, const std::string& body,
@@ -150,28 +151,32 @@
 }
 
 void job_service::find(std::vector<member> schedulers, const pb::PeerRequest& message,
-                       instant deadline, const response_handler& done) {
+                       instant deadline, const response_handler& done, const absl::Status& doubt) {
     if (schedulers.empty() || time_.now() >= deadline) {
-        done(refusal(result_code::no_scheduler, ""));
+        done(doubt.ok() ? refusal(result_code::no_scheduler, "") : refusal(doubt));
         return;
     }
     const member next = std::move(schedulers.front());
     schedulers.erase(schedulers.begin());
     peers_.ask(next.address, message, ask_timeout,
-               [this, schedulers = std::move(schedulers), message, deadline,
-                done](const absl::StatusOr<pb::PeerReply>& reply) {
+               [this, schedulers = std::move(schedulers), message, deadline, done,
+                doubt](const absl::StatusOr<pb::PeerReply>& reply) {
                    if (reply.ok()) {
                        done(json_response(http_ok, to_json(reply->job())));
                        return;
                    }
-                   // Jobs move between schedulers, so that another may know it.
+                   // Jobs move between schedulers, so that another may have it.
                    const result_code code = code_of(reply.status());
-                   const bool ask_next =
-                       code == result_code::not_found || code == result_code::peer_unreachable;
-                   if (ask_next && !schedulers.empty())
-                       find(schedulers, message, deadline, done);
-                   else
+                   const bool unsure = code == result_code::peer_unreachable ||
+                                       code == result_code::no_scheduler ||
+                                       code == result_code::state_not_recovered;
+                   if (!unsure && code != result_code::not_found) {
                        done(refusal(reply.status()));
+                       return;
+                   }
+                   // "Not found" is said only when every scheduler could say it.
+                   find(schedulers, message, deadline, done,
+                        unsure || doubt.ok() ? reply.status() : doubt);
                });
 }
 
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -25,8 +25,9 @@
     void submit(const std::string& customer, const std::string& body, const response_handler& done);
     void send_submit(const member& to, const pb::PeerRequest& message, instant deadline,
                      const response_handler& done);
+    /// Asks one scheduler after the other; `doubt` is the refusal of those asked so far.
     void find(std::vector<member> schedulers, const pb::PeerRequest& message, instant deadline,
-              const response_handler& done);
+              const response_handler& done, const absl::Status& doubt);
     void list(const std::string& customer, const response_handler& done);
     /// Live schedulers of this data centre, the one that owns `key` first.
     std::vector<member> schedulers_for(const std::string& key) const;
--- a/tests/entry/entry_core_test.cpp
+++ b/tests/entry/entry_core_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_refusal_does_not_deny_a_run_elsewhere);
     CPPUNIT_TEST(more_requests_than_slots_wait_and_are_answered);
     CPPUNIT_TEST(requests_wait_where_the_slots_are);
+    CPPUNIT_TEST(a_job_is_found_wherever_it_has_moved);
     CPPUNIT_TEST(what_cannot_make_its_deadline_is_refused_at_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -258,6 +259,40 @@
         CPPUNIT_ASSERT_EQUAL(2, all.executors[0]->model().max_busy());
     }
 
+    // A job has moved: the scheduler that hashing names says that another owns it. Whichever is
+    // asked first, the cancel has to reach the owner; while the owner is cut off, "not found" would
+    // be false.
+    void a_job_is_found_wherever_it_has_moved() {
+        region all(1, 1);
+        std::vector<std::unique_ptr<fake_peers>> schedulers;
+        for (const std::string name : {"s1", "s2", "s3"}) {
+            schedulers.push_back(
+                std::make_unique<fake_peers>(all.network, name, member_role::scheduler, "lugo-1"));
+            schedulers.back()->handle(
+                pb::PeerRequest::kCancelJob,
+                [name](const incarnation_id&, const pb::PeerRequest&, const auto& reply) {
+                    pb::PeerReply answer;
+                    answer.mutable_job()->set_state("cancelled");
+                    if (name != "s2")
+                        answer.set_code(number(name == "s1" ? result_code::no_scheduler
+                                                            : result_code::not_found));
+                    reply(answer);
+                });
+        }
+        http_request cancel;
+        cancel.method = http_method::del;
+        cancel.path = "/v1/jobs/j1";
+        cancel.headers.add("Figwinch-Customer", "lugo");
+        const auto done = all.call("e0", cancel);
+        all.finish();
+        CPPUNIT_ASSERT_EQUAL(200, done->response.status);
+        CPPUNIT_ASSERT(says(*done, "cancelled"));
+        all.network.cut = {"s2"};
+        const auto cut = all.call("e0", cancel);
+        all.finish();
+        CPPUNIT_ASSERT_EQUAL(503, cut->response.status);
+    }
+
     void what_cannot_make_its_deadline_is_refused_at_once() {
         region all(1, 1, 1);
         const auto answers = all.send_many(
--- a/tests/entry/fake_peers.h
+++ b/tests/entry/fake_peers.h
@@ -67,7 +67,12 @@
             // A reply that is lost lets the ask time out.
             to->second->receive(self_.incarnation, request,
                                 [this, address, answer](pb::PeerReply reply) {
-                                    if (!network_.mute.contains(address) && !is_cut(address))
+                                    if (network_.mute.contains(address) || is_cut(address))
+                                        return;
+                                    const auto code = static_cast<result_code>(reply.code());
+                                    if (code != result_code::ok)
+                                        answer(make_error(code, reply.reason()));
+                                    else
                                         answer(std::move(reply));
                                 });
         });
