--- a/src/scheduler/core_placement.cpp
+++ b/src/scheduler/core_placement.cpp
@@ -1,6 +1,7 @@
 // Which queued tasks `scheduler_core` starts, and where.
 
 #include "scheduler/scheduler_core.h"
+
 #include "scheduler/spec_values.h"
 
 #include <algorithm>
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -176,6 +176,8 @@
     void answer(const job_key& key, bool cancelling, const absl::Status& status);
     void expire_requests(instant now);
     void accept(const pb::JobSpec& spec, reply_handler done, instant now);
+
+    // Jobs of the manifest (core_manifest.cpp)
     void declare_manifest_jobs(instant now);
     void drop_undeclared_jobs(const std::set<job_key>& declared, instant now);
 
