Kill a scheduler and workers in the middle of a trace

Change: two tests in tests/system/test_faults.py: the load ends by itself, every request is answered and each accepted job is counted as finished, failed, cancelled or not seen to end.

--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -8,6 +8,7 @@
 from cluster import Cluster
 from http_calls import call, state
 from process import wait_for
+from programs import SOURCE
 
 SHORT_LEASES = ("--worker_lease_ms=4000", "--renew_ms=500", "--task_lease_ms=5000",
                 "--safety_margin_ms=500")
@@ -113,3 +114,29 @@
         text["id"] = "second-album"
         self.submit(text)
         wait_for("a start in the restored data centre", lambda: self.starts_in("a") > starts)
+
+    def replay_and_kill(self, find_victim):
+        """Replays a trace, kills a process in the middle, and returns the trace's summary."""
+        self.start()
+        load = self.region.load(f"--trace={SOURCE}/traces/mastering.jsonl", "--settle_s=15")
+        wait_for("a task to run", lambda: any(self.running_in(centre) for centre in "abc"))
+        find_victim().kill()
+        return self.region.summary(load)
+
+    def assert_all_accounted_for(self, summary):
+        self.assertEqual(summary["requests"], summary["answered"], summary)
+        ends = sum(summary.get(fate, 0) for fate in (
+            "jobs_finished", "jobs_failed", "jobs_cancelled", "jobs_lost"))
+        self.assertEqual(summary["jobs_accepted"], ends, summary)
+
+    # The only scheduler of a data centre dies in the middle of a trace. Requests don't need it; the
+    # load ends by itself and says of each job whether it ended or has not been seen to end.
+    def test_a_scheduler_killed_in_mid_trace_is_seen_in_the_outcome(self):
+        summary = self.replay_and_kill(lambda: self.region.schedulers[0].process)
+        self.assert_all_accounted_for(summary)
+
+    # The workers of a data centre die in the middle of a trace.
+    def test_workers_killed_in_mid_trace_are_seen_in_the_outcome(self):
+        summary = self.replay_and_kill(lambda: next(
+            one for one in self.region.processes if one.name == "workers-a"))
+        self.assert_all_accounted_for(summary)
