--- /dev/null
+++ b/include/figwinch/cell/cell_settings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "figwinch/base.h"
+
+namespace figwinch {
+
+/// What a coordinator is told about its platform, and its own bounds. Defaults suit the stand-ins.
+struct cell_settings {
+    /// The longest lease that a worker grants.
+    duration max_hold = std::chrono::seconds(6);
+    /// How long a stop may take on a worker.
+    duration stop_bound = std::chrono::milliseconds(900);
+    /// How long a finished job's state is kept for callers.
+    duration status_kept = std::chrono::seconds(120);
+    /// How far apart members of a gang may start.
+    duration gang_wait = std::chrono::seconds(3);
+    /// How much longer a task takes away from its data.
+    double far_factor = 2;
+};
+
+/// How long a coordinator goes on when the log doesn't confirm it. Bounds what a successor has to
+/// wait for workers that it can't reach; long enough to sit out the short outages of the log.
+inline constexpr duration silence_limit = std::chrono::seconds(5);
+/// A worker's clock may be this much slow: a lease of 6 s can last 6.12 s.
+inline constexpr double slowest_clock = 0.98;
+/// New jobs are taken up only while the log has confirmed the coordinator within this time, so that
+/// a successor knows which jobs its predecessor can't have started.
+inline constexpr duration fresh_reign = std::chrono::seconds(1);
+
+} // namespace figwinch
--- /dev/null
+++ b/include/figwinch/cell/job_progress.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "figwinch/cell/queue_name.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figwinch {
+
+/// Whether a job goes on, and how it ended.
+enum class job_phase { open, succeeded, failed, cancelled };
+
+/// "running", "succeeded" and so on, for logs and answers.
+const char* to_string(job_phase phase);
+
+/// What must outlive a coordinator about one task.
+struct task_progress {
+    bool done = false;
+    std::uint32_t failures = 0;
+    /// The newest run whose end was counted: an end that is reported twice counts once.
+    run_number last_run;
+    /// Resume from here; empty: from the start.
+    std::string checkpoint;
+};
+
+/// One pass over the steps: tasks by step and index.
+struct occurrence_progress {
+    std::vector<std::vector<task_progress>> steps;
+};
+
+/// How far a job is.
+struct job_progress {
+    /// A task has been started.
+    bool begun = false;
+    job_phase phase = job_phase::open;
+    /// Occurrences below this one have ended and are no longer kept.
+    std::uint32_t occurrences_ended = 0;
+    std::map<std::uint32_t, occurrence_progress> occurrences;
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/include/figwinch/cell/keyed_follower.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "figwinch/cell/durable_log.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <functional>
+#include <memory>
+
+namespace figwinch {
+
+/// How a follower asks the log for what is new.
+struct follow_pace {
+    /// How long one read may wait for a record; 0: answers at once.
+    duration wait{};
+    /// Reads begin at least this far apart.
+    duration period = std::chrono::milliseconds(250);
+};
+
+/// Keeps up with one stream of the log: first the newest record of every key, then what is
+/// appended. When the log has forgotten what comes next, it starts over and reports keys that
+/// have gone meanwhile as dropped. Driven by `tick` and the log's answers.
+class keyed_follower {
+public:
+    keyed_follower(const clock& time, durable_log& log, cell_stream stream, follow_pace pace,
+                   std::function<void(const stored_record&)> apply);
+
+    void tick();
+    void set_pace(follow_pace pace) { pace_ = pace; }
+    /// Reads up to the present end once, now; calls back with whether that succeeded.
+    void sync(std::function<void(bool)> done);
+    /// A record that this process appended itself and has applied.
+    void skip(const stored_record& record);
+
+    /// Whether every key has been read once.
+    bool is_loaded() const { return loaded_; }
+    std::uint64_t next() const { return next_; }
+    /// When the log last answered.
+    instant answered_at() const { return answered_at_; }
+
+private:
+    void load(const std::string& after_key);
+    void take_page(const newest_result& page);
+    void finish_load();
+    void read(duration wait);
+    void take(const read_result& read);
+    void take_record(const stored_record& record);
+    void retry_later();
+    void finish_syncs(bool good);
+
+    const clock& time_;
+    durable_log& log_;
+    cell_stream stream_;
+    follow_pace pace_;
+    std::function<void(const stored_record&)> apply_;
+    bool busy_ = false;
+    bool loaded_ = false;
+    std::uint64_t next_ = 0;
+    std::uint64_t load_end_ = 0;
+    bool first_page_ = true;
+    absl::flat_hash_set<std::string> keys_;
+    absl::flat_hash_set<std::string> loading_keys_;
+    instant next_read_{};
+    instant answered_at_{};
+    /// Syncs that the next read to begin will answer, and those that the present one will.
+    std::vector<std::function<void(bool)>> asked_;
+    std::vector<std::function<void(bool)>> being_answered_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/include/figwinch/cell/reign.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "figwinch/cell/durable_log.h"
+#include "figwinch/cell/record_codec.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace figwinch {
+
+/// Who the coordinator is, as far as a host knows.
+struct reign_view {
+    incarnation_id holder;
+    std::string bus_address;
+    lease_epoch epoch;
+};
+
+/// Times of the election. Grounds: a renewal is one append (some ms); a successor takes over after
+/// three renewals have been missed, within the 2.5 s that callers notice.
+struct reign_times {
+    duration renew_every = std::chrono::milliseconds(400);
+    duration takeover_after = std::chrono::milliseconds(1300);
+    duration retry_after = std::chrono::milliseconds(150);
+};
+
+/// Elects one coordinator among hosts through a stream of the log. Every record is appended on the
+/// condition that the stream ends where its writer thinks (compare-and-append), so that the records
+/// form one history: a claim starts a reign, its offset gives the epoch, renewals carry it on. A
+/// host claims when the log answers and shows no renewal for `takeover_after`, or at once after a
+/// resignation. Rules only: `tick` and the log's answers drive it. Owned by the host's daemon.
+class reign {
+public:
+    /// `self` names this life of the process.
+    reign(const clock& time, durable_log& log, incarnation_id self, std::string bus_address,
+          const reign_times& times);
+    ~reign();
+
+    void tick();
+    /// Gives up the reign and never claims again, for a planned stop.
+    void resign();
+    /// Gives up the reign after another sign of a higher epoch; may claim again later.
+    void yield();
+
+    bool leads() const { return leads_; }
+    lease_epoch epoch() const { return epoch_; }
+    /// When the newest confirmation of this reign was asked for.
+    instant confirmed_at() const { return confirmed_at_; }
+    /// Whether the log has confirmed this reign within `fresh_reign`.
+    bool is_fresh() const;
+    const std::optional<reign_view>& current() const { return current_; }
+    /// Whether the log's last answer to this host was an answer.
+    bool log_answers() const { return log_answers_; }
+
+private:
+    void find_end();
+    void follow();
+    void take_read(const read_result& read, bool waited);
+    bool take_records(const std::vector<stored_record>& records);
+    void claim();
+    void renew();
+    void lead(std::uint64_t claimed_at, instant confirmed);
+    void take_moved();
+    void append(reign_record::kind what, std::function<void(const append_result&)> done);
+
+    const clock& time_;
+    durable_log& log_;
+    incarnation_id self_;
+    std::string bus_address_;
+    reign_times times_;
+    bool busy_ = false;
+    bool end_known_ = false;
+    bool resigned_ = false;
+    bool leads_ = false;
+    bool log_answers_ = false;
+    bool claim_now_ = false;
+    lease_epoch epoch_;
+    std::uint64_t end_ = 0;
+    instant next_try_{};
+    instant confirmed_at_{};
+    std::optional<reign_view> current_;
+    /// Expires with this object: answers that come later are dropped.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/cell_coordinator.cpp
@@ -0,0 +1,114 @@
+#include "cell/cell_coordinator.h"
+
+#include "figwinch/observe.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// Placement looks again at least this often for what time alone changes: rests, cold workers.
+constexpr duration placement_period = std::chrono::milliseconds(100);
+// Leases, leaving workers and ended jobs are looked through this often.
+constexpr duration sweep_period = std::chrono::milliseconds(100);
+
+} // namespace
+
+std::unique_ptr<coordinator> coordinator::create(parts with, const cell_settings& settings,
+                                                 lease_epoch epoch, const cell_state& known) {
+    return std::make_unique<cell_coordinator>(std::move(with), settings, epoch, known);
+}
+
+cell_coordinator::cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
+                                   const cell_state& known)
+    : with_(std::move(with)), settings_(settings), epoch_(epoch), began_(with_.time.now()) {
+    for (const auto& [id, born] : known.workers())
+        unresolved_.insert(id);
+    for (const auto& [id, entry] : known.jobs())
+        add_job(entry, true);
+    sort_jobs();
+    log_event(log_level::info, "reign_begun",
+              {{"epoch", static_cast<std::int64_t>(epoch_.value())},
+               {"jobs", static_cast<std::int64_t>(jobs_.size())},
+               {"workers_unresolved", static_cast<std::int64_t>(unresolved_.size())}});
+}
+
+void cell_coordinator::take_config(const cell_config& config) {
+    config_ = config;
+    for (const auto& [id, job] : jobs_)
+        apply_queue(*job);
+    sort_jobs();
+    placement_due_ = true;
+}
+
+void cell_coordinator::take_evacuated(absl::flat_hash_set<data_centre_id> data_centres) {
+    evacuated_ = std::move(data_centres);
+    placement_due_ = true;
+}
+
+void cell_coordinator::take_intake(const job_entry& entry) {
+    const auto known = jobs_.find(entry.id);
+    if (known == jobs_.end()) {
+        // A predecessor that doesn't know yet that it is one may take up jobs for a little longer.
+        const bool early = with_.time.now() - began_ < fresh_reign;
+        add_job(entry, early);
+        return sort_jobs();
+    }
+    job_work& job = *known->second;
+    if (entry.cancel_wanted && job.phase == job_phase::open)
+        end_job(job, job_phase::cancelled);
+    write_dirty();
+}
+
+void cell_coordinator::tick() {
+    if (deposed_)
+        return;
+    const instant now = with_.time.now();
+    hold_due();
+    send_stops();
+    if (now >= next_sweep_) {
+        next_sweep_ = now + sweep_period;
+        expire_leases();
+        leave_leaving_workers();
+        forget_gone_workers();
+        drop_ended_jobs();
+        for (job_work* const job : order_)
+            make_due_occurrences(*job);
+    }
+    if (placement_due_ || now >= next_placement_) {
+        placement_due_ = false;
+        next_placement_ = now + placement_period;
+        place_all();
+    }
+    write_dirty();
+}
+
+coordinator_counts cell_coordinator::counts() const {
+    coordinator_counts counts = counts_;
+    counts.open_jobs = order_.size();
+    counts.workers = workers_.size();
+    counts.workers_unresolved = unresolved_.size();
+    const instant now = with_.time.now();
+    for (const auto& [id, worker] : workers_) {
+        counts.running += worker->tasks.size();
+        counts.workers_silent += now - worker->reported_at > std::chrono::seconds(2) ? 1 : 0;
+    }
+    return counts;
+}
+
+run_number cell_coordinator::next_run() {
+    // Runs of one epoch are counted in the low bits: a later epoch always numbers higher. 2^24 starts
+    // are over an hour of the design size's peak, and 2^53 bounds what JSON carries exactly.
+    constexpr std::uint64_t runs_per_epoch_bits = 24;
+    return run_number((epoch_.value() << runs_per_epoch_bits) + ++last_run_);
+}
+
+void cell_coordinator::be_deposed() {
+    if (std::exchange(deposed_, true))
+        return;
+    log_event(log_level::warn, "reign_superseded",
+              {{"epoch", static_cast<std::int64_t>(epoch_.value())}});
+    with_.deposed();
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/cell_coordinator.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "cell/job_work.h"
+#include "cell/worker_work.h"
+#include "figwinch/cell/coordinator.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace figwinch {
+
+/// The coordinator's rules. Spread over files by what they are about: jobs, workers, runs,
+/// placement and gangs.
+class cell_coordinator final : public coordinator {
+public:
+    cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
+                     const cell_state& known);
+
+    void take_config(const cell_config& config) override;
+    void take_evacuated(absl::flat_hash_set<data_centre_id> data_centres) override;
+    void take_listing(const std::vector<worker_listing>& listing) override;
+    void take_intake(const job_entry& job) override;
+    void tick() override;
+    coordinator_counts counts() const override;
+
+private:
+    // coordinator_jobs.cpp
+    void add_job(const job_entry& entry, bool may_run_elsewhere);
+    void restore_progress(job_work& job, const job_progress& progress);
+    occurrence_work& make_occurrence(job_work& job, std::uint32_t number);
+    void make_due_occurrences(job_work& job);
+    void refresh_ready(occurrence_work& occurrence);
+    void apply_queue(job_work& job) const;
+    void end_task(task_work& task);
+    void end_step(job_work& job, step_work& step);
+    void end_job(job_work& job, job_phase phase);
+    void drop_ended_jobs();
+    void mark_dirty(job_work& job);
+    void write_dirty();
+    void write_progress(const job_work& job);
+    void sort_jobs();
+    task_work* find_task(const task_name& name);
+    static task_name name_of(const task_work& task);
+
+    // coordinator_workers.cpp
+    void hold_due();
+    void hold(worker_work& worker);
+    void take_report(const worker_id& id, instant asked, order_outcome outcome,
+                     const worker_report& report);
+    void start_new_life(worker_work& worker, std::uint64_t born_ms);
+    void register_life(worker_work& worker);
+    void take_ends(worker_work& worker, const std::vector<ended_row>& rows);
+    void take_running(worker_work& worker, const worker_report& report, instant asked);
+    void take_row(worker_work& worker, const running_row& row);
+    void drop_missing(worker_work& worker, const worker_report& report, instant asked,
+                      const absl::flat_hash_set<task_work*>& seen);
+    void control_filling(worker_work& worker);
+    void expire_leases();
+    void forget_gone_workers();
+    void resolve(const worker_id& id);
+    bool may_start(const job_work& job) const;
+    worker_work* find_worker(const worker_id& id);
+
+    // coordinator_runs.cpp
+    void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
+    void take_start_answer(const task_name& name, run_number run, const worker_id& worker,
+                           const order_answer& answer);
+    void give_back(task_work& task, worker_work& worker, duration rest);
+    void take_end(worker_work& worker, const ended_row& row);
+    void take_good_end(task_work& task);
+    void take_failure(task_work& task, worker_work& worker, run_number run);
+    void note_failure_of(worker_work& worker, const job_id& job);
+    void bind(task_work& task, worker_work& worker);
+    void release(task_work& task);
+    void request_stop(task_work& task);
+    void stop_stray(const worker_work& worker, const std::string& task, run_number run);
+    void send_stops();
+    void take_stop_answer(const task_name& name, run_number run, const order_answer& answer);
+    void send_pace(task_work& task);
+    void take_pace_answer(const task_name& name, run_number run, int percent,
+                          const order_answer& answer);
+    run_number next_run();
+    void be_deposed();
+
+    // coordinator_placement.cpp
+    void place_all();
+    bool place_step(job_work& job, step_work& step);
+    bool place_gang(job_work& job, step_work& step);
+    worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
+    bool usable(const worker_work& worker, const job_work& job) const;
+    bool admits(const worker_work& worker, const task_work& task) const;
+    double score(const worker_work& worker, const task_work& task) const;
+    void leave_leaving_workers();
+
+    parts with_;
+    cell_settings settings_;
+    lease_epoch epoch_;
+    instant began_;
+    cell_config config_;
+    absl::flat_hash_set<data_centre_id> evacuated_;
+    absl::flat_hash_map<job_id, std::unique_ptr<job_work>> jobs_;
+    /// Open jobs in the order in which they are served.
+    std::vector<job_work*> order_;
+    std::vector<job_work*> dirty_;
+    absl::flat_hash_map<worker_id, std::unique_ptr<worker_work>> workers_;
+    /// Workers that a predecessor may have given tasks and that haven't reported.
+    absl::flat_hash_set<worker_id> unresolved_;
+    /// Runs that have to go.
+    std::vector<task_name> stopping_;
+    std::uint64_t last_run_ = 0;
+    bool deposed_ = false;
+    bool placement_due_ = true;
+    instant next_placement_{};
+    instant next_sweep_{};
+    coordinator_counts counts_;
+    /// Expires with this object: answers that come later are dropped.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/cell_state.cpp
@@ -0,0 +1,129 @@
+#include "figwinch/cell/cell_state.h"
+
+#include "figwinch/cell/record_codec.h"
+
+#include <algorithm>
+
+namespace figwinch {
+
+bool cell_state::is_newer(cell_stream stream, const stored_record& record) {
+    // Keys of different kinds never meet in two streams, but offsets of two streams can't be
+    // compared: the stream is part of the key.
+    std::string key = record.key;
+    key += stream == cell_stream::intake ? '<' : '>';
+    const auto [known, inserted] = newest_.try_emplace(std::move(key), record.offset);
+    if (!inserted && record.offset <= known->second)
+        return false;
+    known->second = record.offset;
+    return true;
+}
+
+void cell_state::apply(cell_stream stream, const stored_record& record) {
+    if (record.key.size() < 2) {
+        ++unreadable_;
+        return;
+    }
+    if (!is_newer(stream, record))
+        return;
+    const std::string id = record.key.substr(1);
+    const auto kind = static_cast<record_kind>(record.key.front());
+    if (stream == cell_stream::intake && kind == record_kind::job)
+        return apply_job(record, job_id(id));
+    if (stream == cell_stream::intake && kind == record_kind::cancellation)
+        return apply_cancellation(record, job_id(id));
+    if (stream == cell_stream::progress && kind == record_kind::progress)
+        return apply_progress(record, job_id(id));
+    if (stream == cell_stream::progress && kind == record_kind::worker)
+        return apply_worker(record, worker_id(id));
+    ++unreadable_;
+}
+
+void cell_state::apply_job(const stored_record& record, const job_id& id) {
+    if (!record.value) {
+        if (const auto known = jobs_.find(id); known != jobs_.end())
+            known->second.spec = nullptr;
+        return erase_if_empty(id);
+    }
+    job_entry& job = jobs_[id];
+    job.id = id;
+    // A resend of a known job is the same job, whatever it says.
+    if (job.spec)
+        return;
+    std::optional<job_spec> spec = decode_job(*record.value);
+    if (!spec) {
+        ++unreadable_;
+        return;
+    }
+    job.spec = std::make_shared<const job_spec>(std::move(*spec));
+    job.intake_offset = record.offset;
+    if (intake_changed_)
+        intake_changed_(job);
+}
+
+void cell_state::apply_cancellation(const stored_record& record, const job_id& id) {
+    if (!record.value) {
+        if (const auto known = jobs_.find(id); known != jobs_.end())
+            known->second.cancel_wanted = false;
+        return erase_if_empty(id);
+    }
+    job_entry& job = jobs_[id];
+    job.id = id;
+    job.cancel_wanted = true;
+    if (intake_changed_)
+        intake_changed_(job);
+}
+
+void cell_state::apply_progress(const stored_record& record, const job_id& id) {
+    if (!record.value) {
+        if (const auto known = jobs_.find(id); known != jobs_.end())
+            known->second.progress_record.clear();
+        return erase_if_empty(id);
+    }
+    const std::optional<job_progress> progress = decode_progress(*record.value);
+    if (!progress) {
+        ++unreadable_;
+        return;
+    }
+    job_entry& job = jobs_[id];
+    job.id = id;
+    job.begun = progress->begun;
+    job.phase = progress->phase;
+    job.progress_record = *record.value;
+}
+
+void cell_state::apply_worker(const stored_record& record, const worker_id& id) {
+    if (!record.value) {
+        workers_.erase(id);
+        return;
+    }
+    const std::optional<std::uint64_t> born = decode_worker(*record.value);
+    if (born)
+        workers_[id] = *born;
+    else
+        ++unreadable_;
+}
+
+void cell_state::erase_if_empty(const job_id& id) {
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return;
+    const job_entry& job = known->second;
+    if (!job.spec && !job.cancel_wanted && job.progress_record.empty())
+        jobs_.erase(known);
+}
+
+const job_entry* cell_state::find(const job_id& id) const {
+    const auto known = jobs_.find(id);
+    return known == jobs_.end() ? nullptr : &known->second;
+}
+
+std::size_t cell_state::waiting(const queue_name& queue) const {
+    const auto count = std::ranges::count_if(jobs_, [&queue](const auto& entry) {
+        const job_entry& job = entry.second;
+        return job.spec && job.spec->queue == queue && job.phase == job_phase::open &&
+               !job.begun && !job.cancel_wanted;
+    });
+    return static_cast<std::size_t>(count);
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/coordinator_placement.cpp
@@ -0,0 +1,180 @@
+#include "cell/cell_coordinator.h"
+#include "figwinch/observe.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// Starts in one go; the rest follows at the next tick, so that reports are read in between.
+constexpr std::size_t most_starts_at_once = 40;
+// A worker that hasn't reported for longer gets nothing new.
+constexpr duration reported_within = std::chrono::milliseconds(2200);
+// Lasting tasks serve their own users and use about this part of what they ask for.
+constexpr double lasting_use = 0.6;
+constexpr double failed_there_penalty = 10;
+constexpr double cold_penalty = 1;
+constexpr double near_data_bonus = 2;
+
+double share(std::int64_t part, std::int64_t whole) {
+    return whole <= 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+} // namespace
+
+void cell_coordinator::place_all() {
+    const std::uint64_t before = counts_.starts;
+    // A copy: starting can end jobs only by later answers, but the order may be rebuilt.
+    for (job_work* const job : std::vector<job_work*>(order_)) {
+        if (!may_start(*job))
+            continue;
+        for (const auto& [number, occurrence] : job->occurrences) {
+            for (step_work& step : occurrence->steps) {
+                if (!step.ready || step.placed >= step.left)
+                    continue;
+                if (step.spec->gang)
+                    place_gang(*job, step);
+                else
+                    place_step(*job, step);
+            }
+        }
+        if (counts_.starts - before >= most_starts_at_once) {
+            placement_due_ = true;
+            return;
+        }
+    }
+}
+
+bool cell_coordinator::place_step(job_work& job, step_work& step) {
+    const instant now = with_.time.now();
+    for (task_work& task : step.tasks) {
+        if (task.progress.done || task.where != nullptr || now < task.not_before)
+            continue;
+        worker_work* const worker = choose(job, task, rack_id());
+        if (worker == nullptr)
+            return false;
+        start(task, *worker, next_run(), task.progress.checkpoint);
+    }
+    return true;
+}
+
+/// Starts all members at once under one run, or none.
+bool cell_coordinator::place_gang(job_work& job, step_work& step) {
+    task_work& first = step.tasks.front();
+    if (step.placed > 0 || with_.time.now() < first.not_before)
+        return false;
+    // Members of a one-rack gang follow the first one's rack; each rack is tried once.
+    absl::flat_hash_set<rack_id> racks;
+    if (step.spec->one_rack)
+        for (const auto& [id, worker] : workers_)
+            racks.insert(worker->listing.rack);
+    else
+        racks.insert(rack_id());
+    for (const rack_id& rack : racks) {
+        std::vector<worker_work*> chosen;
+        for (task_work& task : step.tasks) {
+            worker_work* const worker = choose(job, task, rack);
+            if (worker == nullptr)
+                break;
+            bind(task, *worker);
+            chosen.push_back(worker);
+        }
+        if (chosen.size() == step.tasks.size()) {
+            const run_number run = next_run();
+            for (std::size_t index = 0; index < chosen.size(); ++index)
+                start(step.tasks[index], *chosen[index], run, first.progress.checkpoint);
+            return true;
+        }
+        for (std::size_t index = 0; index < chosen.size(); ++index)
+            release(step.tasks[index]);
+    }
+    placement_due_ = false;
+    return false;
+}
+
+worker_work* cell_coordinator::choose(const job_work& job, const task_work& task,
+                                      const rack_id& only_rack) {
+    worker_work* best = nullptr;
+    double best_score = 0;
+    for (const auto& [id, worker] : workers_) {
+        if (!only_rack.empty() && worker->listing.rack != only_rack)
+            continue;
+        if (!usable(*worker, job) || !admits(*worker, task))
+            continue;
+        const double found = score(*worker, task);
+        if (best == nullptr || found > best_score) {
+            best = worker.get();
+            best_score = found;
+        }
+    }
+    return best;
+}
+
+bool cell_coordinator::usable(const worker_work& worker, const job_work& job) const {
+    const instant now = with_.time.now();
+    return worker.listed && !worker.listing.leaving && worker.heard && worker.registered &&
+           worker.listing.service == job.service && now >= worker.rest_until &&
+           now - worker.reported_at < reported_within &&
+           !evacuated_.contains(worker.listing.data_centre);
+}
+
+bool cell_coordinator::admits(const worker_work& worker, const task_work& task) const {
+    const step_spec& spec = *task.step->spec;
+    resources size = spec.size;
+    if (spec.filling) {
+        if (!worker.filling.has_room())
+            return false;
+        size.cpu_millis = 0;
+    }
+    // Every dimension counts, on workers that refuse by themselves too.
+    if (!fits(size, worker.listing.capacity - worker.taken))
+        return false;
+    if (!spec.label.empty() && std::ranges::count(worker.listing.labels, spec.label) == 0)
+        return false;
+    if (spec.most_per_worker == 0)
+        return true;
+    const auto beside = std::ranges::count_if(
+        worker.tasks, [&task](const task_work* other) { return other->step == task.step; });
+    return static_cast<std::uint32_t>(beside) < spec.most_per_worker;
+}
+
+/// How well a task would do on a worker; higher is better.
+double cell_coordinator::score(const worker_work& worker, const task_work& task) const {
+    const step_spec& spec = *task.step->spec;
+    const resources& capacity = worker.listing.capacity;
+    const resources left = capacity - worker.taken;
+    double value = 0;
+    if (spec.filling) {
+        const auto unused = static_cast<std::int64_t>(
+            static_cast<double>(worker.lasting_cpu) * (1 - lasting_use));
+        value = share(left.cpu_millis + unused - worker.filling_cpu - spec.size.cpu_millis,
+                      capacity.cpu_millis);
+    } else {
+        value = std::min(share(left.cpu_millis - spec.size.cpu_millis, capacity.cpu_millis),
+                         share(left.memory_mib - spec.size.memory_mib, capacity.memory_mib));
+    }
+    if (!spec.near_rack.empty() && worker.listing.rack == spec.near_rack)
+        value += near_data_bonus;
+    if (worker.listing.cold_left > duration::zero())
+        value -= cold_penalty;
+    if (std::ranges::count(task.failed_on, worker.listing.id) > 0)
+        value -= failed_there_penalty;
+    return value;
+}
+
+/// Lasting tasks on a worker that is about to leave are started elsewhere while it still runs;
+/// others may finish there.
+void cell_coordinator::leave_leaving_workers() {
+    for (const auto& [id, worker] : workers_) {
+        if (!worker->listing.leaving)
+            continue;
+        const std::vector<task_work*> tasks(worker->tasks.begin(), worker->tasks.end());
+        for (task_work* const task : tasks)
+            if (task->step->spec->lasting)
+                request_stop(*task);
+    }
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/coordinator_runs.cpp
@@ -0,0 +1,306 @@
+#include "cell/cell_coordinator.h"
+#include "figwinch/observe.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figwinch {
+namespace {
+
+// A start that the worker sees later than this has no effect: 10 times the usual way, and short
+// enough that a start that was held up for seconds is dead when it arrives.
+constexpr duration start_validity = std::chrono::milliseconds(1500);
+constexpr duration rest_after_refusal = std::chrono::milliseconds(700);
+constexpr duration rest_without_room = std::chrono::milliseconds(300);
+constexpr duration stop_retry = std::chrono::milliseconds(300);
+// A stop that was acknowledged shows in the worker's reports within its stop bound.
+constexpr duration stop_again = std::chrono::milliseconds(1500);
+constexpr duration pause_per_failure = std::chrono::milliseconds(100);
+// Three different jobs in a row failing on one worker: by chance, with one run in 30 failing, once
+// in 27,000 runs.
+constexpr std::uint32_t failures_to_rest = 3;
+constexpr duration rest_after_failures = std::chrono::seconds(4);
+
+const char* end_name(run_end end) {
+    static constexpr std::array names = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names[static_cast<std::size_t>(end)];
+}
+
+} // namespace
+
+void cell_coordinator::start(task_work& task, worker_work& worker, run_number run,
+                             const std::string& checkpoint) {
+    const instant now = with_.time.now();
+    const std::int64_t clock_ms = worker.clock.at_least(now).value_or(0);
+    task.run = task_run{};
+    task.run.number = run;
+    task.run.ordered_at = now;
+    task.run.progressed_at = now;
+    task.run.checkpoint = checkpoint;
+    task.run.start_until_ms = clock_ms + start_validity.count() / 1000;
+    worker.latest_until_ms = std::max(worker.latest_until_ms, task.run.start_until_ms);
+    if (task.where == nullptr)
+        bind(task, worker);
+    if (!std::exchange(task.job->begun, true))
+        mark_dirty(*task.job);
+    ++counts_.starts;
+    const task_name name = name_of(task);
+    start_order order{to_string(name), run,   task.job->spec->payload,
+                      checkpoint,      task.run.start_until_ms, epoch_};
+    log_event(log_level::info, "task_started",
+              {{"task", order.task},
+               {"run", static_cast<std::int64_t>(run.value())},
+               {"worker", worker.listing.id.str()},
+               {"resumed", !checkpoint.empty()}});
+    with_.orders.start(worker.listing, order,
+                       [this, weak = std::weak_ptr(alive_), name, run,
+                        id = worker.listing.id](const order_answer& answer) {
+                           if (!weak.expired() && !deposed_)
+                               take_start_answer(name, run, id, answer);
+                       });
+}
+
+void cell_coordinator::take_start_answer(const task_name& name, run_number run,
+                                         const worker_id& id, const order_answer& answer) {
+    const instant now = with_.time.now();
+    if (answer.outcome == order_outcome::superseded)
+        return be_deposed();
+    worker_work* const worker = find_worker(id);
+    if (worker != nullptr && answer.clock_ms)
+        worker->clock.observe(*answer.clock_ms, now);
+    task_work* const task = find_task(name);
+    if (task == nullptr || worker == nullptr || task->where != worker || task->run.number != run)
+        return;
+    task_run& state = task->run;
+    switch (answer.outcome) {
+    case order_outcome::done:
+        if (state.now == task_run::phase::stopping)
+            return;
+        state.now = task_run::phase::running;
+        state.settled_at = now;
+        if (task->step->spec->filling) {
+            state.pace_wanted = worker->filling.percent();
+            send_pace(*task);
+        }
+        return;
+    case order_outcome::unknown:
+        log_event(log_level::warn, "start_unanswered",
+                  {{"task", to_string(name)}, {"worker", id.str()}});
+        worker->rest_until = now + rest_after_refusal;
+        if (state.now == task_run::phase::running)
+            state.settled_at = now;
+        else
+            request_stop(*task);
+        return;
+    case order_outcome::no_room:
+        return give_back(*task, *worker, rest_without_room);
+    case order_outcome::too_late:
+        return give_back(*task, *worker, duration::zero());
+    default:
+        return give_back(*task, *worker, rest_after_refusal);
+    }
+}
+
+/// A start that was refused: nothing of it is on the worker.
+void cell_coordinator::give_back(task_work& task, worker_work& worker, duration rest) {
+    log_event(log_level::warn, "start_refused",
+              {{"task", to_string(name_of(task))}, {"worker", worker.listing.id.str()}});
+    worker.rest_until = std::max(worker.rest_until, with_.time.now() + rest);
+    release(task);
+    if (task.step->spec->gang)
+        for (task_work& member : task.step->tasks)
+            if (member.where != nullptr)
+                request_stop(member);
+}
+
+void cell_coordinator::bind(task_work& task, worker_work& worker) {
+    const step_spec& spec = *task.step->spec;
+    task.where = &worker;
+    worker.tasks.insert(&task);
+    ++task.step->placed;
+    resources taken = spec.size;
+    if (spec.filling) {
+        worker.filling_cpu += spec.size.cpu_millis;
+        taken.cpu_millis = 0;
+    }
+    worker.taken += taken;
+    worker.lasting_cpu += spec.lasting ? taken.cpu_millis : 0;
+}
+
+void cell_coordinator::release(task_work& task) {
+    const step_spec& spec = *task.step->spec;
+    worker_work& worker = *task.where;
+    worker.tasks.erase(&task);
+    task.where = nullptr;
+    --task.step->placed;
+    resources taken = spec.size;
+    if (spec.filling) {
+        worker.filling_cpu -= spec.size.cpu_millis;
+        taken.cpu_millis = 0;
+    }
+    worker.taken -= taken;
+    worker.lasting_cpu -= spec.lasting ? taken.cpu_millis : 0;
+    if (!task.run.checkpoint.empty() && !task.progress.done)
+        task.progress.checkpoint = task.run.checkpoint;
+    placement_due_ = true;
+}
+
+void cell_coordinator::take_end(worker_work& worker, const ended_row& row) {
+    const auto name = parse_task_name(row.task);
+    task_work* const task = name ? find_task(*name) : nullptr;
+    if (row.how != run_end::done)
+        log_event(log_level::info, "run_ended",
+                  {{"task", row.task},
+                   {"run", static_cast<std::int64_t>(row.run.value())},
+                   {"worker", worker.listing.id.str()},
+                   {"how", std::string(end_name(row.how))}});
+    if (task == nullptr)
+        return;
+    const bool bound_here = task->where == &worker && task->run.number == row.run;
+    if (bound_here) {
+        if (!row.checkpoint.empty())
+            task->run.checkpoint = row.checkpoint;
+        release(*task);
+        mark_dirty(*task->job);
+    }
+    if (row.how == run_end::done) {
+        worker.failures_in_row = 0;
+        if (!task->step->spec->lasting)
+            take_good_end(*task);
+    }
+    if (row.how == run_end::failed)
+        take_failure(*task, worker, row.run);
+}
+
+void cell_coordinator::take_good_end(task_work& task) {
+    if (task.where != nullptr)
+        request_stop(task);
+    if (!task.step->spec->gang)
+        return end_task(task);
+    // One member's good end stands for all.
+    for (task_work& member : task.step->tasks)
+        end_task(member);
+}
+
+void cell_coordinator::take_failure(task_work& task, worker_work& worker, run_number run) {
+    note_failure_of(worker, task.job->id);
+    // A gang fails as one: its failures are counted with its first member.
+    task_work& counted = task.step->spec->gang ? task.step->tasks.front() : task;
+    if (run <= counted.progress.last_run || task.progress.done)
+        return;
+    counted.progress.last_run = run;
+    std::ranges::rotate(task.failed_on, task.failed_on.end() - 1);
+    task.failed_on.front() = worker.listing.id;
+    mark_dirty(*task.job);
+    if (task.step->spec->lasting)
+        return;
+    ++counted.progress.failures;
+    task.not_before = with_.time.now() + pause_per_failure * counted.progress.failures;
+    if (counted.progress.failures >= task.job->attempts && task.job->phase == job_phase::open)
+        end_job(*task.job, job_phase::failed);
+}
+
+void cell_coordinator::note_failure_of(worker_work& worker, const job_id& job) {
+    if (worker.last_failed_job != job)
+        ++worker.failures_in_row;
+    worker.last_failed_job = job;
+    if (worker.failures_in_row < failures_to_rest)
+        return;
+    // After its rest one more failure sends it to rest again.
+    worker.failures_in_row = failures_to_rest - 1;
+    worker.rest_until = with_.time.now() + rest_after_failures;
+    log_event(log_level::warn, "worker_rests", {{"worker", worker.listing.id.str()}});
+}
+
+void cell_coordinator::request_stop(task_work& task) {
+    if (task.run.now == task_run::phase::stopping)
+        return;
+    task.run.now = task_run::phase::stopping;
+    task.run.settled_at.reset();
+    task.run.next_stop = with_.time.now();
+    stopping_.push_back(name_of(task));
+}
+
+void cell_coordinator::send_stops() {
+    const instant now = with_.time.now();
+    std::vector<task_name> keep;
+    for (const task_name& name : std::exchange(stopping_, {})) {
+        task_work* const task = find_task(name);
+        if (task == nullptr || task->where == nullptr ||
+            task->run.now != task_run::phase::stopping)
+            continue;
+        keep.push_back(name);
+        if (task->run.stop_in_flight || now < task->run.next_stop)
+            continue;
+        task->run.stop_in_flight = true;
+        ++counts_.stops;
+        with_.orders.stop(task->where->listing, to_string(name), task->run.number, epoch_,
+                          [this, weak = std::weak_ptr(alive_), name,
+                           run = task->run.number](const order_answer& answer) {
+                              if (!weak.expired() && !deposed_)
+                                  take_stop_answer(name, run, answer);
+                          });
+    }
+    stopping_.insert(stopping_.end(), keep.begin(), keep.end());
+}
+
+void cell_coordinator::take_stop_answer(const task_name& name, run_number run,
+                                        const order_answer& answer) {
+    if (answer.outcome == order_outcome::superseded)
+        return be_deposed();
+    task_work* const task = find_task(name);
+    if (task == nullptr || task->where == nullptr || task->run.number != run)
+        return;
+    const instant now = with_.time.now();
+    task->run.stop_in_flight = false;
+    if (answer.outcome != order_outcome::done) {
+        task->run.next_stop = now + stop_retry;
+        return;
+    }
+    if (!task->run.settled_at)
+        task->run.settled_at = now;
+    task->run.next_stop = now + stop_again;
+}
+
+void cell_coordinator::stop_stray(const worker_work& worker, const std::string& task,
+                                  run_number run) {
+    ++counts_.stops;
+    log_event(log_level::info, "stray_run_stopped",
+              {{"task", task}, {"worker", worker.listing.id.str()}});
+    with_.orders.stop(worker.listing, task, run, epoch_,
+                      [this, weak = std::weak_ptr(alive_)](const order_answer& answer) {
+                          if (!weak.expired() && answer.outcome == order_outcome::superseded)
+                              be_deposed();
+                      });
+}
+
+void cell_coordinator::send_pace(task_work& task) {
+    task_run& run = task.run;
+    if (run.now != task_run::phase::running || run.pace_in_flight ||
+        run.pace_wanted == run.pace_set)
+        return;
+    run.pace_in_flight = true;
+    ++counts_.paces;
+    const task_name name = name_of(task);
+    const pace_order order{to_string(name), run.number, run.pace_wanted, epoch_};
+    with_.orders.pace(task.where->listing, order,
+                      [this, weak = std::weak_ptr(alive_), name, number = run.number,
+                       percent = run.pace_wanted](const order_answer& answer) {
+                          if (!weak.expired() && !deposed_)
+                              take_pace_answer(name, number, percent, answer);
+                      });
+}
+
+void cell_coordinator::take_pace_answer(const task_name& name, run_number number, int percent,
+                                        const order_answer& answer) {
+    if (answer.outcome == order_outcome::superseded)
+        return be_deposed();
+    task_work* const task = find_task(name);
+    if (task == nullptr || task->where == nullptr || task->run.number != number)
+        return;
+    task->run.pace_in_flight = false;
+    if (answer.outcome == order_outcome::done)
+        task->run.pace_set = percent;
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/coordinator_workers.cpp
@@ -0,0 +1,295 @@
+#include "cell/cell_coordinator.h"
+#include "figwinch/cell/record_codec.h"
+#include "figwinch/observe.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace figwinch {
+namespace {
+
+// How long a worker may wait for an end before it answers. With serving and filling tasks side by
+// side the answer is also the only sight of the serving tasks' tails, which are kept for half a
+// second.
+constexpr duration quiet_wait = std::chrono::milliseconds(1000);
+constexpr duration shared_wait = std::chrono::milliseconds(400);
+constexpr duration hold_retry = std::chrono::milliseconds(150);
+// While ends wait for the log, a worker would answer at once with the same ends: ask again only to
+// keep its lease.
+constexpr duration unnoted_pause = std::chrono::milliseconds(500);
+// A worker that is silent for so long and whose lease must be over has lost what ran there.
+constexpr duration lapse_slack = std::chrono::milliseconds(100);
+// The platform lists a live worker again within two seconds after its store comes back.
+constexpr duration unlisted_kept = std::chrono::seconds(15);
+
+} // namespace
+
+worker_work* cell_coordinator::find_worker(const worker_id& id) {
+    const auto known = workers_.find(id);
+    return known == workers_.end() ? nullptr : known->second.get();
+}
+
+void cell_coordinator::take_listing(const std::vector<worker_listing>& listing) {
+    for (const auto& [id, worker] : workers_)
+        worker->listed = false;
+    for (const worker_listing& row : listing) {
+        std::unique_ptr<worker_work>& worker = workers_[row.id];
+        if (!worker) {
+            worker = std::make_unique<worker_work>();
+            worker->reported_at = with_.time.now();
+        }
+        worker->listed = true;
+        worker->listing = row;
+    }
+    placement_due_ = true;
+}
+
+void cell_coordinator::hold_due() {
+    const instant now = with_.time.now();
+    for (const auto& [id, worker] : workers_)
+        if (!worker->hold_in_flight && now >= worker->next_hold)
+            hold(*worker);
+}
+
+void cell_coordinator::hold(worker_work& worker) {
+    const instant now = with_.time.now();
+    hold_order order;
+    order.epoch = epoch_;
+    order.noted = worker.noted;
+    if (const auto clock_ms = worker.clock.at_least(now)) {
+        order.until_ms = *clock_ms + settings_.max_hold.count() / 1000;
+        worker.latest_until_ms = std::max(worker.latest_until_ms, *order.until_ms);
+        const bool shared = worker.filling_cpu > 0 && worker.lasting_cpu > 0;
+        order.wait = worker.noted < worker.seen ? duration::zero()
+                     : shared                   ? shared_wait
+                                                : quiet_wait;
+    }
+    worker.hold_in_flight = true;
+    ++counts_.holds;
+    with_.orders.hold(worker.listing, order,
+                      [this, weak = std::weak_ptr(alive_), id = worker.listing.id, asked = now](
+                          order_outcome outcome, const worker_report& report) {
+                          if (!weak.expired() && !deposed_)
+                              take_report(id, asked, outcome, report);
+                      });
+}
+
+void cell_coordinator::take_report(const worker_id& id, instant asked, order_outcome outcome,
+                                   const worker_report& report) {
+    worker_work* const worker = find_worker(id);
+    if (worker == nullptr)
+        return;
+    const instant now = with_.time.now();
+    worker->hold_in_flight = false;
+    if (outcome == order_outcome::superseded)
+        return be_deposed();
+    if (outcome != order_outcome::done) {
+        worker->next_hold = now + hold_retry;
+        return;
+    }
+    worker->reported_at = now;
+    worker->next_hold = now;
+    if (worker->born_ms != report.born_ms)
+        start_new_life(*worker, report.born_ms);
+    worker->clock.observe(report.clock_ms, now);
+    worker->heard = true;
+    resolve(id);
+    take_ends(*worker, report.ended);
+    take_running(*worker, report, asked);
+    control_filling(*worker);
+    if (!worker->registered && !worker->registering)
+        register_life(*worker);
+    if (worker->noted < worker->seen)
+        worker->next_hold = now + unnoted_pause;
+}
+
+void cell_coordinator::start_new_life(worker_work& worker, std::uint64_t born_ms) {
+    if (worker.born_ms != 0)
+        log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
+    worker.born_ms = born_ms;
+    worker.clock = {};
+    worker.latest_until_ms = 0;
+    worker.seen = 0;
+    worker.noted = 0;
+    worker.failures_in_row = 0;
+    // Times on the clock of the life before say nothing on the new one: an unanswered start may
+    // still be carried out until a stop is acknowledged.
+    for (task_work* const task : worker.tasks)
+        task->run.start_until_ms = std::numeric_limits<std::int64_t>::max();
+}
+
+void cell_coordinator::register_life(worker_work& worker) {
+    worker.registering = true;
+    const worker_id id = worker.listing.id;
+    with_.journal.write(
+        {record_key(record_kind::worker, id.str()), encode_worker(worker.born_ms), 0},
+        [this, weak = std::weak_ptr(alive_), id] {
+            if (weak.expired())
+                return;
+            if (worker_work* const known = find_worker(id)) {
+                known->registering = false;
+                known->registered = true;
+                placement_due_ = true;
+            }
+        });
+}
+
+void cell_coordinator::take_ends(worker_work& worker, const std::vector<ended_row>& rows) {
+    const std::uint64_t seen_before = worker.seen;
+    for (const ended_row& row : rows) {
+        if (row.number <= worker.seen)
+            continue;
+        worker.seen = row.number;
+        take_end(worker, row);
+    }
+    if (worker.seen == seen_before)
+        return;
+    // A worker forgets an end once it is noted, so the log has to have it first.
+    write_dirty();
+    with_.journal.barrier([this, weak = std::weak_ptr(alive_), id = worker.listing.id,
+                           born = worker.born_ms, noted = worker.seen] {
+        if (weak.expired())
+            return;
+        worker_work* const known = find_worker(id);
+        if (known == nullptr || known->born_ms != born)
+            return;
+        known->noted = std::max(known->noted, noted);
+        known->next_hold = with_.time.now();
+    });
+}
+
+void cell_coordinator::take_running(worker_work& worker, const worker_report& report,
+                                    instant asked) {
+    absl::flat_hash_set<task_work*> seen;
+    for (const running_row& row : report.running) {
+        take_row(worker, row);
+        const auto name = parse_task_name(row.task);
+        task_work* const task = name ? find_task(*name) : nullptr;
+        if (task != nullptr && task->where == &worker && task->run.number == row.run)
+            seen.insert(task);
+    }
+    drop_missing(worker, report, asked, seen);
+}
+
+void cell_coordinator::take_row(worker_work& worker, const running_row& row) {
+    const auto name = parse_task_name(row.task);
+    task_work* const task = name ? find_task(*name) : nullptr;
+    const instant now = with_.time.now();
+    const bool wanted = task != nullptr && task->job->phase == job_phase::open &&
+                        !task->progress.done && task->where == nullptr &&
+                        row.run > task->progress.last_run;
+    if (wanted) {
+        // Started by a predecessor, or a start whose answer never came.
+        task->run = task_run{};
+        task->run.number = row.run;
+        task->run.ordered_at = now;
+        task->run.progressed_at = now;
+        task->run.now = task_run::phase::running;
+        task->run.settled_at = now;
+        task->job->begun = true;
+        // What it was paced to isn't told.
+        task->run.pace_set = task->step->spec->filling ? -1 : task->run.pace_set;
+        bind(*task, worker);
+    }
+    if (task == nullptr || task->where != &worker || task->run.number != row.run)
+        return stop_stray(worker, row.task, row.run);
+    task_run& run = task->run;
+    if (run.now == task_run::phase::starting)
+        run.now = task_run::phase::running;
+    if (row.percent != run.percent)
+        run.progressed_at = now;
+    run.percent = row.percent;
+    run.recent = row.recent;
+    if (!row.checkpoint.empty())
+        run.checkpoint = row.checkpoint;
+}
+
+/// Gives up runs that the worker's report proves gone: the report was asked for after the last order
+/// about the run was answered, or the start can no longer take effect by the worker's clock.
+void cell_coordinator::drop_missing(worker_work& worker, const worker_report& report, instant asked,
+                                    const absl::flat_hash_set<task_work*>& seen) {
+    std::vector<task_work*> gone;
+    for (task_work* const task : worker.tasks) {
+        if (seen.contains(task))
+            continue;
+        const task_run& run = task->run;
+        const bool settled = run.settled_at && *run.settled_at < asked;
+        const bool start_passed = run.now == task_run::phase::stopping && !run.settled_at &&
+                                  run.start_until_ms < report.clock_ms;
+        if (settled || start_passed)
+            gone.push_back(task);
+    }
+    for (task_work* const task : gone) {
+        log_event(log_level::warn, "run_gone",
+                  {{"task", to_string(name_of(*task))}, {"worker", worker.listing.id.str()}});
+        release(*task);
+    }
+}
+
+void cell_coordinator::control_filling(worker_work& worker) {
+    double worst = 0;
+    for (const task_work* const task : worker.tasks) {
+        const duration target = task->step->spec->tail_target;
+        if (target == duration::zero() || task->run.now != task_run::phase::running)
+            continue;
+        const auto tail_us = static_cast<double>(task->run.recent) * 1000.0;
+        worst = std::max(worst, tail_us / static_cast<double>(target.count()));
+    }
+    worker.filling.take(worst, with_.time.now());
+    for (task_work* const task : worker.tasks) {
+        if (!task->step->spec->filling)
+            continue;
+        task->run.pace_wanted = worker.filling.percent();
+        send_pace(*task);
+    }
+}
+
+void cell_coordinator::expire_leases() {
+    const instant now = with_.time.now();
+    for (const auto& [id, worker] : workers_) {
+        if (worker->tasks.empty() || worker->born_ms == 0)
+            continue;
+        const auto clock_ms = worker->clock.at_least(now);
+        const std::int64_t slack = lapse_slack.count() / 1000;
+        if (!clock_ms || *clock_ms < worker->latest_until_ms + slack)
+            continue;
+        const std::vector<task_work*> lost(worker->tasks.begin(), worker->tasks.end());
+        log_event(log_level::warn, "lease_over",
+                  {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
+        for (task_work* const task : lost)
+            release(*task);
+    }
+}
+
+void cell_coordinator::forget_gone_workers() {
+    const instant now = with_.time.now();
+    std::vector<worker_id> gone;
+    for (const auto& [id, worker] : workers_)
+        if (!worker->listed && worker->tasks.empty() && !worker->hold_in_flight &&
+            !worker->registering && now - worker->reported_at > unlisted_kept)
+            gone.push_back(id);
+    for (const worker_id& id : gone) {
+        log_event(log_level::info, "worker_forgotten", {{"worker", id.str()}});
+        with_.orders.forget(id);
+        if (workers_[id]->registered)
+            with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+        workers_.erase(id);
+    }
+}
+
+void cell_coordinator::resolve(const worker_id& id) {
+    if (unresolved_.erase(id) > 0)
+        placement_due_ = true;
+}
+
+/// Whether no earlier coordinator's run of the job's tasks can be anywhere but where reports show
+/// it. A predecessor acts for `silence_limit` after the log last confirmed it, and what it held
+/// then lives for one more lease.
+bool cell_coordinator::may_start(const job_work& job) const {
+    if (!job.may_run_elsewhere || unresolved_.empty())
+        return true;
+    const auto lease = std::chrono::duration_cast<duration>(settings_.max_hold / slowest_clock);
+    return with_.time.now() - began_ > silence_limit + lease + lapse_slack;
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/job_work.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "cell/task_work.h"
+#include "figwinch/cell/job_spec.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace figwinch {
+
+struct occurrence_work;
+
+/// A step of one occurrence. Owned by its occurrence.
+struct step_work {
+    const step_spec* spec = nullptr;
+    occurrence_work* occurrence = nullptr;
+    std::uint32_t number = 0;
+    std::vector<task_work> tasks;
+    /// Tasks that haven't ended well.
+    std::uint32_t left = 0;
+    /// Tasks that have a run.
+    std::uint32_t placed = 0;
+    /// All steps that it depends on have ended well.
+    bool ready = false;
+};
+
+/// One pass over the steps of a job. Owned by its job.
+struct occurrence_work {
+    std::uint32_t number = 0;
+    std::vector<step_work> steps;
+    std::uint32_t steps_left = 0;
+};
+
+/// A job in the coordinator's hands.
+struct job_work {
+    job_id id;
+    std::shared_ptr<const job_spec> spec;
+    /// As the configuration in force has them for the job's queue; as accepted when it is gone.
+    service_id service;
+    std::uint32_t priority = 0;
+    std::uint32_t attempts = 1;
+    std::map<std::uint32_t, std::unique_ptr<occurrence_work>> occurrences;
+    /// Occurrences below this one have ended; those from `occurrences_made` on aren't due yet.
+    std::uint32_t occurrences_ended = 0;
+    std::uint32_t occurrences_made = 0;
+    bool begun = false;
+    job_phase phase = job_phase::open;
+    /// Its progress has changed since it was last written.
+    bool dirty = false;
+    /// Being dropped from the log.
+    bool forgetting = false;
+    /// When this coordinator came to know the job.
+    instant known_at{};
+    instant ended_at{};
+    /// An earlier coordinator may have started its tasks.
+    bool may_run_elsewhere = false;
+
+    std::uint32_t occurrence_count() const { return spec->repeats == 0 ? 1 : spec->repeats; }
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/keyed_follower.cpp
@@ -0,0 +1,144 @@
+#include "figwinch/cell/keyed_follower.h"
+
+#include <utility>
+
+namespace figwinch {
+namespace {
+
+constexpr duration retry_period = std::chrono::milliseconds(200);
+
+} // namespace
+
+keyed_follower::keyed_follower(const clock& time, durable_log& log, cell_stream stream,
+                               follow_pace pace, std::function<void(const stored_record&)> apply)
+    : time_(time), log_(log), stream_(stream), pace_(pace), apply_(std::move(apply)) {}
+
+void keyed_follower::tick() {
+    if (busy_)
+        return;
+    if (!asked_.empty() && loaded_)
+        return read(duration::zero());
+    if (time_.now() < next_read_)
+        return;
+    if (!loaded_) {
+        first_page_ = true;
+        loading_keys_.clear();
+        return load("");
+    }
+    read(pace_.wait);
+}
+
+void keyed_follower::sync(std::function<void(bool)> done) {
+    asked_.push_back(std::move(done));
+    tick();
+}
+
+void keyed_follower::skip(const stored_record& record) {
+    if (record.offset < next_)
+        return;
+    // Only without a gap: what others appended before has still to be read.
+    if (record.offset == next_)
+        next_ = record.offset + 1;
+    if (record.value)
+        keys_.insert(record.key);
+    else
+        keys_.erase(record.key);
+}
+
+void keyed_follower::load(const std::string& after_key) {
+    busy_ = true;
+    log_.newest(stream_, after_key,
+                [this, weak = std::weak_ptr(alive_)](const newest_result& page) {
+                    if (weak.expired())
+                        return;
+                    busy_ = false;
+                    take_page(page);
+                });
+}
+
+void keyed_follower::take_page(const newest_result& page) {
+    if (page.fault != log_fault::none)
+        return retry_later();
+    answered_at_ = time_.now();
+    // Pages are no snapshot: what changes while they are read stands after the first page's end.
+    if (std::exchange(first_page_, false))
+        load_end_ = page.end;
+    for (const stored_record& record : page.records) {
+        loading_keys_.insert(record.key);
+        apply_(record);
+    }
+    if (!page.next_key.empty())
+        return load(page.next_key);
+    finish_load();
+}
+
+void keyed_follower::finish_load() {
+    for (const std::string& key : keys_)
+        if (!loading_keys_.contains(key) && load_end_ > 0)
+            apply_({key, std::nullopt, load_end_ - 1});
+    keys_ = std::exchange(loading_keys_, {});
+    next_ = load_end_;
+    loaded_ = true;
+    tick();
+}
+
+void keyed_follower::read(duration wait) {
+    busy_ = true;
+    next_read_ = time_.now() + pace_.period;
+    being_answered_ = std::exchange(asked_, {});
+    log_.read(stream_, next_, wait, [this, weak = std::weak_ptr(alive_)](const read_result& read) {
+        if (weak.expired())
+            return;
+        busy_ = false;
+        take(read);
+    });
+}
+
+void keyed_follower::take(const read_result& read) {
+    if (read.fault == log_fault::expired) {
+        loaded_ = false;
+        next_read_ = time_.now();
+        asked_.insert(asked_.end(), being_answered_.begin(), being_answered_.end());
+        being_answered_.clear();
+        return;
+    }
+    if (read.fault != log_fault::none) {
+        retry_later();
+        return finish_syncs(false);
+    }
+    answered_at_ = time_.now();
+    for (const stored_record& record : read.records)
+        take_record(record);
+    finish_syncs(true);
+    if (!asked_.empty())
+        tick();
+}
+
+void keyed_follower::take_record(const stored_record& record) {
+    // Appended by this process and applied while the read was on its way.
+    if (record.offset < next_)
+        return;
+    next_ = record.offset + 1;
+    if (record.value)
+        keys_.insert(record.key);
+    else
+        keys_.erase(record.key);
+    apply_(record);
+}
+
+void keyed_follower::retry_later() {
+    next_read_ = time_.now() + retry_period;
+    if (!loaded_)
+        finish_syncs(false);
+}
+
+void keyed_follower::finish_syncs(bool good) {
+    std::vector<std::function<void(bool)>> done = std::exchange(being_answered_, {});
+    if (!loaded_)
+        for (auto& asked : std::exchange(asked_, {}))
+            done.push_back(std::move(asked));
+    for (const auto& call : done)
+        call(good);
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/record_codec.cpp
@@ -0,0 +1,215 @@
+#include "figwinch/cell/record_codec.h"
+
+#include "cell.pb.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t bits_per_byte = 8;
+
+std::int64_t in_ms(duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+void write_step(const step_spec& step, pb::StepRecord& record) {
+    record.set_tasks(step.tasks);
+    record.set_cpu_millis(step.size.cpu_millis);
+    record.set_memory_mib(step.size.memory_mib);
+    record.set_accelerators(step.size.accelerators);
+    record.set_estimate_ms(in_ms(step.estimate));
+    record.mutable_after()->Add(step.after.begin(), step.after.end());
+    record.set_gang(step.gang);
+    record.set_one_rack(step.one_rack);
+    record.set_checkpoints(step.checkpoints);
+    record.set_copies_allowed(step.copies_allowed);
+    record.set_lasting(step.lasting);
+    record.set_filling(step.filling);
+    record.set_label(step.label);
+    record.set_near_rack(step.near_rack.str());
+    record.set_image(step.image);
+    record.set_most_per_worker(step.most_per_worker);
+    record.set_tail_target_ms(in_ms(step.tail_target));
+    record.set_may_miss(step.may_miss);
+}
+
+step_spec read_step(const pb::StepRecord& record) {
+    step_spec step;
+    step.tasks = record.tasks();
+    step.size = {record.cpu_millis(), record.memory_mib(), record.accelerators()};
+    step.estimate = milliseconds(record.estimate_ms());
+    step.after.assign(record.after().begin(), record.after().end());
+    step.gang = record.gang();
+    step.one_rack = record.one_rack();
+    step.checkpoints = record.checkpoints();
+    step.copies_allowed = record.copies_allowed();
+    step.lasting = record.lasting();
+    step.filling = record.filling();
+    step.label = record.label();
+    step.near_rack = rack_id(record.near_rack());
+    step.image = record.image();
+    step.most_per_worker = record.most_per_worker();
+    step.tail_target = milliseconds(record.tail_target_ms());
+    step.may_miss = record.may_miss();
+    return step;
+}
+
+void write_tasks(const std::vector<task_progress>& tasks, pb::StepProgressRecord& record) {
+    std::string done((tasks.size() + bits_per_byte - 1) / bits_per_byte, '\0');
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const task_progress& task = tasks[index];
+        if (task.done) {
+            const auto bit = static_cast<char>(1U << (index % bits_per_byte));
+            done[index / bits_per_byte] = static_cast<char>(done[index / bits_per_byte] | bit);
+            continue;
+        }
+        if (task.failures == 0 && task.last_run.is_none() && task.checkpoint.empty())
+            continue;
+        pb::TaskRecord& kept = *record.add_tasks();
+        kept.set_index(index);
+        kept.set_failures(task.failures);
+        kept.set_last_run(task.last_run.value());
+        kept.set_checkpoint(task.checkpoint);
+    }
+    record.set_done(std::move(done));
+}
+
+std::vector<task_progress> read_tasks(const pb::StepProgressRecord& record) {
+    const std::string& done = record.done();
+    std::vector<task_progress> tasks(done.size() * bits_per_byte);
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const auto byte = static_cast<unsigned char>(done[index / bits_per_byte]);
+        tasks[index].done = ((byte >> (index % bits_per_byte)) & 1U) != 0;
+    }
+    for (const pb::TaskRecord& kept : record.tasks()) {
+        if (kept.index() >= tasks.size())
+            continue;
+        task_progress& task = tasks[kept.index()];
+        task.failures = kept.failures();
+        task.last_run = run_number(kept.last_run());
+        task.checkpoint = kept.checkpoint();
+    }
+    return tasks;
+}
+
+template <class Record>
+std::optional<Record> parse(std::string_view bytes) {
+    Record record;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    return record;
+}
+
+} // namespace
+
+std::string record_key(record_kind kind, std::string_view id) {
+    std::string key(1, static_cast<char>(kind));
+    key += id;
+    return key;
+}
+
+std::string encode_job(const job_spec& job) {
+    pb::JobRecord record;
+    record.set_queue(job.queue.str());
+    record.set_payload(job.payload);
+    for (const step_spec& step : job.steps)
+        write_step(step, *record.add_steps());
+    record.set_repeats(job.repeats);
+    record.set_first_ms(job.first_ms);
+    record.set_interval_ms(job.interval_ms);
+    record.set_service(job.service.str());
+    record.set_priority(job.priority);
+    record.set_attempts(job.attempts);
+    record.set_stretch(job.stretch);
+    record.set_target_ms(in_ms(job.target));
+    return record.SerializeAsString();
+}
+
+std::optional<job_spec> decode_job(std::string_view bytes) {
+    const auto record = parse<pb::JobRecord>(bytes);
+    if (!record)
+        return std::nullopt;
+    job_spec job;
+    job.queue = queue_name(record->queue());
+    job.payload = record->payload();
+    for (const pb::StepRecord& step : record->steps())
+        job.steps.push_back(read_step(step));
+    job.repeats = record->repeats();
+    job.first_ms = record->first_ms();
+    job.interval_ms = record->interval_ms();
+    job.service = service_id(record->service());
+    job.priority = record->priority();
+    job.attempts = std::max(1U, record->attempts());
+    job.stretch = record->stretch();
+    job.target = milliseconds(record->target_ms());
+    if (!check_job(job).ok())
+        return std::nullopt;
+    return job;
+}
+
+std::string encode_progress(const job_progress& progress) {
+    pb::ProgressRecord record;
+    record.set_begun(progress.begun);
+    record.set_phase(static_cast<pb::JobPhase>(progress.phase));
+    record.set_occurrences_ended(progress.occurrences_ended);
+    for (const auto& [number, occurrence] : progress.occurrences) {
+        pb::OccurrenceRecord& kept = *record.add_occurrences();
+        kept.set_number(number);
+        for (const std::vector<task_progress>& tasks : occurrence.steps)
+            write_tasks(tasks, *kept.add_steps());
+    }
+    return record.SerializeAsString();
+}
+
+std::optional<job_progress> decode_progress(std::string_view bytes) {
+    const auto record = parse<pb::ProgressRecord>(bytes);
+    if (!record)
+        return std::nullopt;
+    job_progress progress;
+    progress.begun = record->begun();
+    progress.phase = static_cast<job_phase>(record->phase());
+    progress.occurrences_ended = record->occurrences_ended();
+    for (const pb::OccurrenceRecord& kept : record->occurrences()) {
+        occurrence_progress& occurrence = progress.occurrences[kept.number()];
+        for (const pb::StepProgressRecord& step : kept.steps())
+            occurrence.steps.push_back(read_tasks(step));
+    }
+    return progress;
+}
+
+std::string encode_worker(std::uint64_t born_ms) {
+    pb::WorkerRecord record;
+    record.set_born_ms(born_ms);
+    return record.SerializeAsString();
+}
+
+std::optional<std::uint64_t> decode_worker(std::string_view bytes) {
+    const auto record = parse<pb::WorkerRecord>(bytes);
+    if (!record)
+        return std::nullopt;
+    return record->born_ms();
+}
+
+std::string encode_reign(const reign_record& reign) {
+    pb::ReignRecord record;
+    record.set_kind(static_cast<pb::ReignRecord::Kind>(reign.what));
+    record.set_holder(reign.holder.str());
+    record.set_bus_address(reign.bus_address);
+    return record.SerializeAsString();
+}
+
+std::optional<reign_record> decode_reign(std::string_view bytes) {
+    const auto record = parse<pb::ReignRecord>(bytes);
+    if (!record || record->holder().empty())
+        return std::nullopt;
+    reign_record reign;
+    reign.what = static_cast<reign_record::kind>(record->kind());
+    reign.holder = incarnation_id(record->holder());
+    reign.bus_address = record->bus_address();
+    return reign;
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/reign.cpp
@@ -0,0 +1,200 @@
+#include "figwinch/cell/reign.h"
+
+#include "figwinch/cell/cell_settings.h"
+
+#include <utility>
+
+namespace figwinch {
+
+reign::reign(const clock& time, durable_log& log, incarnation_id self, std::string bus_address,
+             const reign_times& times)
+    : time_(time), log_(log), self_(std::move(self)), bus_address_(std::move(bus_address)),
+      times_(times) {}
+
+reign::~reign() = default;
+
+bool reign::is_fresh() const {
+    return leads_ && time_.now() - confirmed_at_ < fresh_reign;
+}
+
+void reign::tick() {
+    const instant now = time_.now();
+    if (leads_ && now - confirmed_at_ > silence_limit)
+        leads_ = false;
+    if (busy_ || now < next_try_)
+        return;
+    if (!end_known_)
+        return find_end();
+    if (leads_)
+        return renew();
+    if (claim_now_ && !resigned_)
+        return claim();
+    follow();
+}
+
+void reign::resign() {
+    const bool led = std::exchange(leads_, false);
+    resigned_ = true;
+    if (led)
+        append(reign_record::kind::resignation, [](const append_result&) {});
+}
+
+void reign::yield() {
+    leads_ = false;
+}
+
+void reign::find_end() {
+    busy_ = true;
+    log_.read(cell_stream::reigns, 0, duration::zero(),
+              [this, weak = std::weak_ptr(alive_)](const read_result& read) {
+                  if (weak.expired())
+                      return;
+                  busy_ = false;
+                  log_answers_ = read.fault == log_fault::none || read.fault == log_fault::expired;
+                  if (!log_answers_) {
+                      next_try_ = time_.now() + times_.retry_after;
+                      return;
+                  }
+                  take_records(read.records);
+                  end_known_ = true;
+                  // The first page may not reach the end; the rest is read from where it stopped.
+                  end_ = read.records.empty() ? (read.fault == log_fault::expired ? read.first
+                                                                                  : read.end)
+                                              : read.records.back().offset + 1;
+                  // Nobody has ever reigned: there is no renewal to wait for.
+                  claim_now_ = read.end == 0;
+              });
+}
+
+void reign::follow() {
+    busy_ = true;
+    log_.read(cell_stream::reigns, end_, times_.takeover_after,
+              [this, weak = std::weak_ptr(alive_), asked = time_.now()](const read_result& read) {
+                  if (weak.expired())
+                      return;
+                  busy_ = false;
+                  take_read(read, time_.now() - asked >= times_.takeover_after);
+              });
+}
+
+void reign::take_read(const read_result& read, bool waited) {
+    log_answers_ = read.fault == log_fault::none || read.fault == log_fault::expired;
+    if (read.fault == log_fault::expired) {
+        end_ = read.first;
+        return;
+    }
+    if (read.fault != log_fault::none) {
+        next_try_ = time_.now() + times_.retry_after;
+        return;
+    }
+    if (!read.records.empty()) {
+        end_ = read.records.back().offset + 1;
+        claim_now_ = take_records(read.records);
+        return;
+    }
+    // The log has answered and had nothing new all the while: the coordinator's renewals are overdue.
+    claim_now_ = waited;
+}
+
+/// Takes in what others wrote. Returns whether the reign is vacant.
+bool reign::take_records(const std::vector<stored_record>& records) {
+    bool vacant = false;
+    for (const stored_record& record : records) {
+        const auto read = decode_reign(record.value.value_or(""));
+        if (!read)
+            continue;
+        vacant = read->what == reign_record::kind::resignation;
+        if (vacant) {
+            current_.reset();
+            continue;
+        }
+        if (!current_ || current_->holder != read->holder ||
+            read->what == reign_record::kind::claim)
+            current_ = {read->holder, read->bus_address, lease_epoch(record.offset + 1)};
+    }
+    // A claim of ours whose answer was lost counts from its record.
+    const bool own = current_ && current_->holder == self_ && !resigned_;
+    if (own && !leads_ && !vacant && current_->epoch > epoch_)
+        lead(current_->epoch.value() - 1, time_.now());
+    return vacant;
+}
+
+void reign::append(reign_record::kind what, std::function<void(const append_result&)> done) {
+    append_guard guard;
+    guard.at = end_;
+    const std::string bytes = encode_reign({what, self_, bus_address_});
+    log_.append(cell_stream::reigns, {{"", bytes, 0}}, guard,
+                [weak = std::weak_ptr(alive_), done = std::move(done)](const append_result& result) {
+                    if (!weak.expired())
+                        done(result);
+                });
+}
+
+void reign::claim() {
+    busy_ = true;
+    claim_now_ = false;
+    append(reign_record::kind::claim, [this, asked = time_.now()](const append_result& result) {
+        busy_ = false;
+        if (result.fault == log_fault::none) {
+            end_ = result.offset + 1;
+            return lead(result.offset, asked);
+        }
+        // Another claimed first, or nobody knows: the next read tells.
+        if (result.fault != log_fault::moved)
+            next_try_ = time_.now() + times_.retry_after;
+    });
+}
+
+void reign::lead(std::uint64_t claimed_at, instant confirmed) {
+    if (resigned_)
+        return;
+    leads_ = true;
+    epoch_ = lease_epoch(claimed_at + 1);
+    confirmed_at_ = confirmed;
+    next_try_ = confirmed + times_.renew_every;
+    current_ = {self_, bus_address_, epoch_};
+}
+
+void reign::renew() {
+    busy_ = true;
+    append(reign_record::kind::renewal, [this, asked = time_.now()](const append_result& result) {
+        busy_ = false;
+        log_answers_ = result.fault == log_fault::none || result.fault == log_fault::moved;
+        if (!leads_)
+            return;
+        if (result.fault == log_fault::none) {
+            end_ = result.offset + 1;
+            confirmed_at_ = asked;
+            next_try_ = asked + times_.renew_every;
+            return;
+        }
+        if (result.fault == log_fault::moved)
+            return take_moved();
+        next_try_ = time_.now() + times_.retry_after;
+    });
+}
+
+/// The stream ends elsewhere than thought: by an own renewal whose answer was lost, which carries
+/// the reign on, or by another's claim, which ends it.
+void reign::take_moved() {
+    busy_ = true;
+    log_.read(cell_stream::reigns, end_, duration::zero(),
+              [this, weak = std::weak_ptr(alive_)](const read_result& read) {
+                  if (weak.expired())
+                      return;
+                  busy_ = false;
+                  if (read.fault != log_fault::none || read.records.empty()) {
+                      next_try_ = time_.now() + times_.retry_after;
+                      return;
+                  }
+                  end_ = read.records.back().offset + 1;
+                  for (const stored_record& record : read.records) {
+                      const auto other = decode_reign(record.value.value_or(""));
+                      if (other && other->holder != self_)
+                          leads_ = false;
+                  }
+                  take_records(read.records);
+              });
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/task_run.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "figwinch/cell/queue_name.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace figwinch {
+
+/// One run of a task as the coordinator knows it: from the order to start until it is known that
+/// the run can't be there any more.
+struct task_run {
+    enum class phase {
+        /// Ordered; the worker hasn't said that it has it.
+        starting,
+        running,
+        /// We want it gone; orders to stop go out until the worker says that it is.
+        stopping,
+    };
+
+    run_number number;
+    phase now = phase::starting;
+    instant ordered_at{};
+    /// Since when no order of ours that concerns the run is on its way. A report asked for later
+    /// that doesn't show the run proves that it is gone.
+    std::optional<instant> settled_at;
+    /// On the worker's clock: an unanswered start has no effect from then on.
+    std::int64_t start_until_ms = 0;
+    /// The newest checkpoint that the worker has told.
+    std::string checkpoint;
+    int percent = 0;
+    instant progressed_at{};
+    std::int64_t recent = 0;
+    int pace_wanted = 100;
+    int pace_set = 100;
+    bool pace_in_flight = false;
+    bool stop_in_flight = false;
+    instant next_stop{};
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/worker_clock.cpp
@@ -0,0 +1,30 @@
+#include "cell/worker_clock.h"
+
+#include "figwinch/cell/cell_settings.h"
+
+namespace figwinch {
+namespace {
+
+std::int64_t elapsed_ms(instant from, instant to) {
+    const auto micros = static_cast<double>((to - from).count());
+    return static_cast<std::int64_t>(micros * slowest_clock / 1000.0);
+}
+
+} // namespace
+
+void worker_clock::observe(std::int64_t clock_ms, instant received) {
+    const std::optional<std::int64_t> known = at_least(received);
+    // An answer that was overtaken on its way says less than is known already.
+    if (known && *known >= clock_ms)
+        return;
+    clock_ms_ = clock_ms;
+    received_ = received;
+}
+
+std::optional<std::int64_t> worker_clock::at_least(instant now) const {
+    if (!clock_ms_)
+        return std::nullopt;
+    return *clock_ms_ + elapsed_ms(received_, now);
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/worker_work.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "cell/fill_control.h"
+#include "cell/worker_clock.h"
+#include "figwinch/cell/worker_listing.h"
+
+#include <absl/container/flat_hash_set.h>
+
+namespace figwinch {
+
+struct task_work;
+
+/// A worker in the coordinator's hands.
+struct worker_work {
+    worker_listing listing;
+    bool listed = false;
+    /// The life that reported last; 0 before the first report.
+    std::uint64_t born_ms = 0;
+    worker_clock clock;
+    /// The latest end of lease that was ever ordered, on the worker's clock.
+    std::int64_t latest_until_ms = 0;
+    /// The log says that this life may have tasks: a successor will ask it.
+    bool registered = false;
+    bool registering = false;
+    /// It has reported under this epoch: earlier epochs can order nothing there.
+    bool heard = false;
+    bool hold_in_flight = false;
+    instant next_hold{};
+    instant reported_at{};
+    /// Ends up to `seen` were taken in, up to `noted` recorded in the log.
+    std::uint64_t seen = 0;
+    std::uint64_t noted = 0;
+    /// What the runs here take; of filling tasks the memory and accelerators only.
+    resources taken;
+    /// Processors that filling tasks here would use, thousandths.
+    std::int64_t filling_cpu = 0;
+    /// Processors of lasting tasks here, thousandths; part of `taken`.
+    std::int64_t lasting_cpu = 0;
+    absl::flat_hash_set<task_work*> tasks;
+    /// No starts before then, after refusals or failures.
+    instant rest_until{};
+    /// Failed runs of different jobs without a good end between.
+    std::uint32_t failures_in_row = 0;
+    job_id last_failed_job;
+    fill_control filling;
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell_host/cell_host_settings.cpp
@@ -0,0 +1,69 @@
+#include "cell_host/cell_host_settings.h"
+
+#include <absl/flags/flag.h>
+
+ABSL_FLAG(std::string, node, "", "name of this host, the same after a restart");
+ABSL_FLAG(std::string, data_centre, "", "data centre of this host");
+ABSL_FLAG(std::string, callers, "127.0.0.1:8080", "IP number and port for callers");
+ABSL_FLAG(std::string, ready, "127.0.0.1:8081", "IP number and port where readiness is asked");
+ABSL_FLAG(std::string, bus, "127.0.0.1:7000", "IP number and port for peers");
+ABSL_FLAG(std::string, metrics, "127.0.0.1:7001", "IP number and port of GET /metrics");
+ABSL_FLAG(std::string, log, "127.0.0.1:7100", "the platform's store");
+ABSL_FLAG(int, grace_s, 6, "from SIGTERM until the platform kills the process, s");
+ABSL_FLAG(int, max_hold_ms, 6000, "longest lease that a worker grants, ms");
+ABSL_FLAG(int, stop_ms, 900, "longest time that a stop takes on a worker, ms");
+ABSL_FLAG(int, status_s, 120, "how long the state of ended jobs is kept, s");
+ABSL_FLAG(int, gang_ms, 3000, "how long members of a gang wait for one another, ms");
+ABSL_FLAG(double, far_factor, 2, "how much longer a task takes away from its data");
+ABSL_FLAG(bool, log_debug, false, "write debug lines too");
+
+namespace figwinch {
+namespace {
+
+endpoint read_endpoint(const absl::Flag<std::string>& flag) {
+    return parse_endpoint(absl::GetFlag(flag)).value_or(endpoint{});
+}
+
+duration read_ms(const absl::Flag<int>& flag) {
+    return std::chrono::milliseconds(absl::GetFlag(flag));
+}
+
+} // namespace
+
+void check_cell_flags(settings_reader& reader) {
+    reader.require(!absl::GetFlag(FLAGS_node).empty(), "node", "", "a name");
+    reader.require(!absl::GetFlag(FLAGS_data_centre).empty(), "data_centre", "", "a name");
+    reader.require_endpoint("callers", absl::GetFlag(FLAGS_callers));
+    reader.require_endpoint("ready", absl::GetFlag(FLAGS_ready));
+    reader.require_endpoint("bus", absl::GetFlag(FLAGS_bus));
+    reader.require_endpoint("metrics", absl::GetFlag(FLAGS_metrics));
+    reader.require_endpoint("log", absl::GetFlag(FLAGS_log));
+    reader.require_range("grace_s", absl::GetFlag(FLAGS_grace_s), 1, 600, "s");
+    reader.require_range("max_hold_ms", absl::GetFlag(FLAGS_max_hold_ms), 1000, 600'000, "ms");
+    reader.require_range("stop_ms", absl::GetFlag(FLAGS_stop_ms), 1, 60'000, "ms");
+    reader.require_range("status_s", absl::GetFlag(FLAGS_status_s), 1, 86'400, "s");
+    reader.require_range("gang_ms", absl::GetFlag(FLAGS_gang_ms), 1, 600'000, "ms");
+    const double far = absl::GetFlag(FLAGS_far_factor);
+    reader.require(far >= 1 && far <= 100, "far_factor", std::to_string(far), "1 to 100");
+}
+
+cell_host_settings read_cell_flags() {
+    cell_host_settings with;
+    with.node = absl::GetFlag(FLAGS_node);
+    with.data_centre = absl::GetFlag(FLAGS_data_centre);
+    with.callers = read_endpoint(FLAGS_callers);
+    with.ready = read_endpoint(FLAGS_ready);
+    with.bus = read_endpoint(FLAGS_bus);
+    with.metrics = read_endpoint(FLAGS_metrics);
+    with.log = read_endpoint(FLAGS_log);
+    with.grace = std::chrono::seconds(absl::GetFlag(FLAGS_grace_s));
+    with.cell.max_hold = read_ms(FLAGS_max_hold_ms);
+    with.cell.stop_bound = read_ms(FLAGS_stop_ms);
+    with.cell.status_kept = std::chrono::seconds(absl::GetFlag(FLAGS_status_s));
+    with.cell.gang_wait = read_ms(FLAGS_gang_ms);
+    with.cell.far_factor = absl::GetFlag(FLAGS_far_factor);
+    with.level = absl::GetFlag(FLAGS_log_debug) ? log_level::debug : log_level::info;
+    return with;
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell_host/intake_writer.cpp
@@ -0,0 +1,101 @@
+#include "cell_host/intake_writer.h"
+
+#include <utility>
+
+namespace figwinch {
+namespace {
+
+constexpr duration retry_period = std::chrono::milliseconds(100);
+constexpr std::size_t most_entries = 200;
+
+} // namespace
+
+intake_writer::intake_writer(const clock& time, durable_log& log,
+                             std::function<void(const stored_record&)> applied)
+    : time_(time), log_(log), applied_(std::move(applied)) {}
+
+void intake_writer::write(std::vector<stored_record> records, instant deadline, handler done) {
+    waiting_.push_back({std::move(records), deadline, std::move(done), false});
+    if (!in_flight_ && time_.now() >= next_send_)
+        send();
+}
+
+void intake_writer::tick() {
+    end_overdue(waiting_);
+    if (!in_flight_) {
+        end_overdue(batch_);
+        if (time_.now() >= next_send_ && (!batch_.empty() || !waiting_.empty()))
+            send();
+    }
+}
+
+void intake_writer::end_overdue(std::deque<entry>& entries) {
+    const instant now = time_.now();
+    std::deque<entry> keep;
+    for (entry& waiting : std::exchange(entries, {})) {
+        if (now < waiting.deadline)
+            keep.push_back(std::move(waiting));
+        else
+            waiting.done(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
+    }
+    entries.insert(entries.begin(), std::make_move_iterator(keep.begin()),
+                   std::make_move_iterator(keep.end()));
+}
+
+void intake_writer::send() {
+    while (!waiting_.empty() && batch_.size() < most_entries) {
+        batch_.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
+    }
+    std::vector<stored_record> records;
+    for (const entry& waiting : batch_)
+        records.insert(records.end(), waiting.records.begin(), waiting.records.end());
+    in_flight_ = true;
+    log_.append(cell_stream::intake, records, {},
+                [this, weak = std::weak_ptr(alive_)](const append_result& result) {
+                    if (!weak.expired())
+                        take(result);
+                });
+}
+
+void intake_writer::take(const append_result& result) {
+    in_flight_ = false;
+    if (result.fault == log_fault::none)
+        return commit(result.offset);
+    next_send_ = time_.now() + retry_period;
+    if (result.fault == log_fault::unavailable)
+        return refuse_batch();
+    for (entry& waiting : batch_)
+        waiting.doubtful = true;
+    end_overdue(batch_);
+}
+
+void intake_writer::commit(std::uint64_t offset) {
+    std::deque<entry> batch = std::exchange(batch_, {});
+    for (entry& stored : batch) {
+        for (stored_record& record : stored.records) {
+            record.offset = offset++;
+            applied_(record);
+        }
+    }
+    for (const entry& stored : batch)
+        stored.done(intake_outcome::stored);
+    if (!in_flight_ && !waiting_.empty())
+        send();
+}
+
+/// The log itself refused: what was never in doubt gets its final answer now, so that its caller
+/// can go elsewhere; the rest is tried again.
+void intake_writer::refuse_batch() {
+    std::deque<entry> keep;
+    for (entry& waiting : std::exchange(batch_, {})) {
+        if (waiting.doubtful)
+            keep.push_back(std::move(waiting));
+        else
+            waiting.done(intake_outcome::not_stored);
+    }
+    for (entry& waiting : keep)
+        batch_.push_back(std::move(waiting));
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell_host/job_front.cpp
@@ -0,0 +1,164 @@
+#include "cell_host/job_front.h"
+
+#include "figwinch/cell/record_codec.h"
+#include "figwinch/observe.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+constexpr duration default_patience = std::chrono::seconds(3);
+// Before the caller gives up, so that the answer still reaches it.
+constexpr duration answer_margin = std::chrono::milliseconds(300);
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+constexpr int status_gateway_timeout = 504;
+
+http_response json_response(int status, std::string body) {
+    http_response response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+std::string_view without_port(std::string_view host) {
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+void job_front::handle(const http_request& request, const responder& answer) {
+    if (!with_.config)
+        return refuse(answer, result_code::state_not_recovered, "no configuration yet", "");
+    const std::string_view host = request.headers.find("Host").value_or("");
+    const queue_config* const queue = with_.config->match(without_port(host), request.path);
+    if (queue == nullptr)
+        return refuse(answer, result_code::unknown_path, "no such queue", "");
+    const std::string rest = request.path.substr(queue->path_prefix.size());
+    if (rest.empty() && request.method == http_method::get)
+        return show_queue(*queue, answer);
+    if (!with_.dialect.is_job_id(rest))
+        return refuse(answer, result_code::invalid_value, "no job id", rest);
+    const job_id id(rest);
+    switch (request.method) {
+    case http_method::post:
+        return submit(*queue, id, request, answer);
+    case http_method::get:
+        return show(id, answer);
+    case http_method::del:
+        return cancel(id, request, answer);
+    default:
+        return refuse(answer, result_code::malformed_request, "no such method here", rest);
+    }
+}
+
+void job_front::submit(const queue_config& queue, const job_id& id, const http_request& request,
+                       const responder& answer) {
+    const job_entry* const known = with_.state.find(id);
+    if (known != nullptr && known->spec)
+        return answer->respond(json_response(status_ok, "{}"));
+    absl::StatusOr<job_spec> job = with_.dialect.decode_submission(request.body);
+    if (!job.ok()) {
+        const absl::string_view why = job.status().message();
+        return refuse(answer, code_of(job.status()), {why.data(), why.size()}, id.str());
+    }
+    if (queue.wants_advice)
+        return refuse(answer, result_code::no_scheduler, "advice on workers isn't supported",
+                      id.str());
+    job->queue = queue.name;
+    job->service = queue.service;
+    job->priority = queue.priority;
+    job->attempts = queue.attempts;
+    job->stretch = queue.stretch;
+    job->target = queue.target;
+    std::vector<stored_record> records;
+    records.push_back({record_key(record_kind::job, id.str()), encode_job(*job), 0});
+    with_.writer.write(std::move(records), deadline_of(request), [this, id, answer](auto outcome) {
+        if (outcome == intake_outcome::not_stored)
+            return refuse(answer, result_code::log_unavailable, "not stored", id.str());
+        const bool stored = outcome == intake_outcome::stored;
+        counts_.accepted += stored ? 1 : 0;
+        counts_.unknown += stored ? 0 : 1;
+        log_event(stored ? log_level::info : log_level::warn,
+                  stored ? "job_accepted" : "job_in_doubt", {{"job", id.str()}});
+        answer->respond(json_response(stored ? status_ok : status_gateway_timeout, "{}"));
+    });
+}
+
+void job_front::find(const job_id& id, const responder& answer,
+                     std::function<void(const job_entry&)> found) {
+    const job_entry* const known = with_.state.find(id);
+    if (known != nullptr && known->spec)
+        return found(*known);
+    with_.sync([this, id, answer, found = std::move(found)](bool current) {
+        const job_entry* const job = with_.state.find(id);
+        if (job != nullptr && job->spec)
+            return found(*job);
+        if (!current)
+            return refuse(answer, result_code::log_unavailable, "can't tell", id.str());
+        log_event(log_level::info, "job_unknown", {{"job", id.str()}});
+        answer->respond(json_response(status_gone, "{}"));
+    });
+}
+
+void job_front::show(const job_id& id, const responder& answer) {
+    ++counts_.asked;
+    find(id, answer, [this, answer](const job_entry& job) {
+        answer->respond(json_response(status_ok, with_.dialect.encode_state(job)));
+    });
+}
+
+void job_front::cancel(const job_id& id, const http_request& request, const responder& answer) {
+    find(id, answer, [this, id, request, answer](const job_entry& job) {
+        if (job.cancel_wanted || job.phase != job_phase::open)
+            return answer->respond(json_response(status_ok, "{}"));
+        write_cancellation(id, request, answer);
+    });
+}
+
+void job_front::write_cancellation(const job_id& id, const http_request& request,
+                                   const responder& answer) {
+    std::vector<stored_record> records;
+    records.push_back({record_key(record_kind::cancellation, id.str()), "1", 0});
+    with_.writer.write(std::move(records), deadline_of(request), [this, id, answer](auto outcome) {
+        if (outcome != intake_outcome::stored)
+            return refuse(answer, result_code::log_unavailable, "cancellation not stored",
+                          id.str());
+        ++counts_.cancelled;
+        log_event(log_level::info, "job_cancelled", {{"job", id.str()}});
+        answer->respond(json_response(status_ok, "{}"));
+    });
+}
+
+void job_front::show_queue(const queue_config& queue, const responder& answer) {
+    ++counts_.asked;
+    answer->respond(
+        json_response(status_ok, with_.dialect.encode_waiting(with_.state.waiting(queue.name))));
+}
+
+void job_front::refuse(const responder& answer, result_code code, std::string_view why,
+                       const std::string& job) {
+    const result_info& row = info(code);
+    ++counts_.refused;
+    log_event(log_level::info, "request_refused",
+              {{"code", std::int64_t{number(code)}}, {"why", std::string(why)}, {"job", job}});
+    const absl::string_view reason(why.data(), why.size());
+    http_response response = json_response(
+        row.http_status, absl::StrCat(R"({"code":)", number(code), R"(,"error":")", reason, "\"}"));
+    if (row.retry_after) {
+        const auto wait = std::chrono::ceil<std::chrono::seconds>(*row.retry_after).count();
+        response.headers.add("Retry-After", std::to_string(wait));
+    }
+    answer->respond(std::move(response));
+}
+
+instant job_front::deadline_of(const http_request& request) const {
+    const duration patience = with_.dialect.patience(request).value_or(default_patience);
+    return with_.time.now() + std::max(patience - answer_margin, answer_margin);
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell_host/job_front.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "cell_host/intake_writer.h"
+#include "figwinch/net.h"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+
+namespace figwinch {
+
+/// Translates between callers' HTTP bodies and jobs. Implemented by platform/.
+class job_dialect {
+public:
+    virtual ~job_dialect() = default;
+    virtual absl::StatusOr<job_spec> decode_submission(std::string_view body) const = 0;
+    virtual bool is_job_id(std::string_view text) const = 0;
+    virtual std::string encode_state(const job_entry& job) const = 0;
+    virtual std::string encode_waiting(std::size_t jobs) const = 0;
+    /// How long the caller waits for the answer; nothing when it didn't say.
+    virtual std::optional<duration> patience(const http_request& request) const = 0;
+};
+
+/// What callers' requests came to, for metrics.
+struct job_front_counts {
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t asked = 0;
+    std::uint64_t cancelled = 0;
+};
+
+/// Callers' way in: submits, shows and cancels jobs. Any host can answer, from its own copy of the
+/// log. A submission is accepted when the log has it; a job is called unknown only after the log was
+/// read to its end. Owned by the host's daemon.
+class job_front {
+public:
+    /// What it works with; all outlive it. `config` may be empty: no configuration yet.
+    struct parts {
+        const clock& time;
+        const job_dialect& dialect;
+        const std::optional<cell_config>& config;
+        const cell_state& state;
+        intake_writer& writer;
+        /// Reads the intake stream to its present end; tells whether it could.
+        std::function<void(std::function<void(bool)>)> sync;
+        /// Whether the log has answered this host lately.
+        std::function<bool()> log_answers;
+    };
+
+    explicit job_front(parts with) : with_(std::move(with)) {}
+
+    void handle(const http_request& request, const std::shared_ptr<http_responder>& answer);
+    const job_front_counts& counts() const { return counts_; }
+
+private:
+    using responder = std::shared_ptr<http_responder>;
+
+    void submit(const queue_config& queue, const job_id& id, const http_request& request,
+                const responder& answer);
+    void show(const job_id& id, const responder& answer);
+    void cancel(const job_id& id, const http_request& request, const responder& answer);
+    void write_cancellation(const job_id& id, const http_request& request,
+                            const responder& answer);
+    void show_queue(const queue_config& queue, const responder& answer);
+    /// Calls `found` with the job, after reading on where it isn't known yet; answers itself when
+    /// there is none.
+    void find(const job_id& id, const responder& answer,
+              std::function<void(const job_entry&)> found);
+    void refuse(const responder& answer, result_code code, std::string_view why,
+                const std::string& job);
+    instant deadline_of(const http_request& request) const;
+
+    parts with_;
+    job_front_counts counts_;
+};
+
+} // namespace figwinch
--- a/src/observe/settings.cpp
+++ b/src/observe/settings.cpp
@@ -45,12 +45,13 @@
     faults.push_back(numbered(fault));
 }
 
-void read_variables(std::vector<std::string>& faults) {
+void read_variables(const std::vector<std::string>& others, std::vector<std::string>& faults) {
     for (char** entry = environ; *entry != nullptr; ++entry) {
         const std::string_view text = *entry;
         const auto equals = text.find('=');
         const std::string_view name = text.substr(0, equals);
-        if (!name.starts_with(variable_prefix) || name == scripts_variable)
+        if (!name.starts_with(variable_prefix) || name == scripts_variable ||
+            std::ranges::count(others, name) > 0)
             continue;
         const std::string flag_name =
             absl::AsciiStrToLower(std::string(name.substr(variable_prefix.size())));
@@ -156,7 +157,7 @@
         std::cout << info_.name << ' ' << FIGWINCH_VERSION << '\n';
         std::exit(EXIT_SUCCESS);
     }
-    read_variables(faults_);
+    read_variables(info_.foreign_variables, faults_);
     arguments_ = argument_reader(argc, argv, faults_).read();
 }
 
