Learn which images disturb each other, and group serving tasks by image

Ruled out: processors as the bottleneck (up to 0.5 of a worker filled, the median tail of harmless pairs stays at 22 ms of 50). Change: an online regression per pair (harm_table), pace just for the neighbours that matter (sharing_control), filling tasks to workers whose serving images they don't hurt, and serving tasks of one image together so that such workers exist.

--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -27,4 +27,7 @@
 /// a successor knows which jobs its predecessor can't have started.
 inline constexpr duration fresh_reign = std::chrono::seconds(1);
 
+/// Lasting tasks serve their own users and use about this part of what they ask for.
+inline constexpr double lasting_use = 0.55;
+
 } // namespace figwinch
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -53,7 +53,9 @@
     void take_row(worker_work& worker, const running_row& row);
     void drop_missing(worker_work& worker, const worker_report& report, instant asked,
                       const absl::flat_hash_set<task_work*>& seen);
-    void control_filling(worker_work& worker);
+    static void log_sharing(const worker_work& worker);
+    void share_processors(worker_work& worker);
+    void learn_harms(const worker_work& worker, const std::vector<serving_view>& serving);
     void expire_leases();
     void forget_gone_workers();
     void resolve(const worker_id& id);
@@ -71,6 +73,7 @@
     void note_failure_of(worker_work& worker, const job_id& job);
     void bind(task_work& task, worker_work& worker);
     void release(task_work& task);
+    static void list_images(worker_work& worker);
     void request_stop(task_work& task);
     void stop_stray(const worker_work& worker, const std::string& task, run_number run);
     void send_stops();
@@ -89,6 +92,9 @@
     bool usable(const worker_work& worker, const job_work& job) const;
     bool admits(const worker_work& worker, const task_work& task) const;
     double score(const worker_work& worker, const task_work& task) const;
+    double score_filling(const worker_work& worker, const task_work& task) const;
+    bool may_fill(const worker_work& worker, const task_work& task) const;
+    std::int64_t left_to_fill(const worker_work& worker) const;
     void leave_leaving_workers();
 
     parts with_;
@@ -112,6 +118,7 @@
     instant next_placement_{};
     instant next_sweep_{};
     coordinator_counts counts_;
+    harm_table harms_;
     /// Expires with this object: answers that come later are dropped.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -4,6 +4,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace figwinch {
 namespace {
@@ -12,8 +13,17 @@
 constexpr std::size_t most_starts_at_once = 40;
 // A worker that hasn't reported for longer gets nothing new.
 constexpr duration reported_within = std::chrono::milliseconds(2200);
-// Lasting tasks serve their own users and use about this part of what they ask for.
-constexpr double lasting_use = 0.6;
+// Serving tasks of one image on one worker leave the others to the filling images that hurt them
+// less; worth more than an even spread.
+constexpr double other_image_penalty = 1;
+constexpr double same_image_bonus = 1;
+// Filling work goes where the worst served neighbour is expected to stay below this share of its
+// target at a high tide of its own load.
+const double highest_log_ratio = std::log(0.9);
+constexpr double high_tide = 0.35;
+// One point of expected growth of a neighbour's log tail weighs as much as this share of a worker
+// less to run on.
+constexpr double harm_weight = 2;
 constexpr double failed_there_penalty = 10;
 constexpr double cold_penalty = 1;
 constexpr double near_data_bonus = 2;
@@ -124,7 +134,7 @@
     const step_spec& spec = *task.step->spec;
     resources size = spec.size;
     if (spec.filling) {
-        if (!worker.filling.has_room())
+        if (!may_fill(worker, task))
             return false;
         size.cpu_millis = 0;
     }
@@ -146,14 +156,18 @@
     const resources& capacity = worker.listing.capacity;
     const resources left = capacity - worker.taken;
     double value = 0;
-    if (spec.filling) {
-        const auto unused = static_cast<std::int64_t>(
-            static_cast<double>(worker.lasting_cpu) * (1 - lasting_use));
-        value = share(left.cpu_millis + unused - worker.filling_cpu - spec.size.cpu_millis,
-                      capacity.cpu_millis);
-    } else {
+    if (spec.filling)
+        value = score_filling(worker, task);
+    else
         value = std::min(share(left.cpu_millis - spec.size.cpu_millis, capacity.cpu_millis),
                          share(left.memory_mib - spec.size.memory_mib, capacity.memory_mib));
+    if (spec.tail_target > duration::zero()) {
+        const std::vector<image_number>& there = worker.serving_images;
+        const auto same = static_cast<std::size_t>(std::ranges::count(there, task.step->image));
+        if (same < there.size())
+            value -= other_image_penalty;
+        else if (same > 0)
+            value += same_image_bonus;
     }
     if (!spec.near_rack.empty() && worker.listing.rack == spec.near_rack)
         value += near_data_bonus;
@@ -164,6 +178,36 @@
     return value;
 }
 
+/// Processors that are left to filling tasks, thousandths: lasting tasks rarely use all of theirs.
+std::int64_t cell_coordinator::left_to_fill(const worker_work& worker) const {
+    const auto unused =
+        static_cast<std::int64_t>(static_cast<double>(worker.lasting_cpu) * (1 - lasting_use));
+    return worker.listing.capacity.cpu_millis - worker.taken.cpu_millis + unused -
+           worker.filling_cpu;
+}
+
+bool cell_coordinator::may_fill(const worker_work& worker, const task_work& task) const {
+    if (left_to_fill(worker) < task.step->spec->size.cpu_millis)
+        return false;
+    const double more =
+        share(task.step->spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
+    return std::ranges::all_of(worker.serving_images, [&](image_number served) {
+        const double expected = harms_.alone(served) + high_tide +
+                                harms_.harm_of(served, worker.filling_images) +
+                                harms_.harm(served, task.step->image) * more;
+        return expected <= highest_log_ratio;
+    });
+}
+
+double cell_coordinator::score_filling(const worker_work& worker, const task_work& task) const {
+    const std::int64_t cores = worker.listing.capacity.cpu_millis;
+    const double more = share(task.step->spec->size.cpu_millis, cores);
+    double worst = 0;
+    for (const image_number served : worker.serving_images)
+        worst = std::max(worst, harms_.harm(served, task.step->image) * more);
+    return share(left_to_fill(worker), cores) - more - harm_weight * worst;
+}
+
 /// Lasting tasks on a worker that is about to leave are started elsewhere while it still runs;
 /// others may finish there.
 void cell_coordinator::leave_leaving_workers() {
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -78,10 +78,6 @@
             return;
         state.now = task_run::phase::running;
         state.settled_at = now;
-        if (task->step->spec->filling) {
-            state.pace_wanted = worker->filling.percent();
-            send_pace(*task);
-        }
         return;
     case order_outcome::unknown:
         log_event(log_level::warn, "start_unanswered",
@@ -101,6 +97,21 @@
     }
 }
 
+/// Brings the lists of images on a worker up to date with its tasks.
+void cell_coordinator::list_images(worker_work& worker) {
+    const auto cores = static_cast<double>(worker.listing.capacity.cpu_millis);
+    worker.filling_images.clear();
+    worker.serving_images.clear();
+    for (const task_work* const task : worker.tasks) {
+        const step_spec& spec = *task->step->spec;
+        if (spec.filling)
+            worker.filling_images.push_back(
+                {task->step->image, static_cast<double>(spec.size.cpu_millis) / cores});
+        else if (spec.tail_target > duration::zero())
+            worker.serving_images.push_back(task->step->image);
+    }
+}
+
 /// A start that was refused: nothing of it is on the worker.
 void cell_coordinator::give_back(task_work& task, worker_work& worker, duration rest) {
     log_event(log_level::warn, "start_refused",
@@ -125,6 +136,7 @@
     }
     worker.taken += taken;
     worker.lasting_cpu += spec.lasting ? taken.cpu_millis : 0;
+    list_images(worker);
 }
 
 void cell_coordinator::release(task_work& task) {
@@ -140,6 +152,7 @@
     }
     worker.taken -= taken;
     worker.lasting_cpu -= spec.lasting ? taken.cpu_millis : 0;
+    list_images(worker);
     if (!task.run.checkpoint.empty() && !task.progress.done)
         task.progress.checkpoint = task.run.checkpoint;
     placement_due_ = true;
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -2,7 +2,10 @@
 #include "figwinch/cell/record_codec.h"
 #include "figwinch/observe.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace figwinch {
@@ -20,6 +23,7 @@
 // A worker that is silent for so long and whose lease must be over has lost what ran there.
 constexpr duration lapse_slack = std::chrono::milliseconds(100);
 // The platform lists a live worker again within two seconds after its store comes back.
+constexpr double learn_below = 0.95;
 constexpr duration unlisted_kept = std::chrono::seconds(15);
 
 } // namespace
@@ -96,7 +100,7 @@
     resolve(id);
     take_ends(*worker, report.ended);
     take_running(*worker, report, asked);
-    control_filling(*worker);
+    share_processors(*worker);
     if (!worker->registered && !worker->registering)
         register_life(*worker);
     if (worker->noted < worker->seen)
@@ -226,22 +230,69 @@
     }
 }
 
-void cell_coordinator::control_filling(worker_work& worker) {
-    double worst = 0;
+/// For studies of sharing: what every task on a worker asked for, did and suffered.
+void cell_coordinator::log_sharing(const worker_work& worker) {
+    std::string tasks;
     for (const task_work* const task : worker.tasks) {
-        const duration target = task->step->spec->tail_target;
-        if (target == duration::zero() || task->run.now != task_run::phase::running)
-            continue;
-        const auto tail_us = static_cast<double>(task->run.recent) * 1000.0;
-        worst = std::max(worst, tail_us / static_cast<double>(target.count()));
+        const step_spec& spec = *task->step->spec;
+        const char* const kind = spec.lasting ? "lasting" : spec.filling ? "filling" : "batch";
+        absl::StrAppend(&tasks, kind, ":", spec.image, ":", spec.size.cpu_millis, ":",
+                        task->run.recent, ":", spec.tail_target.count() / 1000, ":",
+                        task->run.percent, ":", task->run.pace_set, " ");
     }
-    worker.filling.take(worst, with_.time.now());
+    log_event(log_level::debug, "sharing",
+              {{"worker", worker.listing.id.str()},
+               {"cpu_millis", worker.listing.capacity.cpu_millis},
+               {"tasks", tasks}});
+}
+
+void cell_coordinator::share_processors(worker_work& worker) {
+    const auto cores = static_cast<double>(worker.listing.capacity.cpu_millis);
+    std::vector<serving_view> serving;
+    std::vector<filling_view> filling;
+    std::vector<task_work*> filling_tasks;
     for (task_work* const task : worker.tasks) {
-        if (!task->step->spec->filling)
+        const step_spec& spec = *task->step->spec;
+        if (task->run.now != task_run::phase::running)
+            continue;
+        if (spec.filling) {
+            filling.push_back({task->step->image, static_cast<double>(spec.size.cpu_millis) / cores,
+                               static_cast<double>(task->run.recent) / cores});
+            filling_tasks.push_back(task);
+        } else if (spec.tail_target > duration::zero() && task->run.recent > 0) {
+            const double tail_us = static_cast<double>(task->run.recent) * 1000.0;
+            serving.push_back({task->step->image,
+                               std::log(tail_us / static_cast<double>(spec.tail_target.count()))});
+        }
+    }
+    if (current_log_level() == log_level::debug)
+        log_sharing(worker);
+    learn_harms(worker, serving);
+    worker.sharing.decide(harms_, serving, filling, with_.time.now());
+    for (std::size_t index = 0; index < filling.size(); ++index) {
+        filling_tasks[index]->run.pace_wanted = filling[index].percent;
+        send_pace(*filling_tasks[index]);
+    }
+}
+
+void cell_coordinator::learn_harms(const worker_work& worker,
+                                   const std::vector<serving_view>& serving) {
+    const auto cores = static_cast<double>(worker.listing.capacity.cpu_millis);
+    std::vector<image_share> beside;
+    double busy = static_cast<double>(worker.lasting_cpu) * lasting_use / cores;
+    for (const task_work* const task : worker.tasks) {
+        if (task->step->spec->lasting)
             continue;
-        task->run.pace_wanted = worker.filling.percent();
-        send_pace(*task);
+        const double share = static_cast<double>(task->run.recent) / cores;
+        busy += share;
+        if (task->step->spec->filling)
+            beside.push_back({task->step->image, share});
     }
+    // Where processors are short the tails say nothing about the pair.
+    if (busy > learn_below)
+        return;
+    for (const serving_view& served : serving)
+        harms_.learn(served.image, served.log_ratio, beside);
 }
 
 void cell_coordinator::expire_leases() {
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/harm_table.h"
 #include "cell/task_work.h"
 #include "figwinch/cell/job_spec.h"
 
@@ -14,6 +15,7 @@
 /// A step of one occurrence. Owned by its occurrence.
 struct step_work {
     const step_spec* spec = nullptr;
+    image_number image = 0;
     occurrence_work* occurrence = nullptr;
     std::uint32_t number = 0;
     std::vector<task_work> tasks;
--- a/src/cell/worker_work.h
+++ b/src/cell/worker_work.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/fill_control.h"
+#include "cell/sharing_control.h"
 #include "cell/worker_clock.h"
 #include "figwinch/cell/worker_listing.h"
 
@@ -42,7 +42,10 @@
     /// Failed runs of different jobs without a good end between.
     std::uint32_t failures_in_row = 0;
     job_id last_failed_job;
-    fill_control filling;
+    sharing_control sharing;
+    /// What fills here at full speed, and the images that serve here: for placement.
+    std::vector<image_share> filling_images;
+    std::vector<image_number> serving_images;
 };
 
 } // namespace figwinch
