Slow only the neighbours that are known to matter

Cause: tasks on harmless pairs were paced 40% of the time: a tail raised by its own load left no allowance, and the regression's residue counted as harm. Ruled out: the pairs themselves (their regression coefficients are about 0).

--- a/src/cell/harm_table.cpp
+++ b/src/cell/harm_table.cpp
@@ -12,10 +12,12 @@
 constexpr double greatest_harm = 25.0;
 // A serving task alone at its mean load has a third of its target as tail.
 constexpr double unknown_alone = -1.1;
-// Steps of the regression: 40 measurements of a pair settle it, one freak moves it little. At two
-// measurements a second for each of some dozen workers this takes seconds.
-constexpr double harm_step = 0.08;
-constexpr double alone_step = 0.02;
+// Steps of the regression shrink from the first measurement of a pair to a floor that still follows
+// changes. At two measurements a second on each of some dozen workers a pair settles in seconds.
+constexpr double first_step = 0.4;
+constexpr double last_step = 0.015;
+constexpr double step_decay = 0.25;
+constexpr double alone_step = 0.01;
 // Keeps tiny shares from being blamed for the swing of the serving task's own load.
 constexpr double least_exposure = 0.01;
 // Beyond four times the target the processors themselves are short: no property of the pair.
@@ -33,6 +35,7 @@
         rows_.resize(next + 1);
     rows_[next].alone = unknown_alone;
     rows_[next].harms.assign(most_images, unknown_harm);
+    rows_[next].seen.assign(most_images, 0);
     return next;
 }
 
@@ -62,7 +65,10 @@
         exposure += other.share * other.share;
     for (const image_share& other : beside) {
         double& harm = row.harms[other.image];
-        harm = std::clamp(harm + harm_step * error * other.share / exposure, 0.0, greatest_harm);
+        int& seen_before = row.seen[other.image];
+        const double step = std::max(last_step, first_step / (1 + seen_before * step_decay));
+        seen_before += step > last_step ? 1 : 0;
+        harm = std::clamp(harm + step * error * other.share / exposure, 0.0, greatest_harm);
     }
 }
 
--- a/src/cell/harm_table.h
+++ b/src/cell/harm_table.h
@@ -39,6 +39,8 @@
     struct serving_row {
         double alone = 0;
         std::vector<double> harms;
+        /// Measurements of each pair, up to where the steps no longer shrink.
+        std::vector<int> seen;
     };
 
     absl::flat_hash_map<std::string, image_number> numbers_;
--- a/src/cell/sharing_control.h
+++ b/src/cell/sharing_control.h
@@ -26,7 +26,7 @@
 /// Decides for one worker at which speed its filling tasks may work. From what the serving tasks
 /// suffer now and what is known of the pairs it works out what they would suffer at full speed, and
 /// slows just those neighbours that matter just enough. When a target is missed all the same for a
-/// second, everything that fills stands still.
+/// second, every neighbour that may matter stands still, and after another second all of them.
 class sharing_control {
 public:
     /// Sets `percent` of each of `filling`.
@@ -34,13 +34,14 @@
                 std::vector<filling_view>& filling, instant now);
 
 private:
-    bool is_long_over(const std::vector<serving_view>& serving, instant now);
+    duration time_over(const std::vector<serving_view>& serving, instant now);
     static void slow_for(const harm_table& harms, const serving_view& served,
                          std::vector<filling_view>& filling);
 
     instant over_since_{};
     bool is_over_ = false;
-    instant stopped_until_{};
+    instant suspects_stopped_until_{};
+    instant all_stopped_until_{};
 };
 
 } // namespace figwinch
