Steer tails to 0.85 of their target

Cause: filling tasks still waited for allowances that serving tasks didn't need. Change: aim at 0.85 of the target.

--- a/src/cell/sharing_control.cpp
+++ b/src/cell/sharing_control.cpp
@@ -13,7 +13,7 @@
 constexpr duration stand_still = std::chrono::milliseconds(1200);
 // log of the share of the target that tails are steered to: their own load swings by half in
 // seconds, and a report is half a second old.
-const double aimed_log_ratio = std::log(0.75);
+const double aimed_log_ratio = std::log(0.85);
 // What a serving task suffers without neighbours can't be far below its mean: a tail that is much
 // lower than its neighbours explain says that their harm is overrated.
 constexpr double deepest_swing = 0.8;
