Count stray runs against a worker's room, and let silent leases run out

Ruled out: too little room (half of the service was free in both). Change: stray runs count until a report no longer shows them; an unanswered worker is held without prolonging its lease, which the log says from the second silence on; a reign that follows a resignation waits for one lease only.

--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -23,6 +23,8 @@
 inline constexpr duration silence_limit = std::chrono::seconds(5);
 /// A worker's clock may be this much slow: a lease of 6 s can last 6.12 s.
 inline constexpr double slowest_clock = 0.98;
+/// Beyond a lease's end by the slowest clock, for what rounding and timers add.
+inline constexpr duration lapse_slack = std::chrono::milliseconds(100);
 /// New jobs are taken up only while the log has confirmed the coordinator within this time, so that
 /// a successor knows which jobs its predecessor can't have started.
 inline constexpr duration fresh_reign = std::chrono::seconds(1);
--- a/include/figwinch/cell/cell_state.h
+++ b/include/figwinch/cell/cell_state.h
@@ -2,6 +2,7 @@
 
 #include "figwinch/cell/durable_log.h"
 #include "figwinch/cell/job_entry.h"
+#include "figwinch/cell/worker_entry.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -19,8 +20,8 @@
 
     const job_entry* find(const job_id& id) const;
     const absl::flat_hash_map<job_id, job_entry>& jobs() const { return jobs_; }
-    /// Workers that may have tasks, with the life (`born_ms`) that got them.
-    const absl::flat_hash_map<worker_id, std::uint64_t>& workers() const { return workers_; }
+    /// Workers that may have tasks.
+    const absl::flat_hash_map<worker_id, worker_entry>& workers() const { return workers_; }
     /// Accepted jobs of a queue of which no task has started.
     std::size_t waiting(const queue_name& queue) const;
     std::uint64_t unreadable() const { return unreadable_; }
@@ -37,7 +38,7 @@
     void erase_if_empty(const job_id& id);
 
     absl::flat_hash_map<job_id, job_entry> jobs_;
-    absl::flat_hash_map<worker_id, std::uint64_t> workers_;
+    absl::flat_hash_map<worker_id, worker_entry> workers_;
     /// Offset of the newest record of each key, so that an older page can't undo a newer one.
     absl::flat_hash_map<std::string, std::uint64_t> newest_;
     std::uint64_t unreadable_ = 0;
--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -45,8 +45,11 @@
         std::function<void(const job_id&, std::function<void()> done)> forget;
     };
 
+    /// `epoch` is this reign's; `predecessor_resigned` says that the reign before ended by its own
+    /// word, after which nothing was ordered.
     static std::unique_ptr<coordinator> create(parts with, const cell_settings& settings,
-                                               lease_epoch epoch, const cell_state& known);
+                                               lease_epoch epoch, bool predecessor_resigned,
+                                               const cell_state& known);
     virtual ~coordinator() = default;
 
     /// The configuration in force, at the begin and after each change.
--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -3,6 +3,7 @@
 #include "figwinch/cell/durable_log.h"
 #include "figwinch/cell/job_progress.h"
 #include "figwinch/cell/job_spec.h"
+#include "figwinch/cell/worker_entry.h"
 
 #include <optional>
 #include <string>
@@ -21,8 +22,8 @@
 std::optional<job_spec> decode_job(std::string_view bytes);
 std::string encode_progress(const job_progress& progress);
 std::optional<job_progress> decode_progress(std::string_view bytes);
-std::string encode_worker(std::uint64_t born_ms);
-std::optional<std::uint64_t> decode_worker(std::string_view bytes);
+std::string encode_worker(const worker_entry& worker);
+std::optional<worker_entry> decode_worker(std::string_view bytes);
 
 /// One record of the reigns stream.
 struct reign_record {
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -44,6 +44,8 @@
 
     bool leads() const { return leads_; }
     lease_epoch epoch() const { return epoch_; }
+    /// Whether the reign before this one ended by resignation.
+    bool follows_resignation() const { return follows_resignation_; }
     /// When the newest confirmation of this reign was asked for.
     instant confirmed_at() const { return confirmed_at_; }
     /// Whether the log has confirmed this reign within `fresh_reign`.
@@ -74,6 +76,8 @@
     bool leads_ = false;
     bool log_answers_ = false;
     bool claim_now_ = false;
+    bool vacant_ = false;
+    bool follows_resignation_ = false;
     lease_epoch epoch_;
     std::uint64_t end_ = 0;
     instant next_try_{};
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -15,22 +15,31 @@
 } // namespace
 
 std::unique_ptr<coordinator> coordinator::create(parts with, const cell_settings& settings,
-                                                 lease_epoch epoch, const cell_state& known) {
-    return std::make_unique<cell_coordinator>(std::move(with), settings, epoch, known);
+                                                 lease_epoch epoch, bool predecessor_resigned,
+                                                 const cell_state& known) {
+    return std::make_unique<cell_coordinator>(std::move(with), settings, epoch,
+                                              predecessor_resigned, known);
 }
 
 cell_coordinator::cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
-                                   const cell_state& known)
+                                   bool predecessor_resigned, const cell_state& known)
     : with_(std::move(with)), settings_(settings), epoch_(epoch), began_(with_.time.now()) {
-    for (const auto& [id, born] : known.workers())
-        unresolved_.insert(id);
+    // A predecessor may act for `silence_limit` after the log last confirmed it, unless it resigned;
+    // what it held last lives for one more lease.
+    const auto lease =
+        std::chrono::duration_cast<duration>(settings_.max_hold / slowest_clock) + lapse_slack;
+    for (const auto& [id, worker] : known.workers()) {
+        const bool idle = predecessor_resigned || worker.silent;
+        unresolved_[id] = began_ + lease + (idle ? duration::zero() : silence_limit);
+    }
     for (const auto& [id, entry] : known.jobs())
         add_job(entry, true);
     sort_jobs();
     log_event(log_level::info, "reign_begun",
               {{"epoch", static_cast<std::int64_t>(epoch_.value())},
                {"jobs", static_cast<std::int64_t>(jobs_.size())},
-               {"workers_unresolved", static_cast<std::int64_t>(unresolved_.size())}});
+               {"workers_unresolved", static_cast<std::int64_t>(unresolved_.size())},
+               {"predecessor_resigned", predecessor_resigned}});
 }
 
 void cell_coordinator::take_config(const cell_config& config) {
@@ -69,6 +78,7 @@
     if (now >= next_sweep_) {
         next_sweep_ = now + sweep_period;
         expire_leases();
+        resolve_expired();
         leave_leaving_workers();
         forget_gone_workers();
         drop_ended_jobs();
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -13,7 +13,7 @@
 class cell_coordinator final : public coordinator {
 public:
     cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
-                     const cell_state& known);
+                     bool predecessor_resigned, const cell_state& known);
 
     void take_config(const cell_config& config) override;
     void take_evacuated(absl::flat_hash_set<data_centre_id> data_centres) override;
@@ -48,6 +48,8 @@
                      const worker_report& report);
     void start_new_life(worker_work& worker, std::uint64_t born_ms);
     void register_life(worker_work& worker);
+    void take_silence(worker_work& worker);
+    void end_silence(worker_work& worker);
     void take_ends(worker_work& worker, const std::vector<ended_row>& rows);
     void take_running(worker_work& worker, const worker_report& report, instant asked);
     void take_row(worker_work& worker, const running_row& row);
@@ -59,7 +61,9 @@
     void expire_leases();
     void forget_gone_workers();
     void resolve(const worker_id& id);
+    void resolve_expired();
     bool may_start(const job_work& job) const;
+    std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
     worker_work* find_worker(const worker_id& id);
 
     // coordinator_runs.cpp
@@ -108,8 +112,9 @@
     std::vector<job_work*> order_;
     std::vector<job_work*> dirty_;
     absl::flat_hash_map<worker_id, std::unique_ptr<worker_work>> workers_;
-    /// Workers that a predecessor may have given tasks and that haven't reported.
-    absl::flat_hash_set<worker_id> unresolved_;
+    /// Workers that a predecessor may have given tasks and that haven't reported, and when what they
+    /// had must be over.
+    absl::flat_hash_map<worker_id, instant> unresolved_;
     /// Runs that have to go.
     std::vector<task_name> stopping_;
     std::uint64_t last_run_ = 0;
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -96,9 +96,9 @@
         workers_.erase(id);
         return;
     }
-    const std::optional<std::uint64_t> born = decode_worker(*record.value);
-    if (born)
-        workers_[id] = *born;
+    const std::optional<worker_entry> worker = decode_worker(*record.value);
+    if (worker)
+        workers_[id] = *worker;
     else
         ++unreadable_;
 }
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -139,7 +139,7 @@
         size.cpu_millis = 0;
     }
     // Every dimension counts, on workers that refuse by themselves too.
-    if (!fits(size, worker.listing.capacity - worker.taken))
+    if (!worker.strays || !fits(size, worker.listing.capacity - worker.taken - *worker.strays))
         return false;
     if (!spec.label.empty() && std::ranges::count(worker.listing.labels, spec.label) == 0)
         return false;
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -16,12 +16,12 @@
 // second.
 constexpr duration quiet_wait = std::chrono::milliseconds(1000);
 constexpr duration shared_wait = std::chrono::milliseconds(400);
+// One answer may get lost on its way; two in a row tell.
+constexpr int unanswered_to_tell = 2;
 constexpr duration hold_retry = std::chrono::milliseconds(150);
 // While ends wait for the log, a worker would answer at once with the same ends: ask again only to
 // keep its lease.
 constexpr duration unnoted_pause = std::chrono::milliseconds(500);
-// A worker that is silent for so long and whose lease must be over has lost what ran there.
-constexpr duration lapse_slack = std::chrono::milliseconds(100);
 // The platform lists a live worker again within two seconds after its store comes back.
 constexpr double learn_below = 0.95;
 constexpr duration unlisted_kept = std::chrono::seconds(15);
@@ -60,7 +60,10 @@
     hold_order order;
     order.epoch = epoch_;
     order.noted = worker.noted;
-    if (const auto clock_ms = worker.clock.at_least(now)) {
+    // Prolonging the lease of a worker that doesn't answer would keep the tasks on it out of reach:
+    // the order may still arrive, and then they live on unseen.
+    const auto clock_ms = worker.clock.at_least(now);
+    if (clock_ms && !worker.silent && worker.unanswered == 0) {
         order.until_ms = *clock_ms + settings_.max_hold.count() / 1000;
         worker.latest_until_ms = std::max(worker.latest_until_ms, *order.until_ms);
         const bool shared = worker.filling_cpu > 0 && worker.lasting_cpu > 0;
@@ -89,9 +92,12 @@
         return be_deposed();
     if (outcome != order_outcome::done) {
         worker->next_hold = now + hold_retry;
-        return;
+        return take_silence(*worker);
     }
     worker->reported_at = now;
+    worker->unanswered = 0;
+    if (worker->silent)
+        end_silence(*worker);
     worker->next_hold = now;
     if (worker->born_ms != report.born_ms)
         start_new_life(*worker, report.born_ms);
@@ -122,17 +128,36 @@
         task->run.start_until_ms = std::numeric_limits<std::int64_t>::max();
 }
 
+void cell_coordinator::take_silence(worker_work& worker) {
+    ++worker.unanswered;
+    if (worker.unanswered < unanswered_to_tell || worker.silent || !worker.registered)
+        return;
+    worker.silent = true;
+    log_event(log_level::warn, "worker_silent", {{"worker", worker.listing.id.str()}});
+    with_.journal.write({record_key(record_kind::worker, worker.listing.id.str()),
+                         encode_worker({worker.born_ms, true}), 0});
+}
+
+/// It answers again. A successor that still reads of its silence would wait too short a time, so its
+/// lease is prolonged only once the log says otherwise.
+void cell_coordinator::end_silence(worker_work& worker) {
+    if (worker.registering)
+        return;
+    register_life(worker);
+}
+
 void cell_coordinator::register_life(worker_work& worker) {
     worker.registering = true;
     const worker_id id = worker.listing.id;
     with_.journal.write(
-        {record_key(record_kind::worker, id.str()), encode_worker(worker.born_ms), 0},
+        {record_key(record_kind::worker, id.str()), encode_worker({worker.born_ms, false}), 0},
         [this, weak = std::weak_ptr(alive_), id] {
             if (weak.expired())
                 return;
             if (worker_work* const known = find_worker(id)) {
                 known->registering = false;
                 known->registered = true;
+                known->silent = false;
                 placement_due_ = true;
             }
         });
@@ -173,6 +198,7 @@
             seen.insert(task);
     }
     drop_missing(worker, report, asked, seen);
+    worker.strays = stray_size(worker, report);
 }
 
 void cell_coordinator::take_row(worker_work& worker, const running_row& row) {
@@ -309,6 +335,9 @@
                   {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
         for (task_work* const task : lost)
             release(*task);
+        // Nothing runs there: a successor needn't ask it.
+        if (std::exchange(worker->registered, false))
+            with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
     }
 }
 
@@ -333,14 +362,35 @@
         placement_due_ = true;
 }
 
+void cell_coordinator::resolve_expired() {
+    const instant now = with_.time.now();
+    if (absl::erase_if(unresolved_, [now](const auto& worker) { return now > worker.second; }) > 0)
+        placement_due_ = true;
+}
+
 /// Whether no earlier coordinator's run of the job's tasks can be anywhere but where reports show
-/// it. A predecessor acts for `silence_limit` after the log last confirmed it, and what it held
-/// then lives for one more lease.
+/// it.
 bool cell_coordinator::may_start(const job_work& job) const {
-    if (!job.may_run_elsewhere || unresolved_.empty())
-        return true;
-    const auto lease = std::chrono::duration_cast<duration>(settings_.max_hold / slowest_clock);
-    return with_.time.now() - began_ > silence_limit + lease + lapse_slack;
+    return !job.may_run_elsewhere || unresolved_.empty();
+}
+
+/// What the rows of a report take that aren't runs of ours. They count until they have gone: what
+/// is being stopped still has its room. Nothing when a row's job isn't known.
+std::optional<resources> cell_coordinator::stray_size(const worker_work& worker,
+                                                      const worker_report& report) {
+    resources sum;
+    for (const running_row& row : report.running) {
+        const auto name = parse_task_name(row.task);
+        const task_work* const task = name ? find_task(*name) : nullptr;
+        if (task == nullptr)
+            return std::nullopt;
+        if (task->where == &worker && task->run.number == row.run)
+            continue;
+        resources size = task->step->spec->size;
+        size.cpu_millis = task->step->spec->filling ? 0 : size.cpu_millis;
+        sum += size;
+    }
+    return sum;
 }
 
 } // namespace figwinch
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -180,17 +180,18 @@
     return progress;
 }
 
-std::string encode_worker(std::uint64_t born_ms) {
+std::string encode_worker(const worker_entry& worker) {
     pb::WorkerRecord record;
-    record.set_born_ms(born_ms);
+    record.set_born_ms(worker.born_ms);
+    record.set_silent(worker.silent);
     return record.SerializeAsString();
 }
 
-std::optional<std::uint64_t> decode_worker(std::string_view bytes) {
+std::optional<worker_entry> decode_worker(std::string_view bytes) {
     const auto record = parse<pb::WorkerRecord>(bytes);
     if (!record)
         return std::nullopt;
-    return record->born_ms();
+    return worker_entry{record->born_ms(), record->silent()};
 }
 
 std::string encode_reign(const reign_record& reign) {
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -112,6 +112,8 @@
             read->what == reign_record::kind::claim)
             current_ = {read->holder, read->bus_address, lease_epoch(record.offset + 1)};
     }
+    if (!records.empty())
+        vacant_ = vacant;
     // A claim of ours whose answer was lost counts from its record.
     const bool own = current_ && current_->holder == self_ && !resigned_;
     if (own && !leads_ && !vacant && current_->epoch > epoch_)
@@ -149,6 +151,7 @@
     if (resigned_)
         return;
     leads_ = true;
+    follows_resignation_ = std::exchange(vacant_, false);
     epoch_ = lease_epoch(claimed_at + 1);
     confirmed_at_ = confirmed;
     next_try_ = confirmed + times_.renew_every;
--- a/src/cell/worker_work.h
+++ b/src/cell/worker_work.h
@@ -25,6 +25,10 @@
     /// It has reported under this epoch: earlier epochs can order nothing there.
     bool heard = false;
     bool hold_in_flight = false;
+    /// Holds in a row without an answer. Its lease isn't prolonged meanwhile.
+    int unanswered = 0;
+    /// The log says that its lease isn't prolonged, or is about to: so it isn't.
+    bool silent = false;
     instant next_hold{};
     instant reported_at{};
     /// Ends up to `seen` were taken in, up to `noted` recorded in the log.
@@ -32,6 +36,9 @@
     std::uint64_t noted = 0;
     /// What the runs here take; of filling tasks the memory and accelerators only.
     resources taken;
+    /// What runs here take that aren't wanted and haven't gone yet, by the last report; nothing when
+    /// that isn't known.
+    std::optional<resources> strays = resources{};
     /// Processors that filling tasks here would use, thousandths.
     std::int64_t filling_cpu = 0;
     /// Processors of lasting tasks here, thousandths; part of `taken`.
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -151,7 +151,7 @@
                  [this](const job_id& id, const std::function<void()>& done) {
                      forget_job(id, done);
                  }},
-                with_.cell, epoch, state_);
+                with_.cell, epoch, reign_.follows_resignation(), state_);
             if (config_)
                 coordinator_->take_config(*config_);
             coordinator_->take_evacuated(evacuated_);
