Give a predecessor's leases and jobs their time after a change of coordinator

Ruled out: lost reports (each worker's first report showed the runs). Change: the first report of a life starts a full lease; intake is read after the fence, and rows of unknown jobs wait; stop resigns first; reads of operators' changes wait 0.8 s at most.

--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -23,6 +23,8 @@
 // keep its lease.
 constexpr duration unnoted_pause = std::chrono::milliseconds(500);
 // The platform lists a live worker again within two seconds after its store comes back.
+// Jobs that a predecessor took up are read within its last second and one reading period.
+constexpr duration unread_job_wait = std::chrono::seconds(3);
 constexpr double learn_below = 0.95;
 constexpr duration unlisted_kept = std::chrono::seconds(15);
 
@@ -102,7 +104,9 @@
     if (worker->born_ms != report.born_ms)
         start_new_life(*worker, report.born_ms);
     worker->clock.observe(report.clock_ms, now);
-    worker->heard = true;
+    // A predecessor may have held it until this moment, but not after: its orders are refused now.
+    if (!std::exchange(worker->heard, true))
+        worker->latest_until_ms = report.clock_ms + settings_.max_hold.count() / 1000;
     resolve(id);
     take_ends(*worker, report.ended);
     take_running(*worker, report, asked);
@@ -118,7 +122,8 @@
         log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
     worker.born_ms = born_ms;
     worker.clock = {};
-    worker.latest_until_ms = 0;
+    // Orders that were on their way to the earlier life may reach this one.
+    worker.heard = false;
     worker.seen = 0;
     worker.noted = 0;
     worker.failures_in_row = 0;
@@ -221,6 +226,10 @@
         task->run.pace_set = task->step->spec->filling ? -1 : task->run.pace_set;
         bind(*task, worker);
     }
+    // A predecessor that didn't know yet that it was one may have started a job that isn't read here
+    // yet: to stop it as a stray would lose its work, and the job would be started beside it.
+    if (task == nullptr && now - began_ < unread_job_wait)
+        return;
     if (task == nullptr || task->where != &worker || task->run.number != row.run)
         return stop_stray(worker, row.task, row.run);
     task_run& run = task->run;
@@ -371,7 +380,12 @@
 /// Whether no earlier coordinator's run of the job's tasks can be anywhere but where reports show
 /// it.
 bool cell_coordinator::may_start(const job_work& job) const {
-    return !job.may_run_elsewhere || unresolved_.empty();
+    if (!job.may_run_elsewhere)
+        return true;
+    // A row of a job that isn't known yet may be of this one.
+    return unresolved_.empty() && std::ranges::all_of(workers_, [](const auto& entry) {
+               return entry.second->strays.has_value();
+           });
 }
 
 /// What the rows of a report take that aren't runs of ours. They count until they have gone: what
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -12,12 +12,13 @@
 // What a coordinator decides waits half of this on average; each tick costs a wake-up.
 constexpr duration leading_tick = std::chrono::milliseconds(8);
 constexpr duration following_tick = std::chrono::milliseconds(25);
-// Operators' changes are rare: one read waits for the next.
-constexpr follow_pace operators_pace{std::chrono::seconds(8), std::chrono::milliseconds(10)};
+// Operators' changes are rare, so a read waits for the next; but an outage can leave a read without
+// an answer for good, and a change has to be in force within 2 s all the same.
+constexpr follow_pace operators_pace{std::chrono::milliseconds(800), std::chrono::milliseconds(10)};
 // Workers write about once a second each; reading on every record would cost a call for each.
 constexpr follow_pace workers_pace{duration::zero(), std::chrono::milliseconds(200)};
 // The coordinator takes up jobs as they come.
-constexpr follow_pace leading_intake{std::chrono::seconds(2), std::chrono::milliseconds(20)};
+constexpr follow_pace leading_intake{std::chrono::milliseconds(1000), std::chrono::milliseconds(20)};
 // Others need them to answer callers.
 constexpr follow_pace following_pace{duration::zero(), std::chrono::milliseconds(250)};
 // A host that the log hasn't answered for so long can't accept jobs.
@@ -141,25 +142,30 @@
         },
         [this] { deposed_ = true; });
     journal_->fence([this, epoch = prepared_](std::uint64_t) {
-        progress_.sync([this, epoch](bool read) {
-            if (!read || epoch != prepared_ || !journal_) {
-                deposed_ = true;
-                return;
-            }
-            coordinator_ = coordinator::create(
-                {time_, platform_.orders(), *journal_, [this] { deposed_ = true; },
-                 [this](const job_id& id, const std::function<void()>& done) {
-                     forget_job(id, done);
-                 }},
-                with_.cell, epoch, reign_.follows_resignation(), state_);
-            if (config_)
-                coordinator_->take_config(*config_);
-            coordinator_->take_evacuated(evacuated_);
-            listing_changed_ = true;
+        progress_.sync([this, epoch](bool progress_read) {
+            intake_.sync([this, epoch, progress_read](bool intake_read) {
+                if (epoch == prepared_ && journal_)
+                    start_coordinator(progress_read && intake_read);
+            });
         });
     });
 }
 
+void cell_host::start_coordinator(bool state_read) {
+    if (!state_read) {
+        deposed_ = true;
+        return;
+    }
+    coordinator_ = coordinator::create(
+        {time_, platform_.orders(), *journal_, [this] { deposed_ = true; },
+         [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
+        with_.cell, prepared_, reign_.follows_resignation(), state_);
+    if (config_)
+        coordinator_->take_config(*config_);
+    coordinator_->take_evacuated(evacuated_);
+    listing_changed_ = true;
+}
+
 void cell_host::end_reign() {
     log_event(log_level::warn, "reign_ended",
               {{"epoch", static_cast<std::int64_t>(prepared_.value())}});
@@ -285,9 +291,9 @@
     if (std::exchange(stopping_, true))
         return;
     log_event(log_level::info, "stopping", {});
+    reign_.resign();
     if (journal_)
         end_reign();
-    reign_.resign();
     bound_ = loop_.after(with_.grace - stop_margin, [this] {
         log_event(log_level::error, "stop_bound_reached", {});
         loop_.stop();
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -28,6 +28,7 @@
     void schedule_tick(duration delay);
     void lead();
     void begin_reign();
+    void start_coordinator(bool state_read);
     void end_reign();
     void take_operators(const stored_record& record);
     void take_worker(const stored_record& record);
