Count failed runs by their numbers

Ruled out: a second count of one end (numbers are unique). Change: the numbers of failed runs are kept with the task.

--- a/include/figwinch/cell/job_progress.h
+++ b/include/figwinch/cell/job_progress.h
@@ -18,9 +18,9 @@
 /// What must outlive a coordinator about one task.
 struct task_progress {
     bool done = false;
-    std::uint32_t failures = 0;
-    /// The newest run whose end was counted: an end that is reported twice counts once.
-    run_number last_run;
+    /// Runs that ended badly. By number, since ends may be reported twice and, by a worker that was
+    /// cut off, after those of later runs. Bounded by the attempts that the job has.
+    std::vector<run_number> failed_runs;
     /// Resume from here; empty: from the start.
     std::string checkpoint;
 };
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -199,17 +199,17 @@
     note_failure_of(worker, task.job->id);
     // A gang fails as one: its failures are counted with its first member.
     task_work& counted = task.step->spec->gang ? task.step->tasks.front() : task;
-    if (run <= counted.progress.last_run || task.progress.done)
+    std::vector<run_number>& failed = counted.progress.failed_runs;
+    if (std::ranges::count(failed, run) > 0 || task.progress.done)
         return;
-    counted.progress.last_run = run;
     std::ranges::rotate(task.failed_on, task.failed_on.end() - 1);
     task.failed_on.front() = worker.listing.id;
     mark_dirty(*task.job);
     if (task.step->spec->lasting)
         return;
-    ++counted.progress.failures;
-    task.not_before = with_.time.now() + pause_per_failure * counted.progress.failures;
-    if (counted.progress.failures >= task.job->attempts && task.job->phase == job_phase::open)
+    failed.push_back(run);
+    task.not_before = with_.time.now() + pause_per_failure * static_cast<int>(failed.size());
+    if (failed.size() >= task.job->attempts && task.job->phase == job_phase::open)
         end_job(*task.job, job_phase::failed);
 }
 
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -211,8 +211,7 @@
     task_work* const task = name ? find_task(*name) : nullptr;
     const instant now = with_.time.now();
     const bool wanted = task != nullptr && task->job->phase == job_phase::open &&
-                        !task->progress.done && task->where == nullptr &&
-                        row.run > task->progress.last_run;
+                        !task->progress.done && task->where == nullptr;
     if (wanted) {
         // Started by a predecessor, or a start whose answer never came.
         task->run = task_run{};
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -66,12 +66,12 @@
             done[index / bits_per_byte] = static_cast<char>(done[index / bits_per_byte] | bit);
             continue;
         }
-        if (task.failures == 0 && task.last_run.is_none() && task.checkpoint.empty())
+        if (task.failed_runs.empty() && task.checkpoint.empty())
             continue;
         pb::TaskRecord& kept = *record.add_tasks();
         kept.set_index(index);
-        kept.set_failures(task.failures);
-        kept.set_last_run(task.last_run.value());
+        for (const run_number run : task.failed_runs)
+            kept.add_failed_runs(run.value());
         kept.set_checkpoint(task.checkpoint);
     }
     record.set_done(std::move(done));
@@ -88,8 +88,8 @@
         if (kept.index() >= tasks.size())
             continue;
         task_progress& task = tasks[kept.index()];
-        task.failures = kept.failures();
-        task.last_run = run_number(kept.last_run());
+        for (const std::uint64_t run : kept.failed_runs())
+            task.failed_runs.emplace_back(run);
         task.checkpoint = kept.checkpoint();
     }
     return tasks;
