--- /dev/null
+++ b/tests/cell/cell_recovery_test.cpp
@@ -0,0 +1,246 @@
+#include "tests/cell/cell_world.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What becomes of jobs and tasks when a coordinator, a worker or everything goes.
+class cell_recovery_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(cell_recovery_test);
+    CPPUNIT_TEST(an_accepted_job_outlives_the_power_of_all_hosts);
+    CPPUNIT_TEST(running_tasks_go_on_under_the_next_coordinator);
+    CPPUNIT_TEST(a_fenced_predecessor_can_order_nothing);
+    CPPUNIT_TEST(tasks_of_a_worker_lost_for_good_run_elsewhere_after_its_lease);
+    CPPUNIT_TEST(a_late_failure_of_an_earlier_run_counts);
+    CPPUNIT_TEST(a_run_of_a_job_that_is_not_read_yet_is_left_alone);
+    CPPUNIT_TEST(lasting_tasks_leave_a_worker_that_leaves);
+    CPPUNIT_TEST(nothing_starts_in_a_data_centre_that_was_taken_out);
+    CPPUNIT_TEST(a_store_that_forgets_its_history_loses_no_job);
+    CPPUNIT_TEST(a_resend_is_the_same_job);
+    CPPUNIT_TEST(a_refused_submission_never_runs);
+    CPPUNIT_TEST(members_of_a_gang_start_together);
+    CPPUNIT_TEST_SUITE_END();
+
+    cell_world world_{7, 3, 4};
+
+    static job_spec lasting(std::uint32_t tasks) {
+        step_spec step = cell_world::make_step(tasks, 1000);
+        step.lasting = true;
+        return cell_world::make_job({step});
+    }
+    static job_spec short_job(std::uint32_t tasks) {
+        return cell_world::make_job({cell_world::make_step(tasks, 500)});
+    }
+    static std::string task(const std::string& job, std::uint32_t index) {
+        return job + ".0.0." + std::to_string(index);
+    }
+    void kept_the_rules() {
+        if (!world_.watch().broken.empty())
+            CPPUNIT_FAIL(world_.watch().broken.front());
+    }
+    void begin() {
+        world_.watch().failing = 0;
+        world_.time().run_for(seconds(2));
+    }
+    std::string phase(const std::string& id) {
+        const job_entry* const job = world_.job(0, id);
+        return job == nullptr ? "unknown" : to_string(job->phase);
+    }
+
+public:
+    /// Story: a caller gets its 2xx, and in the next millisecond all hosts lose power. After they are
+    /// back the job is there and runs.
+    void an_accepted_job_outlives_the_power_of_all_hosts() {
+        begin();
+        const auto told = world_.submit(1, "a", short_job(3));
+        while (!told->has_value())
+            world_.time().run_for(milliseconds(1));
+        CPPUNIT_ASSERT(**told == intake_outcome::stored);
+        for (std::size_t host = 0; host < 3; ++host)
+            world_.kill_host(host);
+        world_.time().run_for(seconds(1));
+        for (std::size_t host = 0; host < 3; ++host)
+            world_.start_host(host);
+        world_.time().run_for(seconds(16));
+        CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("a"));
+        kept_the_rules();
+    }
+    /// Story: the coordinator is killed while tasks run. The next one finds them on the workers and
+    /// lets them go on: none is started a second time.
+    void running_tasks_go_on_under_the_next_coordinator() {
+        begin();
+        world_.submit(0, "a", lasting(6));
+        world_.time().run_for(seconds(2));
+        const std::uint64_t starts = world_.watch().starts;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, starts);
+        for (int round = 0; round < 3; ++round) {
+            const std::size_t first = *world_.coordinator();
+            world_.kill_host(first);
+            world_.time().run_for(milliseconds(2500));
+            CPPUNIT_ASSERT(world_.coordinator().has_value());
+            world_.start_host(first);
+            world_.time().run_for(seconds(8));
+        }
+        CPPUNIT_ASSERT_EQUAL(starts, world_.watch().starts);
+        kept_the_rules();
+    }
+    /// Story: a coordinator is frozen for longer than the others wait. When it wakes it believes that
+    /// it leads; neither workers nor the log take its word.
+    void a_fenced_predecessor_can_order_nothing() {
+        begin();
+        const std::size_t first = *world_.coordinator();
+        world_.host(first)->freeze_for(seconds(4));
+        world_.time().run_for(milliseconds(3900));
+        const std::size_t second = *world_.coordinator() == first ? 3 : *world_.coordinator();
+        world_.submit((first + 1) % 3, "a", short_job(4));
+        world_.time().run_for(seconds(12));
+        CPPUNIT_ASSERT(second != first);
+        CPPUNIT_ASSERT(!world_.host(first)->member().election().leads());
+        CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("a"));
+        kept_the_rules();
+    }
+    /// Story: a worker goes dark for good. Each unanswered hold used to carry a new end of lease, so
+    /// that the lease to be waited for never ended and its tasks were never started again.
+    void tasks_of_a_worker_lost_for_good_run_elsewhere_after_its_lease() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        world_.fleet().workers.at("w1").cut = true;
+        world_.fleet().workers.at("w1").worker->reborn();
+        world_.time().run_for(seconds(3));
+        world_.unlist_worker("w1");
+        world_.time().run_for(milliseconds(5500));
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
+    /// Story: a run fails on a worker that is cut off, a later run of the task fails elsewhere, then
+    /// the first failure is reported. It counts although its run has the lower number, or the task
+    /// would be started once more than its attempts allow.
+    void a_late_failure_of_an_earlier_run_counts() {
+        begin();
+        world_.watch().failing = 1;
+        world_.submit(0, "a", short_job(1));
+        world_.time().run_for(milliseconds(150));
+        std::string cut;
+        for (auto& [name, entry] : world_.fleet().workers)
+            if (entry.worker->running() > 0)
+                cut = name;
+        CPPUNIT_ASSERT(!cut.empty());
+        world_.fleet().workers.at(cut).cut = true;
+        world_.time().run_for(seconds(8));
+        world_.fleet().workers.at(cut).cut = false;
+        world_.time().run_for(seconds(15));
+        CPPUNIT_ASSERT_EQUAL(std::string("failed"), phase("a"));
+        kept_the_rules();
+    }
+    /// Story: a job is accepted and started in the last moments of a reign. The next coordinator sees
+    /// its runs before it has read the job; it must neither stop them as strays nor start them again.
+    void a_run_of_a_job_that_is_not_read_yet_is_left_alone() {
+        begin();
+        for (int round = 0; round < 6; ++round) {
+            const std::size_t first = *world_.coordinator();
+            world_.submit(first, "r" + std::to_string(round), lasting(2));
+            world_.time().run_for(milliseconds(30 + 10 * round));
+            world_.host(first)->member().resign();
+            world_.time().run_for(milliseconds(800));
+            world_.kill_host(first);
+            world_.start_host(first);
+            world_.time().run_for(seconds(3));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, world_.watch().starts);
+        kept_the_rules();
+    }
+    void lasting_tasks_leave_a_worker_that_leaves() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(2));
+        world_.list_worker("w2", "leaving");
+        world_.time().run_for(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world_.fleet().workers.at("w2").worker->running());
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
+    void nothing_starts_in_a_data_centre_that_was_taken_out() {
+        begin();
+        for (const char* const name : {"out/dc-0", "out/dc-1"})
+            world_.store().append(cell_stream::operators, {{name, "{}", 0}}, {});
+        world_.time().run_for(milliseconds(500));
+        world_.submit(0, "a", short_job(4));
+        world_.time().run_for(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world_.watch().starts);
+        for (const char* const name : {"out/dc-0", "out/dc-1"})
+            world_.store().append(cell_stream::operators, {{name, std::nullopt, 0}}, {});
+        world_.time().run_for(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("a"));
+    }
+    void a_store_that_forgets_its_history_loses_no_job() {
+        begin();
+        world_.submit(0, "a", lasting(2));
+        world_.submit(1, "b", short_job(4));
+        world_.time().run_for(milliseconds(300));
+        world_.store().compact();
+        world_.kill_host(*world_.coordinator());
+        world_.store().compact();
+        world_.time().run_for(seconds(12));
+        for (std::size_t host = 0; host < 3; ++host) {
+            if (world_.host(host) == nullptr)
+                continue;
+            CPPUNIT_ASSERT(world_.job(host, "a") != nullptr);
+            CPPUNIT_ASSERT(world_.job(host, "b")->phase == job_phase::succeeded);
+        }
+        kept_the_rules();
+    }
+    /// Story: a caller sends the same job again at another host, seconds after the first was taken.
+    void a_resend_is_the_same_job() {
+        begin();
+        world_.submit(0, "a", short_job(2));
+        world_.time().run_for(milliseconds(100));
+        world_.submit(1, "a", short_job(2));
+        world_.time().run_for(seconds(6));
+        world_.submit(2, "a", short_job(2));
+        world_.time().run_for(seconds(6));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world_.watch().starts);
+        CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("a"));
+    }
+    /// Story: the log refuses, the caller is told that its job wasn't taken. It must never run.
+    void a_refused_submission_never_runs() {
+        begin();
+        for (std::size_t host = 0; host < 3; ++host)
+            world_.host(host)->way_to_log().state = sim_log::way::refused;
+        const auto told = world_.submit(0, "a", short_job(2));
+        world_.time().run_for(milliseconds(200));
+        CPPUNIT_ASSERT(told->has_value());
+        CPPUNIT_ASSERT(**told == intake_outcome::not_stored);
+        for (std::size_t host = 0; host < 3; ++host)
+            world_.host(host)->way_to_log().state = sim_log::way::open;
+        world_.time().run_for(seconds(6));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world_.watch().starts);
+    }
+    void members_of_a_gang_start_together() {
+        begin();
+        step_spec step = cell_world::make_step(6, 1500);
+        step.gang = true;
+        world_.submit(0, "a", cell_world::make_job({step}));
+        world_.time().run_for(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, world_.watch().starts);
+        // It needs nine cores and sixteen are there: a second one has to wait for the first.
+        world_.submit(0, "b", cell_world::make_job({step}));
+        world_.time().run_for(milliseconds(150));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, world_.watch().starts);
+        world_.time().run_for(seconds(6));
+        CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("b"));
+        kept_the_rules();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cell_recovery_test);
+
+} // namespace
+} // namespace figwinch::sim
--- /dev/null
+++ b/tests/cell/progress_writer_test.cpp
@@ -0,0 +1,93 @@
+#include "figwinch/cell.h"
+#include "tests/cell/sim_store.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class progress_writer_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(progress_writer_test);
+    CPPUNIT_TEST(records_are_applied_in_order_and_once);
+    CPPUNIT_TEST(a_batch_whose_answer_was_lost_takes_effect_once);
+    CPPUNIT_TEST(a_fenced_writer_appends_nothing_more);
+    CPPUNIT_TEST(a_barrier_waits_for_all_that_was_written);
+    CPPUNIT_TEST_SUITE_END();
+
+    sim_time time_;
+    sim_store store_;
+    sim_log log_{time_, store_, [] { return 0.5; }};
+    std::vector<std::string> applied_;
+    bool deposed_ = false;
+    progress_writer writer_{time_.clock(), log_, lease_epoch(3),
+                            [this](const stored_record& record) { applied_.push_back(record.key); },
+                            [this] { deposed_ = true; }};
+
+    void run_for(duration span) {
+        for (duration passed{}; passed < span; passed += milliseconds(5)) {
+            writer_.tick();
+            time_.run_for(milliseconds(5));
+        }
+    }
+    std::size_t stored() { return store_.of(cell_stream::progress).records.size(); }
+
+public:
+    void records_are_applied_in_order_and_once() {
+        for (int index = 0; index < 1200; ++index)
+            writer_.write({"p" + std::to_string(index), "v", 0});
+        run_for(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1200}, applied_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("p0"), applied_.front());
+        CPPUNIT_ASSERT_EQUAL(std::string("p1199"), applied_.back());
+        CPPUNIT_ASSERT(writer_.is_idle());
+    }
+    /// Story: the log stores a batch and its answer is lost. Sent again under the same sequence
+    /// number it is answered as the first time and stored once.
+    void a_batch_whose_answer_was_lost_takes_effect_once() {
+        log_.lost_answers = 1;
+        writer_.write({"p1", "v", 0});
+        run_for(milliseconds(100));
+        log_.lost_answers = 0;
+        run_for(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, applied_.size());
+    }
+    /// Story: a coordinator was frozen, its successor has fenced the stream. What the first one still
+    /// had to write is refused, and it learns that it was deposed.
+    void a_fenced_writer_appends_nothing_more() {
+        writer_.write({"p1", "v", 0});
+        run_for(milliseconds(100));
+        progress_writer next(time_.clock(), log_, lease_epoch(4), [](const stored_record&) {}, [] {});
+        bool fenced = false;
+        next.fence([&fenced](std::uint64_t) { fenced = true; });
+        time_.run_for(milliseconds(50));
+        CPPUNIT_ASSERT(fenced);
+        writer_.write({"p2", "v", 0});
+        run_for(milliseconds(200));
+        CPPUNIT_ASSERT(deposed_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
+    }
+    void a_barrier_waits_for_all_that_was_written() {
+        bool passed = false;
+        log_.state = sim_log::way::refused;
+        writer_.write({"p1", "v", 0});
+        writer_.barrier([&passed] { passed = true; });
+        run_for(seconds(1));
+        CPPUNIT_ASSERT(!passed);
+        log_.state = sim_log::way::open;
+        run_for(seconds(1));
+        CPPUNIT_ASSERT(passed);
+        passed = false;
+        writer_.barrier([&passed] { passed = true; });
+        CPPUNIT_ASSERT(passed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(progress_writer_test);
+
+} // namespace
+} // namespace figwinch::sim
--- /dev/null
+++ b/tests/cell/records_test.cpp
@@ -0,0 +1,178 @@
+#include "figwinch/cell.h"
+#include "tests/cell/sim_store.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace figwinch {
+namespace {
+
+/// Records, names and the fold of the streams.
+class records_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(records_test);
+    CPPUNIT_TEST(a_job_survives_its_record);
+    CPPUNIT_TEST(progress_survives_its_record);
+    CPPUNIT_TEST(random_bytes_are_refused_or_bounded);
+    CPPUNIT_TEST(names_of_tasks_are_read_back);
+    CPPUNIT_TEST(malformed_names_are_refused);
+    CPPUNIT_TEST(jobs_out_of_bounds_are_refused);
+    CPPUNIT_TEST(older_records_never_undo_newer_ones);
+    CPPUNIT_TEST(unreadable_records_are_counted_and_passed_over);
+    CPPUNIT_TEST(a_follower_reports_keys_that_went_while_it_was_away);
+    CPPUNIT_TEST_SUITE_END();
+
+    static job_spec full_job() {
+        step_spec first;
+        first.tasks = 9;
+        first.size = {1500, 2048, 1};
+        first.estimate = std::chrono::milliseconds(700);
+        first.label = "gpu";
+        first.near_rack = rack_id("r1-2");
+        first.most_per_worker = 2;
+        step_spec second = first;
+        second.after = {0};
+        second.gang = second.one_rack = second.checkpoints = true;
+        second.image = "i";
+        second.tail_target = std::chrono::milliseconds(50);
+        job_spec job;
+        job.queue = queue_name("q");
+        job.service = service_id("s");
+        job.payload = std::string("bytes \0 of a caller", 19);
+        job.steps = {first, second};
+        job.repeats = 3;
+        job.first_ms = 1'700'000'000'000;
+        job.interval_ms = 4500;
+        job.attempts = 4;
+        job.stretch = 1.5;
+        job.target = std::chrono::milliseconds(250);
+        return job;
+    }
+
+public:
+    void a_job_survives_its_record() {
+        const auto read = decode_job(encode_job(full_job()));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(encode_job(full_job()), encode_job(*read));
+        CPPUNIT_ASSERT_EQUAL(std::string("gpu"), read->steps[0].label);
+        CPPUNIT_ASSERT(read->steps[1].gang);
+        CPPUNIT_ASSERT_EQUAL(full_job().payload, read->payload);
+    }
+    void progress_survives_its_record() {
+        job_progress progress;
+        progress.begun = true;
+        progress.occurrences_ended = 2;
+        std::vector<task_progress> tasks(11);
+        tasks[0].done = tasks[10].done = true;
+        tasks[4].failed_runs = {run_number(77), run_number(5)};
+        tasks[4].checkpoint = "c";
+        progress.occurrences[2].steps = {tasks};
+        const auto read = decode_progress(encode_progress(progress));
+        CPPUNIT_ASSERT(read.has_value());
+        const std::vector<task_progress>& back = read->occurrences.at(2).steps.at(0);
+        CPPUNIT_ASSERT(back.at(0).done && back.at(10).done && !back.at(5).done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back.at(4).failed_runs.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), back.at(4).checkpoint);
+    }
+    void random_bytes_are_refused_or_bounded() {
+        std::mt19937_64 random(11);
+        const std::string good = encode_job(full_job());
+        for (int round = 0; round < 20'000; ++round) {
+            std::string bytes = good;
+            for (std::size_t change = 0; change <= random() % 4; ++change)
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            bytes.resize(random() % (bytes.size() + 1));
+            if (const auto job = decode_job(bytes))
+                CPPUNIT_ASSERT(check_job(*job).ok());
+            decode_progress(bytes);
+            decode_worker(bytes);
+            decode_reign(bytes);
+        }
+    }
+    void names_of_tasks_are_read_back() {
+        const task_name name{job_id("5c0e7a21d94b36f8"), 3, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.3.1.17"), to_string(name));
+        CPPUNIT_ASSERT(parse_task_name(to_string(name)) == name);
+    }
+    void malformed_names_are_refused() {
+        for (const char* const text : {"", ".", "a", "a.0.0", "a.0.0.", "a.0.0.0.0", "a.0.x.0",
+                                       ".0.0.0", "a.0.0.99999999999999999999", "a.-1.0.0"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parse_task_name(text).has_value());
+    }
+    void jobs_out_of_bounds_are_refused() {
+        job_spec job = full_job();
+        CPPUNIT_ASSERT(check_job(job).ok());
+        job.steps[1].after = {1};
+        CPPUNIT_ASSERT(code_of(check_job(job)) == result_code::invalid_value);
+        job = full_job();
+        job.steps[0].tasks = 0;
+        CPPUNIT_ASSERT(!check_job(job).ok());
+        job = full_job();
+        job.steps[0].size.cpu_millis = -1;
+        CPPUNIT_ASSERT(!check_job(job).ok());
+        job = full_job();
+        job.steps.clear();
+        CPPUNIT_ASSERT(!check_job(job).ok());
+        job = full_job();
+        job.payload.assign(4001, 'x');
+        CPPUNIT_ASSERT(!check_job(job).ok());
+    }
+    void older_records_never_undo_newer_ones() {
+        cell_state state;
+        job_progress progress;
+        progress.phase = job_phase::succeeded;
+        state.apply(cell_stream::progress, {"pa", encode_progress(progress), 9});
+        progress.phase = job_phase::open;
+        state.apply(cell_stream::progress, {"pa", encode_progress(progress), 4});
+        CPPUNIT_ASSERT(state.find(job_id("a"))->phase == job_phase::succeeded);
+    }
+    void unreadable_records_are_counted_and_passed_over() {
+        cell_state state;
+        state.apply(cell_stream::intake, {"ja", "\xff\xff", 1});
+        state.apply(cell_stream::intake, {"x", "y", 2});
+        state.apply(cell_stream::intake, {"zz", "y", 3});
+        state.apply(cell_stream::progress, {"pa", "\xff\xff", 4});
+        state.apply(cell_stream::progress, {"wa", "\xff\xff", 5});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.unreadable());
+        CPPUNIT_ASSERT(state.find(job_id("a")) == nullptr || !state.find(job_id("a"))->spec);
+    }
+    /// Story: the log forgets its history while a host is cut off from it. Back again, the host loads
+    /// what is there; what was dropped meanwhile must go from its copy too.
+    void a_follower_reports_keys_that_went_while_it_was_away() {
+        sim::sim_time time;
+        sim::sim_store store;
+        sim::sim_log log(time, store, [] { return 0.5; });
+        std::map<std::string, std::string> copy;
+        keyed_follower follower(time.clock(), log, cell_stream::intake, {},
+                                [&copy](const stored_record& record) {
+                                    if (record.value)
+                                        copy[record.key] = *record.value;
+                                    else
+                                        copy.erase(record.key);
+                                });
+        const auto run = [&] {
+            for (int round = 0; round < 200; ++round) {
+                follower.tick();
+                time.run_for(std::chrono::milliseconds(10));
+            }
+        };
+        for (int index = 0; index < 50; ++index)
+            store.append(cell_stream::intake, {{"j" + std::to_string(index), "v", 0}}, {});
+        run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{50}, copy.size());
+        log.state = sim::sim_log::way::refused;
+        store.append(cell_stream::intake, {{"j7", std::nullopt, 0}, {"j50", "v", 0}}, {});
+        store.compact();
+        run();
+        log.state = sim::sim_log::way::open;
+        run();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{50}, copy.size());
+        CPPUNIT_ASSERT(!copy.contains("j7") && copy.contains("j50"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(records_test);
+
+} // namespace
+} // namespace figwinch
--- /dev/null
+++ b/tests/cell/reign_test.cpp
@@ -0,0 +1,166 @@
+#include "figwinch/cell.h"
+#include "tests/cell/sim_store.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A host that stands for the reign, driven every 10 ms.
+class candidate {
+public:
+    candidate(sim_time& time, sim_store& store, const std::string& name)
+        : time_(time), log(time, store, [] { return 0.5; }),
+          election(time.clock(), log, incarnation_id(name), "10.0.0.1:1", reign_times{}) {
+        schedule();
+    }
+    ~candidate() { log.kill(); }
+
+private:
+    void schedule() {
+        time_.after(milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
+            if (weak.expired())
+                return;
+            election.tick();
+            schedule();
+        });
+    }
+    sim_time& time_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+public:
+    sim_log log;
+    reign election;
+};
+
+class reign_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(reign_test);
+    CPPUNIT_TEST(one_of_several_leads_at_once_when_nobody_ever_did);
+    CPPUNIT_TEST(a_killed_coordinator_is_followed_within_two_and_a_half_seconds);
+    CPPUNIT_TEST(a_resignation_is_followed_at_once);
+    CPPUNIT_TEST(epochs_grow);
+    CPPUNIT_TEST(a_coordinator_cut_off_from_the_log_gives_up_before_its_successor_may_rely_on_it);
+    CPPUNIT_TEST(a_renewal_whose_answer_was_lost_carries_the_reign_on);
+    CPPUNIT_TEST(a_host_cut_off_from_the_log_claims_nothing);
+    CPPUNIT_TEST(unreadable_records_of_others_are_passed_over);
+    CPPUNIT_TEST_SUITE_END();
+
+    sim_time time_;
+    sim_store store_;
+    std::vector<std::unique_ptr<candidate>> hosts_;
+
+    void start(std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index)
+            hosts_.push_back(
+                std::make_unique<candidate>(time_, store_, "h" + std::to_string(hosts_.size())));
+    }
+    std::size_t leaders() const {
+        std::size_t count = 0;
+        for (const auto& host : hosts_)
+            count += host && host->election.leads() ? 1 : 0;
+        return count;
+    }
+    std::size_t leader() const {
+        for (std::size_t index = 0; index < hosts_.size(); ++index)
+            if (hosts_[index] && hosts_[index]->election.leads())
+                return index;
+        CPPUNIT_FAIL("nobody leads");
+        return 0;
+    }
+
+public:
+    void one_of_several_leads_at_once_when_nobody_ever_did() {
+        start(7);
+        time_.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+        time_.run_for(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, hosts_[leader()]->election.epoch().value());
+    }
+    void a_killed_coordinator_is_followed_within_two_and_a_half_seconds() {
+        start(3);
+        time_.run_for(seconds(5));
+        hosts_[leader()].reset();
+        time_.run_for(milliseconds(2400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+        CPPUNIT_ASSERT(!hosts_[leader()]->election.follows_resignation());
+    }
+    void a_resignation_is_followed_at_once() {
+        start(3);
+        time_.run_for(seconds(5));
+        const std::size_t first = leader();
+        hosts_[first]->election.resign();
+        time_.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+        CPPUNIT_ASSERT(leader() != first);
+        CPPUNIT_ASSERT(hosts_[leader()]->election.follows_resignation());
+    }
+    void epochs_grow() {
+        start(3);
+        std::uint64_t last = 0;
+        for (int reign = 0; reign < 5; ++reign) {
+            time_.run_for(seconds(5));
+            const std::size_t now = leader();
+            CPPUNIT_ASSERT(hosts_[now]->election.epoch().value() > last);
+            last = hosts_[now]->election.epoch().value();
+            hosts_[now].reset();
+            hosts_[now] = std::make_unique<candidate>(time_, store_, "again" + std::to_string(reign));
+        }
+    }
+    /// Story: the coordinator loses its way to the log, the others don't. It acts on for a while,
+    /// since the log may be away for all; a successor waits for that time, so it must end in time.
+    void a_coordinator_cut_off_from_the_log_gives_up_before_its_successor_may_rely_on_it() {
+        start(3);
+        time_.run_for(seconds(5));
+        const std::size_t first = leader();
+        hosts_[first]->log.state = sim_log::way::silent;
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, leaders());
+        CPPUNIT_ASSERT(!hosts_[first]->election.is_fresh());
+        time_.run_for(silence_limit);
+        CPPUNIT_ASSERT(!hosts_[first]->election.leads());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+    }
+    /// Story: a renewal is stored and its answer lost. The next one finds the stream longer than
+    /// thought; what it finds is its own renewal, and nobody else has claimed.
+    void a_renewal_whose_answer_was_lost_carries_the_reign_on() {
+        start(1);
+        time_.run_for(seconds(2));
+        const std::uint64_t epoch = hosts_[0]->election.epoch().value();
+        hosts_[0]->log.lost_answers = 1;
+        time_.run_for(milliseconds(900));
+        hosts_[0]->log.lost_answers = 0;
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT(hosts_[0]->election.is_fresh());
+        CPPUNIT_ASSERT_EQUAL(epoch, hosts_[0]->election.epoch().value());
+    }
+    void a_host_cut_off_from_the_log_claims_nothing() {
+        start(2);
+        time_.run_for(seconds(3));
+        const std::size_t first = leader();
+        hosts_[1 - first]->log.state = sim_log::way::refused;
+        time_.run_for(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(first, leader());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+    }
+    void unreadable_records_of_others_are_passed_over() {
+        store_.append(cell_stream::reigns, {{"", "\xff\xff not protobuf", 0}}, {});
+        start(2);
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+        store_.append(cell_stream::reigns, {{"", std::string(300, '\xfe'), 0}}, {});
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(reign_test);
+
+} // namespace
+} // namespace figwinch::sim
