--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -84,6 +84,8 @@
         drop_ended_jobs();
         for (job_work* const job : order_)
             make_due_occurrences(*job);
+        if (current_log_level() == log_level::debug)
+            log_waiting();
     }
     if (placement_due_ || now >= next_placement_) {
         placement_due_ = false;
@@ -106,6 +108,23 @@
     return counts;
 }
 
+/// For studies of load: tasks whose turn has come and that have no worker, by kind.
+void cell_coordinator::log_waiting() const {
+    std::int64_t filling = 0;
+    std::int64_t lasting = 0;
+    std::int64_t batch = 0;
+    for (const job_work* const job : order_) {
+        for (const auto& [number, occurrence] : job->occurrences) {
+            for (const step_work& step : occurrence->steps) {
+                const std::int64_t waiting = step.ready ? step.left - step.placed : 0;
+                (step.spec->filling ? filling : step.spec->lasting ? lasting : batch) += waiting;
+            }
+        }
+    }
+    log_event(log_level::debug, "waiting",
+              {{"filling", filling}, {"lasting", lasting}, {"batch", batch}});
+}
+
 run_number cell_coordinator::next_run() {
     // Runs of one epoch are counted in the low bits: a later epoch always numbers higher. 2^24 starts
     // are over an hour of the design size's peak, and 2^53 bounds what JSON carries exactly.
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -23,6 +23,8 @@
     coordinator_counts counts() const override;
 
 private:
+    void log_waiting() const;
+
     // coordinator_jobs.cpp
     void add_job(const job_entry& entry, bool may_run_elsewhere);
     void restore_progress(job_work& job, const job_progress& progress);
