Serve first what can still make its objective

Change: within a priority, jobs that can still make their objective go first, the earliest objective first.

--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -84,6 +84,7 @@
         drop_ended_jobs();
         for (job_work* const job : order_)
             make_due_occurrences(*job);
+        sort_jobs();
         if (current_log_level() == log_level::debug)
             log_waiting();
     }
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -3,6 +3,7 @@
 #include "figwinch/observe.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace figwinch {
 namespace {
@@ -22,6 +23,18 @@
     });
 }
 
+/// The longest chain of steps by the submitter's guesses.
+duration longest_chain(const job_spec& spec) {
+    std::vector<duration> ends;
+    for (const step_spec& step : spec.steps) {
+        duration begin{};
+        for (const std::uint32_t earlier : step.after)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + step.estimate);
+    }
+    return ends.empty() ? duration::zero() : *std::ranges::max_element(ends);
+}
+
 job_progress progress_of(const job_work& job) {
     job_progress progress;
     progress.begun = job.begun;
@@ -51,6 +64,9 @@
     job.spec = entry.spec;
     job.intake_offset = entry.intake_offset;
     job.known_at = with_.time.now();
+    const duration chain = longest_chain(*entry.spec);
+    job.objective_at = job.known_at + job.spec->target +
+                       std::chrono::duration_cast<duration>(chain * job.spec->stretch);
     job.may_run_elsewhere = may_run_elsewhere;
     job.phase = entry.phase;
     job.begun = entry.begun;
@@ -144,10 +160,14 @@
     job.attempts = queue != nullptr ? queue->attempts : job.spec->attempts;
 }
 
+/// Serves the most urgent queue first. Within it a job that can still make its objective goes before
+/// one that can't, the earliest objective first: under overload an order of arrival makes everybody
+/// late.
 void cell_coordinator::sort_jobs() {
-    std::ranges::sort(order_, [](const job_work* left, const job_work* right) {
-        return std::pair(left->priority, left->intake_offset) <
-               std::pair(right->priority, right->intake_offset);
+    const instant now = with_.time.now();
+    std::ranges::sort(order_, {}, [now](const job_work* job) {
+        return std::tuple(job->priority, now > job->objective_at, job->objective_at,
+                          job->intake_offset);
     });
 }
 
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -56,6 +56,8 @@
     std::uint64_t intake_offset = 0;
     /// When this coordinator came to know the job.
     instant known_at{};
+    /// When its callers want it done, by the submitter's guesses of run times.
+    instant objective_at{};
     instant ended_at{};
     /// An earlier coordinator may have started its tasks.
     bool may_run_elsewhere = false;
