--- a/include/figwinch/cell.h
+++ b/include/figwinch/cell.h
@@ -1,8 +1,9 @@
 #pragma once
 
-/// Library `cell`: one coordinator for all workers of a deployment, elected through the durable log.
-/// Holds the jobs of callers, what the log keeps of them, and the rules by which tasks are started,
-/// watched, stopped and started again. Rules only; ports to the log and to workers are interfaces.
+/// Library `cell`: one coordinator for all workers of a deployment, elected through the durable
+/// log. Holds the jobs of callers, what the log keeps of them, and the rules by which tasks are
+/// started, watched, stopped and started again. Rules only; ports to the log and to workers are
+/// interfaces.
 
 #include "figwinch/cell/cell_config.h"
 #include "figwinch/cell/cell_settings.h"
--- a/include/figwinch/cell/cell_state.h
+++ b/include/figwinch/cell/cell_state.h
@@ -27,7 +27,9 @@
     std::uint64_t unreadable() const { return unreadable_; }
 
     /// Called after a job of the intake stream was folded: a new one or a cancellation.
-    void on_intake(std::function<void(const job_entry&)> call) { intake_changed_ = std::move(call); }
+    void on_intake(std::function<void(const job_entry&)> call) {
+        intake_changed_ = std::move(call);
+    }
 
 private:
     bool is_newer(cell_stream stream, const stored_record& record);
--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -9,9 +9,9 @@
 namespace figwinch {
 
 /// The coordinator's one writer to the progress stream. Gathers records and appends them in
-/// batches, one batch at a time, each under the epoch and a sequence number: a batch whose answer was
-/// lost is sent again and takes effect once, and a deposed coordinator's batches are refused. Owned
-/// by the coordinator's host for one reign.
+/// batches, one batch at a time, each under the epoch and a sequence number: a batch whose answer
+/// was lost is sent again and takes effect once, and a deposed coordinator's batches are refused.
+/// Owned by the coordinator's host for one reign.
 class progress_writer {
 public:
     /// `applied` gets each record once the log has it, in order; `deposed` is called when a higher
--- a/include/figwinch/net/http_client.h
+++ b/include/figwinch/net/http_client.h
@@ -15,6 +15,8 @@
 struct endpoint {
     std::string address;
     std::uint16_t port = 0;
+    // clang-tidy takes the 0 of a rewritten `<` for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
 };
 
--- a/include/figwinch/observe/settings.h
+++ b/include/figwinch/observe/settings.h
@@ -16,7 +16,7 @@
     /// Command lines that a newcomer can copy.
     std::vector<std::string> examples;
     /// Environment variables with our prefix that belong to whoever starts the program.
-    std::vector<std::string> foreign_variables;
+    std::vector<std::string> foreign_variables = {};
 };
 
 /// Reads the command line of a program whose settings are Abseil flags. A flag wins over its
--- a/src/cell/cell_config.cpp
+++ b/src/cell/cell_config.cpp
@@ -9,8 +9,8 @@
 const queue_config* cell_config::match(std::string_view host, std::string_view path) const {
     const queue_config* best = nullptr;
     for (const queue_config& queue : queues) {
-        const bool same_host = absl::EqualsIgnoreCase(absl::string_view(host.data(), host.size()),
-                                                      queue.host);
+        const bool same_host =
+            absl::EqualsIgnoreCase(absl::string_view(host.data(), host.size()), queue.host);
         if (!same_host || !path.starts_with(queue.path_prefix))
             continue;
         if (best == nullptr || queue.path_prefix.size() > best->path_prefix.size())
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -24,8 +24,8 @@
 cell_coordinator::cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
                                    bool predecessor_resigned, const cell_state& known)
     : with_(std::move(with)), settings_(settings), epoch_(epoch), began_(with_.time.now()) {
-    // A predecessor may act for `silence_limit` after the log last confirmed it, unless it resigned;
-    // what it held last lives for one more lease.
+    // A predecessor may act for `silence_limit` after the log last confirmed it, unless it
+    // resigned; what it held last lives for one more lease.
     const auto lease =
         std::chrono::duration_cast<duration>(settings_.max_hold / slowest_clock) + lapse_slack;
     for (const auto& [id, worker] : known.workers()) {
@@ -127,8 +127,8 @@
 }
 
 run_number cell_coordinator::next_run() {
-    // Runs of one epoch are counted in the low bits: a later epoch always numbers higher. 2^24 starts
-    // are over an hour of the design size's peak, and 2^53 bounds what JSON carries exactly.
+    // Runs of one epoch are counted in the low bits: a later epoch always numbers higher. 2^24
+    // starts are over an hour of the design size's peak, and 2^53 bounds what JSON carries exactly.
     constexpr std::uint64_t runs_per_epoch_bits = 24;
     return run_number((epoch_.value() << runs_per_epoch_bits) + ++last_run_);
 }
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -115,8 +115,8 @@
     std::vector<job_work*> order_;
     std::vector<job_work*> dirty_;
     std::map<worker_id, std::unique_ptr<worker_work>> workers_;
-    /// Workers that a predecessor may have given tasks and that haven't reported, and when what they
-    /// had must be over.
+    /// Workers that a predecessor may have given tasks and that haven't reported, and when what
+    /// they had must be over.
     absl::flat_hash_map<worker_id, instant> unresolved_;
     /// Runs that have to go.
     std::vector<task_name> stopping_;
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -120,8 +120,8 @@
 std::size_t cell_state::waiting(const queue_name& queue) const {
     const auto count = std::ranges::count_if(jobs_, [&queue](const auto& entry) {
         const job_entry& job = entry.second;
-        return job.spec && job.spec->queue == queue && job.phase == job_phase::open &&
-               !job.begun && !job.cancel_wanted;
+        return job.spec && job.spec->queue == queue && job.phase == job_phase::open && !job.begun &&
+               !job.cancel_wanted;
     });
     return static_cast<std::size_t>(count);
 }
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -160,9 +160,9 @@
     job.attempts = queue != nullptr ? queue->attempts : job.spec->attempts;
 }
 
-/// Serves the most urgent queue first. Within it a job that can still make its objective goes before
-/// one that can't, the earliest objective first: under overload an order of arrival makes everybody
-/// late.
+/// Serves the most urgent queue first. Within it a job that can still make its objective goes
+/// before one that can't, the earliest objective first: under overload an order of arrival makes
+/// everybody late.
 void cell_coordinator::sort_jobs() {
     const instant now = with_.time.now();
     std::ranges::sort(order_, {}, [now](const job_work* job) {
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -189,8 +189,7 @@
 bool cell_coordinator::may_fill(const worker_work& worker, const task_work& task) const {
     if (left_to_fill(worker) < task.step->spec->size.cpu_millis)
         return false;
-    const double more =
-        share(task.step->spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
+    const double more = share(task.step->spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
     return std::ranges::all_of(worker.serving_images, [&](image_number served) {
         const double expected = harms_.alone(served) + high_tide +
                                 harms_.harm_of(served, worker.filling_images) +
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -47,8 +47,8 @@
         mark_dirty(*task.job);
     ++counts_.starts;
     const task_name name = name_of(task);
-    start_order order{to_string(name), run,   task.job->spec->payload,
-                      checkpoint,      task.run.start_until_ms, epoch_};
+    start_order order{to_string(name),         run,   task.job->spec->payload, checkpoint,
+                      task.run.start_until_ms, epoch_};
     log_event(log_level::info, "task_started",
               {{"task", order.task},
                {"run", static_cast<std::int64_t>(run.value())},
@@ -62,8 +62,8 @@
                        });
 }
 
-void cell_coordinator::take_start_answer(const task_name& name, run_number run,
-                                         const worker_id& id, const order_answer& answer) {
+void cell_coordinator::take_start_answer(const task_name& name, run_number run, const worker_id& id,
+                                         const order_answer& answer) {
     const instant now = with_.time.now();
     if (answer.outcome == order_outcome::superseded)
         return be_deposed();
@@ -204,7 +204,7 @@
     std::vector<run_number>& failed = counted.progress.failed_runs;
     if (std::ranges::count(failed, run) > 0 || task.progress.done)
         return;
-    std::ranges::rotate(task.failed_on, task.failed_on.end() - 1);
+    std::rotate(task.failed_on.begin(), task.failed_on.end() - 1, task.failed_on.end());
     task.failed_on.front() = worker.listing.id;
     mark_dirty(*task.job);
     if (task.step->spec->lasting)
@@ -241,8 +241,7 @@
     std::vector<task_name> keep;
     for (const task_name& name : std::exchange(stopping_, {})) {
         task_work* const task = find_task(name);
-        if (task == nullptr || task->where == nullptr ||
-            task->run.now != task_run::phase::stopping)
+        if (task == nullptr || task->where == nullptr || task->run.now != task_run::phase::stopping)
             continue;
         keep.push_back(name);
         if (task->run.stop_in_flight || now < task->run.next_stop)
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -64,8 +64,8 @@
     const instant now = with_.time.now();
     hold_order order;
     order.epoch = epoch_;
-    // After a silence another life may answer, whose own ends count from 1 again: it must not forget
-    // ends that only the earlier life's were noted up to.
+    // After a silence another life may answer, whose own ends count from 1 again: it must not
+    // forget ends that only the earlier life's were noted up to.
     order.noted = worker.unanswered == 0 ? worker.noted : 0;
     // Prolonging the lease of a worker that doesn't answer would keep the tasks on it out of reach:
     // the order may still arrive, and then they live on unseen.
@@ -81,8 +81,8 @@
     worker.hold_in_flight = true;
     ++counts_.holds;
     with_.orders.hold(worker.listing, order,
-                      [this, weak = std::weak_ptr(alive_), id = worker.listing.id, asked = now](
-                          order_outcome outcome, const worker_report& report) {
+                      [this, weak = std::weak_ptr(alive_), id = worker.listing.id,
+                       asked = now](order_outcome outcome, const worker_report& report) {
                           if (!weak.expired() && !deposed_)
                               take_report(id, asked, outcome, report);
                       });
@@ -148,8 +148,8 @@
                          encode_worker({worker.born_ms, true}), 0});
 }
 
-/// It answers again. A successor that still reads of its silence would wait too short a time, so its
-/// lease is prolonged only once the log says otherwise.
+/// It answers again. A successor that still reads of its silence would wait too short a time, so
+/// its lease is prolonged only once the log says otherwise.
 void cell_coordinator::end_silence(worker_work& worker) {
     if (worker.registering)
         return;
@@ -230,8 +230,8 @@
         task->run.pace_set = task->step->spec->filling ? -1 : task->run.pace_set;
         bind(*task, worker);
     }
-    // A predecessor that didn't know yet that it was one may have started a job that isn't read here
-    // yet: to stop it as a stray would lose its work, and the job would be started beside it.
+    // A predecessor that didn't know yet that it was one may have started a job that isn't read
+    // here yet: to stop it as a stray would lose its work, and the job would be started beside it.
     if (task == nullptr && now - began_ < unread_job_wait)
         return;
     if (task == nullptr || task->where != &worker || task->run.number != row.run)
@@ -247,8 +247,8 @@
         run.checkpoint = row.checkpoint;
 }
 
-/// Gives up runs that the worker's report proves gone: the report was asked for after the last order
-/// about the run was answered, or the start can no longer take effect by the worker's clock.
+/// Gives up runs that the worker's report proves gone: the report was asked for after the last
+/// order about the run was answered, or the start can no longer take effect by the worker's clock.
 void cell_coordinator::drop_missing(worker_work& worker, const worker_report& report, instant asked,
                                     const absl::flat_hash_set<task_work*>& seen) {
     std::vector<task_work*> gone;
--- a/src/cell/harm_table.h
+++ b/src/cell/harm_table.h
@@ -18,10 +18,10 @@
 };
 
 /// Learns how much each filling image slows each serving image: an online regression of the
-/// logarithm of tail over target on the shares of the neighbours. The harm of a pair is the growth of that
-/// logarithm for a whole worker of the filling image, never below 0. Pairs differ by factors of ten:
-/// most of the art of sharing is to find a harmless neighbour. Owned by the coordinator; relearned
-/// in seconds after a change of coordinator.
+/// logarithm of tail over target on the shares of the neighbours. The harm of a pair is the growth
+/// of that logarithm for a whole worker of the filling image, never below 0. Pairs differ by
+/// factors of ten: most of the art of sharing is to find a harmless neighbour. Owned by the
+/// coordinator; relearned in seconds after a change of coordinator.
 class harm_table {
 public:
     /// The number of an image; all images beyond a bound share one.
--- a/src/cell/job_spec.cpp
+++ b/src/cell/job_spec.cpp
@@ -13,8 +13,9 @@
 constexpr std::uint32_t most_repeats = 1'000'000;
 
 absl::Status bad(std::size_t step, std::string_view what) {
-    return make_error(result_code::invalid_value,
-                      absl::StrCat("step ", step, ": ", absl::string_view(what.data(), what.size())));
+    return make_error(
+        result_code::invalid_value,
+        absl::StrCat("step ", step, ": ", absl::string_view(what.data(), what.size())));
 }
 
 absl::Status check_step(const step_spec& step, std::size_t number) {
@@ -40,7 +41,7 @@
     if (job.repeats > 0 && job.interval_ms < 0)
         return make_error(result_code::invalid_value, "the interval is below 0 ms");
     for (std::size_t number = 0; number < job.steps.size(); ++number)
-        if (const absl::Status checked = check_step(job.steps[number], number); !checked.ok())
+        if (absl::Status checked = check_step(job.steps[number], number); !checked.ok())
             return checked;
     return absl::OkStatus();
 }
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -58,9 +58,9 @@
                   take_records(read.records);
                   end_known_ = true;
                   // The first page may not reach the end; the rest is read from where it stopped.
-                  end_ = read.records.empty() ? (read.fault == log_fault::expired ? read.first
-                                                                                  : read.end)
-                                              : read.records.back().offset + 1;
+                  end_ = read.records.empty()
+                             ? (read.fault == log_fault::expired ? read.first : read.end)
+                             : read.records.back().offset + 1;
                   // Nobody has ever reigned: there is no renewal to wait for.
                   claim_now_ = read.end == 0;
               });
@@ -92,7 +92,8 @@
         claim_now_ = take_records(read.records);
         return;
     }
-    // The log has answered and had nothing new all the while: the coordinator's renewals are overdue.
+    // The log has answered and had nothing new all the while: the coordinator's renewals are
+    // overdue.
     claim_now_ = waited;
 }
 
@@ -125,11 +126,12 @@
     append_guard guard;
     guard.at = end_;
     const std::string bytes = encode_reign({what, self_, bus_address_});
-    log_.append(cell_stream::reigns, {{"", bytes, 0}}, guard,
-                [weak = std::weak_ptr(alive_), done = std::move(done)](const append_result& result) {
-                    if (!weak.expired())
-                        done(result);
-                });
+    log_.append(
+        cell_stream::reigns, {{"", bytes, 0}}, guard,
+        [weak = std::weak_ptr(alive_), done = std::move(done)](const append_result& result) {
+            if (!weak.expired())
+                done(result);
+        });
 }
 
 void reign::claim() {
--- a/src/cell/worker_work.h
+++ b/src/cell/worker_work.h
@@ -37,8 +37,8 @@
     std::uint64_t noted = 0;
     /// What the runs here take; of filling tasks the memory and accelerators only.
     resources taken;
-    /// What runs here take that aren't wanted and haven't gone yet, by the last report; nothing when
-    /// that isn't known.
+    /// What runs here take that aren't wanted and haven't gone yet, by the last report; nothing
+    /// when that isn't known.
     std::optional<resources> strays = resources{};
     /// Processors that filling tasks here would use, thousandths.
     std::int64_t filling_cpu = 0;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -17,7 +17,8 @@
 // Workers write about once a second each; reading on every record would cost a call for each.
 constexpr follow_pace workers_pace{duration::zero(), std::chrono::milliseconds(200)};
 // The coordinator takes up jobs as they come.
-constexpr follow_pace leading_intake{std::chrono::milliseconds(1000), std::chrono::milliseconds(20)};
+constexpr follow_pace leading_intake{std::chrono::milliseconds(1000),
+                                     std::chrono::milliseconds(20)};
 // Others need them to answer callers.
 constexpr follow_pace following_pace{duration::zero(), std::chrono::milliseconds(250)};
 // A host that the log hasn't answered for so long can't accept jobs.
@@ -53,7 +54,8 @@
 duration cell_member::tick() {
     operators_.tick();
     intake_.tick();
-    // A coordinator writes the stream itself; until it has begun, a read may have to be tried again.
+    // A coordinator writes the stream itself; until it has begun, a read may have to be tried
+    // again.
     if (!coordinator_)
         progress_.tick();
     writer_.tick();
@@ -196,11 +198,10 @@
     std::vector<stored_record> drops;
     drops.push_back({record_key(record_kind::job, id.str()), std::nullopt, 0});
     drops.push_back({record_key(record_kind::cancellation, id.str()), std::nullopt, 0});
-    writer_.write(std::move(drops), time_.now() + forget_patience,
-                  [done](intake_outcome outcome) {
-                      if (outcome == intake_outcome::stored)
-                          done();
-                  });
+    writer_.write(std::move(drops), time_.now() + forget_patience, [done](intake_outcome outcome) {
+        if (outcome == intake_outcome::stored)
+            done();
+    });
 }
 
 } // namespace figwinch
--- a/src/cell_host/job_front.h
+++ b/src/cell_host/job_front.h
@@ -31,8 +31,8 @@
 };
 
 /// Callers' way in: submits, shows and cancels jobs. Any host can answer, from its own copy of the
-/// log. A submission is accepted when the log has it; a job is called unknown only after the log was
-/// read to its end. Owned by the host's daemon.
+/// log. A submission is accepted when the log has it; a job is called unknown only after the log
+/// was read to its end. Owned by the host's daemon.
 class job_front {
 public:
     /// What it works with; all outlive it. `config` may be empty: no configuration yet.
@@ -58,8 +58,7 @@
                 const responder& answer);
     void show(const job_id& id, const responder& answer);
     void cancel(const job_id& id, const http_request& request, const responder& answer);
-    void write_cancellation(const job_id& id, const http_request& request,
-                            const responder& answer);
+    void write_cancellation(const job_id& id, const http_request& request, const responder& answer);
     void show_queue(const queue_config& queue, const responder& answer);
     /// Calls `found` with the job, after reading on where it isn't known yet; answers itself when
     /// there is none.
--- a/tests/cell/cell_history.cpp
+++ b/tests/cell/cell_history.cpp
@@ -37,8 +37,8 @@
     };
 
     duration draw_time(duration most) {
-        return duration(static_cast<std::int64_t>(world_.draw_share() *
-                                                  static_cast<double>(most.count())));
+        return duration(
+            static_cast<std::int64_t>(world_.draw_share() * static_cast<double>(most.count())));
     }
     std::size_t draw_host() { return world_.draw() % host_count; }
     std::string draw_worker() { return "w" + std::to_string(world_.draw() % worker_count); }
@@ -49,9 +49,9 @@
             world_.time().after(draw_time(trouble_time), [this, index] { submit(index); });
     }
     step_spec draw_step() {
-        step_spec step = cell_world::make_step(
-            static_cast<std::uint32_t>(1 + world_.draw() % 4),
-            static_cast<std::int64_t>(300 + world_.draw() % 1200));
+        step_spec step =
+            cell_world::make_step(static_cast<std::uint32_t>(1 + world_.draw() % 4),
+                                  static_cast<std::int64_t>(300 + world_.draw() % 1200));
         step.filling = world_.draw() % 5 == 0;
         return step;
     }
@@ -107,11 +107,10 @@
         }};
         for (std::size_t index = 0; index < faults_; ++index) {
             const fault_kind kind = kinds[world_.draw() % kinds.size()];
-            world_.time().after(seconds(2) + draw_time(trouble_time - seconds(4)),
-                                [this, kind] {
-                                    world_.watch().note(kind.name);
-                                    (this->*kind.play)();
-                                });
+            world_.time().after(seconds(2) + draw_time(trouble_time - seconds(4)), [this, kind] {
+                world_.watch().note(kind.name);
+                (this->*kind.play)();
+            });
         }
     }
     duration draw_span() { return milliseconds(300) + draw_time(seconds(8)); }
@@ -252,8 +251,8 @@
         }
         return "";
     }
-    /// Whether a worker could take one of the job's tasks that don't run. Lasting tasks may have taken
-    /// all room for good: then nothing is stuck.
+    /// Whether a worker could take one of the job's tasks that don't run. Lasting tasks may have
+    /// taken all room for good: then nothing is stuck.
     bool has_room(const std::string& id) {
         bool room = false;
         all_tasks(id, [&](const std::string& task) {
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -53,8 +53,8 @@
     }
 
 public:
-    /// Story: a caller gets its 2xx, and in the next millisecond all hosts lose power. After they are
-    /// back the job is there and runs.
+    /// Story: a caller gets its 2xx, and in the next millisecond all hosts lose power. After they
+    /// are back the job is there and runs.
     void an_accepted_job_outlives_the_power_of_all_hosts() {
         begin();
         const auto told = world_.submit(1, "a", short_job(3));
@@ -89,8 +89,8 @@
         CPPUNIT_ASSERT_EQUAL(starts, world_.watch().starts);
         kept_the_rules();
     }
-    /// Story: a coordinator is frozen for longer than the others wait. When it wakes it believes that
-    /// it leads; neither workers nor the log take its word.
+    /// Story: a coordinator is frozen for longer than the others wait. When it wakes it believes
+    /// that it leads; neither workers nor the log take its word.
     void a_fenced_predecessor_can_order_nothing() {
         begin();
         const std::size_t first = *world_.coordinator();
@@ -104,8 +104,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("a"));
         kept_the_rules();
     }
-    /// Story: a worker goes dark for good. Each unanswered hold used to carry a new end of lease, so
-    /// that the lease to be waited for never ended and its tasks were never started again.
+    /// Story: a worker goes dark for good. Each unanswered hold used to carry a new end of lease,
+    /// so that the lease to be waited for never ended and its tasks were never started again.
     void tasks_of_a_worker_lost_for_good_run_elsewhere_after_its_lease() {
         begin();
         world_.submit(0, "a", lasting(8));
@@ -119,9 +119,9 @@
             CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
         kept_the_rules();
     }
-    /// Story: a run fails on a worker that is cut off, a later run of the task fails elsewhere, then
-    /// the first failure is reported. It counts although its run has the lower number, or the task
-    /// would be started once more than its attempts allow.
+    /// Story: a run fails on a worker that is cut off, a later run of the task fails elsewhere,
+    /// then the first failure is reported. It counts although its run has the lower number, or the
+    /// task would be started once more than its attempts allow.
     void a_late_failure_of_an_earlier_run_counts() {
         begin();
         world_.watch().failing = 1;
@@ -139,8 +139,9 @@
         CPPUNIT_ASSERT_EQUAL(std::string("failed"), phase("a"));
         kept_the_rules();
     }
-    /// Story: a job is accepted and started in the last moments of a reign. The next coordinator sees
-    /// its runs before it has read the job; it must neither stop them as strays nor start them again.
+    /// Story: a job is accepted and started in the last moments of a reign. The next coordinator
+    /// sees its runs before it has read the job; it must neither stop them as strays nor start them
+    /// again.
     void a_run_of_a_job_that_is_not_read_yet_is_left_alone() {
         begin();
         for (int round = 0; round < 6; ++round) {
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -14,8 +14,8 @@
 /// One host of a cell with its ways to the store and to the workers.
 class sim_host final : public cell_platform {
 public:
-    sim_host(sim_time& time, sim_store& store, sim_fleet& fleet, std::function<double()> random,
-             const std::string& name)
+    sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
+             const std::function<double()>& random, const std::string& name)
         : time_(time), fleet_(fleet), log_(time, store, random), orders_(time, fleet, random),
           member_(time.clock(), *this, cell_settings{}, incarnation_id(name), "10.0.0.1:7000") {
         schedule();
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -56,12 +56,13 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, applied_.size());
     }
-    /// Story: a coordinator was frozen, its successor has fenced the stream. What the first one still
-    /// had to write is refused, and it learns that it was deposed.
+    /// Story: a coordinator was frozen, its successor has fenced the stream. What the first one
+    /// still had to write is refused, and it learns that it was deposed.
     void a_fenced_writer_appends_nothing_more() {
         writer_.write({"p1", "v", 0});
         run_for(milliseconds(100));
-        progress_writer next(time_.clock(), log_, lease_epoch(4), [](const stored_record&) {}, [] {});
+        progress_writer next(
+            time_.clock(), log_, lease_epoch(4), [](const stored_record&) {}, [] {});
         bool fenced = false;
         next.fence([&fenced](std::uint64_t) { fenced = true; });
         time_.run_for(milliseconds(50));
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -137,8 +137,8 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.unreadable());
         CPPUNIT_ASSERT(state.find(job_id("a")) == nullptr || !state.find(job_id("a"))->spec);
     }
-    /// Story: the log forgets its history while a host is cut off from it. Back again, the host loads
-    /// what is there; what was dropped meanwhile must go from its copy too.
+    /// Story: the log forgets its history while a host is cut off from it. Back again, the host
+    /// loads what is there; what was dropped meanwhile must go from its copy too.
     void a_follower_reports_keys_that_went_while_it_was_away() {
         sim::sim_time time;
         sim::sim_store store;
--- a/tests/cell/reign_test.cpp
+++ b/tests/cell/reign_test.cpp
@@ -110,7 +110,8 @@
             CPPUNIT_ASSERT(hosts_[now]->election.epoch().value() > last);
             last = hosts_[now]->election.epoch().value();
             hosts_[now].reset();
-            hosts_[now] = std::make_unique<candidate>(time_, store_, "again" + std::to_string(reign));
+            hosts_[now] =
+                std::make_unique<candidate>(time_, store_, "again" + std::to_string(reign));
         }
     }
     /// Story: the coordinator loses its way to the log, the others don't. It acts on for a while,
--- a/tests/cell/rule_watch.h
+++ b/tests/cell/rule_watch.h
@@ -74,7 +74,9 @@
             return duration(-1);
         return std::chrono::milliseconds(200 + draw() % 1500);
     }
-    bool fails(const std::string&) override { return static_cast<double>(draw() % 1000) < failing * 1000; }
+    bool fails(const std::string&) override {
+        return static_cast<double>(draw() % 1000) < failing * 1000;
+    }
 
     bool ended_well(const std::string& task) const { return done_.contains(task); }
     bool runs(const std::string& task) const {
--- a/tests/cell/sharing_test.cpp
+++ b/tests/cell/sharing_test.cpp
@@ -87,8 +87,8 @@
         CPPUNIT_ASSERT(filling[0].percent < 70);
         CPPUNIT_ASSERT_EQUAL(100, filling[1].percent);
     }
-    /// Story: nothing is known of a pair and the tail stays over its target. The promise allows some
-    /// seconds of that; before they are over nothing that fills may work.
+    /// Story: nothing is known of a pair and the tail stays over its target. The promise allows
+    /// some seconds of that; before they are over nothing that fills may work.
     void everything_stands_still_before_the_promise_breaks() {
         harm_table table;
         const image_number serving = table.number("serving");
--- a/tests/cell/sim_orders.h
+++ b/tests/cell/sim_orders.h
@@ -28,24 +28,24 @@
 
     void start(const worker_listing& where, const start_order& order,
                answer_handler done) override {
-        send(where, std::move(done),
+        send(where, done,
              [order](sim_worker& worker, bool late) { return worker.start(order, late); });
     }
     void stop(const worker_listing& where, const std::string& task, run_number run,
               lease_epoch epoch, answer_handler done) override {
-        send(where, std::move(done), [task, run, epoch](sim_worker& worker, bool) {
+        send(where, done, [task, run, epoch](sim_worker& worker, bool) {
             return worker.stop(task, run, epoch);
         });
     }
     void pace(const worker_listing& where, const pace_order&, answer_handler done) override {
-        send(where, std::move(done), [](sim_worker& worker, bool) {
+        send(where, done, [](sim_worker& worker, bool) {
             return order_answer{order_outcome::done, worker.clock_ms()};
         });
     }
     void hold(const worker_listing& where, const hold_order& order, hold_handler done) override {
         const order_fate fate = draw(where);
-        const auto answer = [this, alive = std::weak_ptr(alive_), done](
-                                order_outcome outcome, const worker_report& report) {
+        const auto answer = [alive = std::weak_ptr(alive_), done](order_outcome outcome,
+                                                                  const worker_report& report) {
             if (!alive.expired())
                 done(outcome, report);
         };
@@ -97,7 +97,7 @@
         return drawn;
     }
     template <class Order>
-    void send(const worker_listing& where, answer_handler done, Order order) {
+    void send(const worker_listing& where, const answer_handler& done, Order order) {
         const order_fate fate = draw(where);
         const auto answer = [alive = std::weak_ptr(alive_), done](const order_answer& result) {
             if (!alive.expired())
--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -122,10 +122,9 @@
         read_result fault;
         if (blocked(fault, done))
             return;
-        time_.after(delay, [this, alive = std::weak_ptr(alive_), stream, from,
-                            end = time_.now() + wait, done = std::move(done)] {
-            poll(alive, stream, from, end, done);
-        });
+        time_.after(delay,
+                    [this, alive = std::weak_ptr(alive_), stream, from, end = time_.now() + wait,
+                     done = std::move(done)] { poll(alive, stream, from, end, done); });
     }
     void newest(cell_stream stream, const std::string& after_key,
                 std::function<void(newest_result)> done) override {
@@ -165,14 +164,13 @@
             return false;
         const bool refused = state == way::refused;
         result.fault = refused ? log_fault::unavailable : log_fault::silent;
-        time_.after(refused ? delay : duration(std::chrono::milliseconds(800)),
-                    [alive = std::weak_ptr(alive_), result, done] {
-                        deliver(alive, done, result);
-                    });
+        time_.after(
+            refused ? delay : duration(std::chrono::milliseconds(800)),
+            [alive = std::weak_ptr(alive_), result, done] { deliver(alive, done, result); });
         return true;
     }
-    void poll(const std::weak_ptr<bool>& alive, cell_stream stream, std::uint64_t from,
-              instant end, const std::function<void(read_result)>& done) {
+    void poll(const std::weak_ptr<bool>& alive, cell_stream stream, std::uint64_t from, instant end,
+              const std::function<void(read_result)>& done) {
         if (alive.expired())
             return;
         const sim_store::stream& read_from = store_.of(stream);
