--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -30,12 +30,24 @@
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
 endfunction()
 
-# figwinch_test(NAME SOURCES... [LINK LIBS...]) declares one CppUnit binary and its ctest entry.
+# figwinch_test(NAME SOURCES... [LINK LIBS...] [SPLIT]) declares one CppUnit binary and its ctest
+# entry; with SPLIT one entry for each of its tests, so that long ones run side by side.
 # Tests register themselves; the shared main prints the counts that tools/test adds up.
 function(figwinch_test name)
-  cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
+  cmake_parse_arguments(arg "SPLIT" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name} ${PROJECT_SOURCE_DIR}/tests/main.cpp ${arg_SOURCES})
   target_link_libraries(${name} PRIVATE figwinch_flags PkgConfig::CPPUNIT ${arg_LINK})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
-  add_test(NAME ${name} COMMAND ${name})
+  if(NOT arg_SPLIT)
+    add_test(NAME ${name} COMMAND ${name})
+    return()
+  endif()
+  foreach(source ${arg_SOURCES})
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+    file(STRINGS ${source} cases REGEX "CPPUNIT_TEST\\(")
+    foreach(case ${cases})
+      string(REGEX REPLACE ".*CPPUNIT_TEST\\(([a-z0-9_]+)\\).*" "\\1" case ${case})
+      add_test(NAME ${name}.${case} COMMAND ${name} ${case})
+    endforeach()
+  endforeach()
 endfunction()
--- a/include/figwinch/cell/durable_log.h
+++ b/include/figwinch/cell/durable_log.h
@@ -24,6 +24,9 @@
     workers,
 };
 
+/// "intake" and so on, for logs.
+const char* to_string(cell_stream stream);
+
 /// One record: the newest of a key replaces the earlier ones. No value drops the key.
 struct stored_record {
     std::string key;
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -22,8 +22,16 @@
     duration renew_every = std::chrono::milliseconds(400);
     duration takeover_after = std::chrono::milliseconds(1300);
     duration retry_after = std::chrono::milliseconds(150);
+    /// How long this host lets others claim first. A coordinator makes some hundred calls a second for
+    /// every hundred workers; a host with a small share of a core falls behind, and then every answer
+    /// comes after its timeout.
+    duration modesty{};
 };
 
+/// The modesty of a host with a share of a core: none from a quarter of a core on, a second
+/// at none.
+duration modesty_of(double cpu_share);
+
 /// Elects one coordinator among hosts through a stream of the log. Every record is appended on the
 /// condition that the stream ends where its writer thinks (compare-and-append), so that the records
 /// form one history: a claim starts a reign, its offset gives the epoch, renewals carry it on. A
@@ -57,6 +65,7 @@
 private:
     void find_end();
     void follow();
+    void set_vacant(bool vacant);
     void take_read(const read_result& read, bool waited);
     bool take_records(const std::vector<stored_record>& records);
     void claim();
@@ -76,6 +85,8 @@
     bool leads_ = false;
     bool log_answers_ = false;
     bool claim_now_ = false;
+    /// When the reign was first seen vacant.
+    std::optional<instant> vacant_since_;
     bool vacant_ = false;
     bool follows_resignation_ = false;
     lease_epoch epoch_;
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -1,5 +1,7 @@
 #include "figwinch/cell/keyed_follower.h"
 
+#include "figwinch/observe.h"
+
 #include <utility>
 
 namespace figwinch {
@@ -73,6 +75,10 @@
 }
 
 void keyed_follower::finish_load() {
+    log_event(log_level::info, "stream_loaded",
+              {{"stream", std::string(to_string(stream_))},
+               {"keys", static_cast<std::int64_t>(loading_keys_.size())},
+               {"next", static_cast<std::int64_t>(load_end_)}});
     for (const std::string& key : keys_)
         if (!loading_keys_.contains(key) && load_end_ > 0)
             apply_({key, std::nullopt, load_end_ - 1});
@@ -96,6 +102,10 @@
 
 void keyed_follower::take(const read_result& read) {
     if (read.fault == log_fault::expired) {
+        log_event(log_level::warn, "stream_expired",
+                  {{"stream", std::string(to_string(stream_))},
+                   {"next", static_cast<std::int64_t>(next_)},
+                   {"first", static_cast<std::int64_t>(read.first)}});
         loaded_ = false;
         next_read_ = time_.now();
         asked_.insert(asked_.end(), being_answered_.begin(), being_answered_.end());
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -2,9 +2,22 @@
 
 #include "figwinch/cell/cell_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figwinch {
+namespace {
+
+constexpr duration modest_look = std::chrono::milliseconds(100);
+constexpr double strong_share = 0.25;
+constexpr duration most_modesty = std::chrono::milliseconds(1000);
+
+} // namespace
+
+duration modesty_of(double cpu_share) {
+    const double missing = std::clamp(1 - cpu_share / strong_share, 0.0, 1.0);
+    return std::chrono::duration_cast<duration>(most_modesty * missing);
+}
 
 reign::reign(const clock& time, durable_log& log, incarnation_id self, std::string bus_address,
              const reign_times& times)
@@ -27,7 +40,7 @@
         return find_end();
     if (leads_)
         return renew();
-    if (claim_now_ && !resigned_)
+    if (claim_now_ && !resigned_ && now - vacant_since_.value_or(now) >= times_.modesty)
         return claim();
     follow();
 }
@@ -62,13 +75,15 @@
                              ? (read.fault == log_fault::expired ? read.first : read.end)
                              : read.records.back().offset + 1;
                   // Nobody has ever reigned: there is no renewal to wait for.
-                  claim_now_ = read.end == 0;
+                  set_vacant(read.end == 0);
               });
 }
 
 void reign::follow() {
     busy_ = true;
-    log_.read(cell_stream::reigns, end_, times_.takeover_after,
+    // While it lets others claim first, it only looks whether one has.
+    const duration wait = claim_now_ ? modest_look : times_.takeover_after;
+    log_.read(cell_stream::reigns, end_, wait,
               [this, weak = std::weak_ptr(alive_), asked = time_.now()](const read_result& read) {
                   if (weak.expired())
                       return;
@@ -77,6 +92,14 @@
               });
 }
 
+void reign::set_vacant(bool vacant) {
+    claim_now_ = vacant;
+    if (!vacant)
+        vacant_since_.reset();
+    else if (!vacant_since_)
+        vacant_since_ = time_.now();
+}
+
 void reign::take_read(const read_result& read, bool waited) {
     log_answers_ = read.fault == log_fault::none || read.fault == log_fault::expired;
     if (read.fault == log_fault::expired) {
@@ -89,12 +112,11 @@
     }
     if (!read.records.empty()) {
         end_ = read.records.back().offset + 1;
-        claim_now_ = take_records(read.records);
-        return;
+        return set_vacant(take_records(read.records));
     }
     // The log has answered and had nothing new all the while: the coordinator's renewals are
     // overdue.
-    claim_now_ = waited;
+    set_vacant(claim_now_ || waited);
 }
 
 /// Takes in what others wrote. Returns whether the reign is vacant.
@@ -136,7 +158,7 @@
 
 void reign::claim() {
     busy_ = true;
-    claim_now_ = false;
+    set_vacant(false);
     append(reign_record::kind::claim, [this, asked = time_.now()](const append_result& result) {
         busy_ = false;
         if (result.fault == log_fault::none) {
--- a/src/cell_host/cell_host_settings.h
+++ b/src/cell_host/cell_host_settings.h
@@ -19,6 +19,8 @@
     endpoint metrics;
     /// The platform's store.
     endpoint log;
+    /// The share of a core that this process may use.
+    double cpu_share = 1;
     duration grace{};
     cell_settings cell;
     log_level level = log_level::info;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -25,10 +25,16 @@
 constexpr duration log_silence = std::chrono::seconds(2);
 constexpr duration forget_patience = std::chrono::seconds(30);
 
+reign_times times_of(double cpu_share) {
+    reign_times times;
+    times.modesty = modesty_of(cpu_share);
+    return times;
+}
+
 } // namespace
 
 cell_member::cell_member(const clock& time, cell_platform& platform, const cell_settings& settings,
-                         incarnation_id self, std::string bus_address)
+                         incarnation_id self, std::string bus_address, double cpu_share)
     : time_(time), platform_(platform), settings_(settings),
       operators_(time, platform.log(), cell_stream::operators, operators_pace,
                  [this](const stored_record& record) { take_operators(record); }),
@@ -44,7 +50,8 @@
                   state_.apply(cell_stream::intake, record);
                   intake_.skip(record);
               }),
-      reign_(time, platform.log(), std::move(self), std::move(bus_address), reign_times{}) {
+      reign_(time, platform.log(), std::move(self), std::move(bus_address),
+             times_of(cpu_share)) {
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
             coordinator_->take_intake(job);
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -15,7 +15,7 @@
 class cell_member {
 public:
     cell_member(const clock& time, cell_platform& platform, const cell_settings& settings,
-                incarnation_id self, std::string bus_address);
+                incarnation_id self, std::string bus_address, double cpu_share);
 
     /// Does what is due; returns how long the next call may wait.
     duration tick();
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -17,7 +17,7 @@
     sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
              const std::function<double()>& random, const std::string& name)
         : time_(time), fleet_(fleet), log_(time, store, random), orders_(time, fleet, random),
-          member_(time.clock(), *this, cell_settings{}, incarnation_id(name), "10.0.0.1:7000") {
+          member_(time.clock(), *this, cell_settings{}, incarnation_id(name), "10.0.0.1:7000", 1) {
         schedule();
     }
     ~sim_host() override {
--- a/tests/cell/reign_test.cpp
+++ b/tests/cell/reign_test.cpp
@@ -15,14 +15,19 @@
 /// A host that stands for the reign, driven every 10 ms.
 class candidate {
 public:
-    candidate(sim_time& time, sim_store& store, const std::string& name)
+    candidate(sim_time& time, sim_store& store, const std::string& name, duration modesty = {})
         : time_(time), log(time, store, [] { return 0.5; }),
-          election(time.clock(), log, incarnation_id(name), "10.0.0.1:1", reign_times{}) {
+          election(time.clock(), log, incarnation_id(name), "10.0.0.1:1", times_of(modesty)) {
         schedule();
     }
     ~candidate() { log.kill(); }
 
 private:
+    static reign_times times_of(duration modesty) {
+        reign_times times;
+        times.modesty = modesty;
+        return times;
+    }
     void schedule() {
         time_.after(milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
             if (weak.expired())
@@ -48,6 +53,7 @@
     CPPUNIT_TEST(a_coordinator_cut_off_from_the_log_gives_up_before_its_successor_may_rely_on_it);
     CPPUNIT_TEST(a_renewal_whose_answer_was_lost_carries_the_reign_on);
     CPPUNIT_TEST(a_host_cut_off_from_the_log_claims_nothing);
+    CPPUNIT_TEST(a_strong_host_is_let_go_first);
     CPPUNIT_TEST(unreadable_records_of_others_are_passed_over);
     CPPUNIT_TEST_SUITE_END();
 
@@ -150,6 +156,21 @@
         CPPUNIT_ASSERT_EQUAL(first, leader());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
     }
+    /// Story: the coordinator of a large cell was elected on a host with an eighth of a core. Its loop
+    /// fell behind, answers were read after their timeouts, and it took up no cancellation any more.
+    void a_strong_host_is_let_go_first() {
+        for (const double share : {0.12, 0.2, 0.5, 0.12})
+            hosts_.push_back(std::make_unique<candidate>(
+                time_, store_, "h" + std::to_string(hosts_.size()), modesty_of(share)));
+        time_.run_for(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, leader());
+        hosts_[2].reset();
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leader());
+        hosts_[1].reset();
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+    }
     void unreadable_records_of_others_are_passed_over() {
         store_.append(cell_stream::reigns, {{"", "\xff\xff not protobuf", 0}}, {});
         start(2);
