Tell callers at once when the log doesn't answer

Ruled out: slow answers (half of the submissions were stored within 26 ms). Change: a host that the log doesn't answer refuses new submissions with 503 and Retry-After, since nothing was tried, and isn't ready; an append without an answer is sent once more, then the caller gets its 504.

--- a/include/figwinch/cell/keyed_follower.h
+++ b/include/figwinch/cell/keyed_follower.h
@@ -37,6 +37,8 @@
     std::uint64_t next() const { return next_; }
     /// When the log last answered.
     instant answered_at() const { return answered_at_; }
+    /// Whether the newest call went without an answer or was refused.
+    bool is_failing() const { return failing_; }
 
 private:
     void load(const std::string& after_key);
@@ -62,6 +64,7 @@
     absl::flat_hash_set<std::string> loading_keys_;
     instant next_read_{};
     instant answered_at_{};
+    bool failing_ = false;
     /// Syncs that the next read to begin will answer, and those that the present one will.
     std::vector<std::function<void(bool)>> asked_;
     std::vector<std::function<void(bool)>> being_answered_;
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -62,6 +62,7 @@
     if (page.fault != log_fault::none)
         return retry_later();
     answered_at_ = time_.now();
+    failing_ = false;
     // Pages are no snapshot: what changes while they are read stands after the first page's end.
     if (std::exchange(first_page_, false))
         load_end_ = page.end;
@@ -117,6 +118,7 @@
         return finish_syncs(false);
     }
     answered_at_ = time_.now();
+    failing_ = false;
     for (const stored_record& record : read.records)
         take_record(record);
     finish_syncs(true);
@@ -137,6 +139,7 @@
 }
 
 void keyed_follower::retry_later() {
+    failing_ = true;
     next_read_ = time_.now() + retry_period;
     if (!loaded_)
         finish_syncs(false);
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -26,6 +26,7 @@
               with.cpu_share),
       front_({time_, platform.dialect(), member_.config(), member_.state(), member_.writer(),
               [this](const std::function<void(bool)>& done) { member_.sync_intake(done); },
+              [this] { return member_.log_answers(); },
               [this](duration waited) { metrics_.observe_acceptance(waited); }}) {
     tick();
 }
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -21,7 +21,9 @@
 
 private:
     void tick();
-    bool is_ready() const { return !stopping_ && member_.is_loaded(); }
+    bool is_ready() const {
+        return !stopping_ && member_.is_loaded() && member_.log_answers();
+    }
     void answer_ready(const std::shared_ptr<http_responder>& answer) const;
     void finish_stop();
 
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -22,7 +22,7 @@
 // Others need them to answer callers.
 constexpr follow_pace following_pace{duration::zero(), std::chrono::milliseconds(250)};
 // A host that the log hasn't answered for so long can't accept jobs.
-constexpr duration log_silence = std::chrono::seconds(2);
+constexpr duration log_silence = std::chrono::milliseconds(1700);
 constexpr duration forget_patience = std::chrono::seconds(30);
 
 reign_times times_of(double cpu_share) {
@@ -194,7 +194,7 @@
 }
 
 bool cell_member::log_answers() const {
-    return time_.now() - intake_.answered_at() < log_silence;
+    return !intake_.is_failing() && time_.now() - intake_.answered_at() < log_silence;
 }
 
 void cell_member::sync_intake(const std::function<void(bool)>& done) {
@@ -205,10 +205,13 @@
     std::vector<stored_record> drops;
     drops.push_back({record_key(record_kind::job, id.str()), std::nullopt, 0});
     drops.push_back({record_key(record_kind::cancellation, id.str()), std::nullopt, 0});
-    writer_.write(std::move(drops), time_.now() + forget_patience, [done](intake_outcome outcome) {
-        if (outcome == intake_outcome::stored)
-            done();
-    });
+    writer_.write(std::move(drops), time_.now() + forget_patience,
+                  [this, id, done](intake_outcome outcome) {
+                      if (outcome == intake_outcome::stored)
+                          done();
+                      else if (coordinator_)
+                          forget_job(id, done);
+                  });
 }
 
 } // namespace figwinch
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -65,9 +65,23 @@
     next_send_ = time_.now() + retry_period;
     if (result.fault == log_fault::unavailable)
         return refuse_batch();
-    for (entry& waiting : batch_)
-        waiting.doubtful = true;
+    end_in_doubt();
+}
+
+/// No answer: the same records are sent once more, since a lost answer is cheap to get again. Without
+/// an answer to that either, callers are told so and can ask at another host.
+void intake_writer::end_in_doubt() {
+    std::deque<entry> keep;
+    for (entry& waiting : std::exchange(batch_, {})) {
+        if (std::exchange(waiting.doubtful, true))
+            waiting.done(intake_outcome::unknown);
+        else
+            keep.push_back(std::move(waiting));
+    }
+    batch_.insert(batch_.begin(), std::make_move_iterator(keep.begin()),
+                  std::make_move_iterator(keep.end()));
     end_overdue(batch_);
+    next_send_ = time_.now();
 }
 
 void intake_writer::commit(std::uint64_t offset) {
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -29,7 +29,7 @@
     intake_writer(const clock& time, durable_log& log,
                   std::function<void(const stored_record&)> applied);
 
-    /// Calls back once, at `deadline` at the latest.
+    /// Calls back once, at `deadline` at the latest and as soon as the outcome is settled or can't be.
     void write(std::vector<stored_record> records, instant deadline, handler done);
     void tick();
     std::size_t waiting() const { return waiting_.size() + batch_.size(); }
@@ -45,6 +45,7 @@
 
     void send();
     void take(const append_result& result);
+    void end_in_doubt();
     void commit(std::uint64_t offset);
     void refuse_batch();
     void end_overdue(std::deque<entry>& entries);
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -66,6 +66,9 @@
         const absl::string_view why = job.status().message();
         return refuse(answer, code_of(job.status()), {why.data(), why.size()}, id.str());
     }
+    // Nothing is tried that would leave the caller waiting: another host may reach the log.
+    if (!with_.log_answers())
+        return refuse(answer, result_code::log_unavailable, "the log doesn't answer", id.str());
     if (queue.wants_advice)
         return refuse(answer, result_code::no_scheduler, "advice on workers isn't supported",
                       id.str());
--- a/src/cell_host/job_front.h
+++ b/src/cell_host/job_front.h
@@ -44,6 +44,8 @@
         intake_writer& writer;
         /// Reads the intake stream to its present end; tells whether it could.
         std::function<void(std::function<void(bool)>)> sync;
+        /// Whether the log has answered this host lately.
+        std::function<bool()> log_answers;
         /// Told how long each acceptance took.
         std::function<void(duration)> accepted;
     };
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(a_store_that_forgets_its_history_loses_no_job);
     CPPUNIT_TEST(a_resend_is_the_same_job);
     CPPUNIT_TEST(a_refused_submission_never_runs);
+    CPPUNIT_TEST(a_caller_is_not_held_while_the_log_is_silent);
+    CPPUNIT_TEST(a_lost_answer_of_the_log_costs_one_more_append);
     CPPUNIT_TEST(members_of_a_gang_start_together);
     CPPUNIT_TEST_SUITE_END();
 
@@ -224,6 +226,33 @@
         world_.time().run_for(seconds(6));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world_.watch().starts);
     }
+    /// Story: the log doesn't answer. Callers used to be held until just before their deadline of 3 s,
+    /// and then had no time to ask elsewhere. They are told that the outcome isn't known instead.
+    void a_caller_is_not_held_while_the_log_is_silent() {
+        begin();
+        for (std::size_t host = 0; host < 3; ++host)
+            world_.host(host)->way_to_log().state = sim_log::way::silent;
+        const auto told = world_.submit(0, "a", short_job(1));
+        // Two appends of 0.8 s each; the wait of the first is when the others ask elsewhere.
+        world_.time().run_for(milliseconds(1700));
+        CPPUNIT_ASSERT(told->has_value());
+        CPPUNIT_ASSERT(**told == intake_outcome::unknown);
+        CPPUNIT_ASSERT(!world_.host(0)->member().log_answers());
+    }
+    /// Story: the log stores a job and its answer is lost. The second append finds the way open; the
+    /// caller gets its 2xx and the job runs once.
+    void a_lost_answer_of_the_log_costs_one_more_append() {
+        begin();
+        world_.host(0)->way_to_log().lost_answers = 1;
+        const auto told = world_.submit(0, "a", short_job(2));
+        world_.time().run_for(milliseconds(400));
+        world_.host(0)->way_to_log().lost_answers = 0;
+        world_.time().run_for(milliseconds(700));
+        CPPUNIT_ASSERT(told->has_value());
+        CPPUNIT_ASSERT(**told == intake_outcome::stored);
+        world_.time().run_for(seconds(6));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world_.watch().starts);
+    }
     void members_of_a_gang_start_together() {
         begin();
         step_spec step = cell_world::make_step(6, 1500);
