Lead again at once after a restart, and let dead workers be forgotten

Ruled out: live workers (all 66 reported within 0.2 s). Change: any worker whose lease is over is dropped from the log; a host that finds its own name on the reign claims at once, and waits for leases only, since its earlier process is gone.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -61,6 +61,7 @@
     void share_processors(worker_work& worker);
     void learn_harms(const worker_work& worker, const std::vector<serving_view>& serving);
     void expire_leases();
+    void end_lease(worker_work& worker);
     void forget_gone_workers();
     void resolve(const worker_id& id);
     void resolve_expired();
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -337,21 +337,26 @@
 void cell_coordinator::expire_leases() {
     const instant now = with_.time.now();
     for (const auto& [id, worker] : workers_) {
-        if (worker->tasks.empty() || worker->born_ms == 0)
-            continue;
         const auto clock_ms = worker->clock.at_least(now);
         const std::int64_t slack = lapse_slack.count() / 1000;
         if (!clock_ms || *clock_ms < worker->latest_until_ms + slack)
             continue;
-        const std::vector<task_work*> lost(worker->tasks.begin(), worker->tasks.end());
+        end_lease(*worker);
+    }
+}
+
+/// Its lease is over by any clock: nothing runs there.
+void cell_coordinator::end_lease(worker_work& worker) {
+    const worker_id& id = worker.listing.id;
+    const std::vector<task_work*> lost(worker.tasks.begin(), worker.tasks.end());
+    if (!lost.empty())
         log_event(log_level::warn, "lease_over",
                   {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
-        for (task_work* const task : lost)
-            release(*task);
-        // Nothing runs there: a successor needn't ask it.
-        if (std::exchange(worker->registered, false))
-            with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
-    }
+    for (task_work* const task : lost)
+        release(*task);
+    // A successor needn't ask it, nor wait for it.
+    if (std::exchange(worker.registered, false))
+        with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
 }
 
 void cell_coordinator::forget_gone_workers() {
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -8,6 +8,12 @@
 namespace figwinch {
 namespace {
 
+/// The host that a life of a process ran on: "host-1" of "host-1#8842".
+std::string_view node_of(const incarnation_id& life) {
+    const std::string_view text = life.str();
+    return text.substr(0, text.find('#'));
+}
+
 constexpr duration modest_look = std::chrono::milliseconds(100);
 constexpr double strong_share = 0.25;
 constexpr duration most_modesty = std::chrono::milliseconds(1000);
@@ -68,14 +74,14 @@
                       next_try_ = time_.now() + times_.retry_after;
                       return;
                   }
-                  take_records(read.records);
+                  const bool vacant = take_records(read.records);
                   end_known_ = true;
                   // The first page may not reach the end; the rest is read from where it stopped.
                   end_ = read.records.empty()
                              ? (read.fault == log_fault::expired ? read.first : read.end)
                              : read.records.back().offset + 1;
                   // Nobody has ever reigned: there is no renewal to wait for.
-                  set_vacant(read.end == 0);
+                  set_vacant(vacant || read.end == 0);
               });
 }
 
@@ -135,6 +141,10 @@
             read->what == reign_record::kind::claim)
             current_ = {read->holder, read->bus_address, lease_epoch(record.offset + 1)};
     }
+    // A holder of this host's name that isn't this process is the process before it, which is gone.
+    const bool ours = current_ && current_->holder != self_ &&
+                      node_of(current_->holder) == node_of(self_);
+    vacant = vacant || ours;
     if (!records.empty())
         vacant_ = vacant;
     // A claim of ours whose answer was lost counts from its record.
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -19,8 +19,8 @@
 };
 
 /// Appends jobs and cancellations to the intake stream, gathered in batches. An append without an
-/// answer is sent again as long as the callers wait: the same record twice is the same job. Owned
-/// by the host's daemon.
+/// answer is sent once more, since the same record twice is the same job; then callers are told.
+/// Owned by the host's daemon.
 class intake_writer {
 public:
     using handler = std::function<void(intake_outcome)>;
--- a/tests/cell/reign_test.cpp
+++ b/tests/cell/reign_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(a_coordinator_cut_off_from_the_log_gives_up_before_its_successor_may_rely_on_it);
     CPPUNIT_TEST(a_renewal_whose_answer_was_lost_carries_the_reign_on);
     CPPUNIT_TEST(a_host_cut_off_from_the_log_claims_nothing);
+    CPPUNIT_TEST(a_coordinator_that_starts_again_leads_at_once);
     CPPUNIT_TEST(a_strong_host_is_let_go_first);
     CPPUNIT_TEST(unreadable_records_of_others_are_passed_over);
     CPPUNIT_TEST_SUITE_END();
@@ -156,6 +157,22 @@
         CPPUNIT_ASSERT_EQUAL(first, leader());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
     }
+    /// Story: all hosts lose power and come back. The one that led sees its own name on the reign: the
+    /// process that held it is gone, there is nothing to wait for.
+    void a_coordinator_that_starts_again_leads_at_once() {
+        for (const char* const name : {"h0#1", "h1#1", "h2#1"})
+            hosts_.push_back(std::make_unique<candidate>(time_, store_, name));
+        time_.run_for(seconds(5));
+        const std::size_t first = leader();
+        for (auto& host : hosts_)
+            host.reset();
+        time_.run_for(seconds(1));
+        for (std::size_t index = 0; index < 3; ++index)
+            hosts_[index] = std::make_unique<candidate>(time_, store_, "h" + std::to_string(index) + "#2");
+        time_.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(first, leader());
+        CPPUNIT_ASSERT(hosts_[first]->election.follows_resignation());
+    }
     /// Story: the coordinator of a large cell was elected on a host with an eighth of a core. Its loop
     /// fell behind, answers were read after their timeouts, and it took up no cancellation any more.
     void a_strong_host_is_let_go_first() {
