--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -12,7 +12,13 @@
 namespace figwinch {
 
 /// What a key of the cell's streams names: one letter, then the id.
-enum class record_kind : char { job = 'j', cancellation = 'c', progress = 'p', worker = 'w' };
+enum class record_kind : char {
+    job = 'j',
+    cancellation = 'c',
+    progress = 'p',
+    worker = 'w',
+    harms = 'h'
+};
 
 std::string record_key(record_kind kind, std::string_view id);
 
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -22,9 +22,9 @@
     duration renew_every = std::chrono::milliseconds(400);
     duration takeover_after = std::chrono::milliseconds(1300);
     duration retry_after = std::chrono::milliseconds(150);
-    /// How long this host lets others claim first. A coordinator makes some hundred calls a second for
-    /// every hundred workers; a host with a small share of a core falls behind, and then every answer
-    /// comes after its timeout.
+    /// How long this host lets others claim first. A coordinator makes some hundred calls a second
+    /// for every hundred workers; a host with a small share of a core falls behind, and then every
+    /// answer comes after its timeout.
     duration modesty{};
 };
 
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell_coordinator.h"
 
+#include "figwinch/cell/record_codec.h"
 #include "figwinch/observe.h"
 
 #include <algorithm>
@@ -10,6 +11,8 @@
 // Placement looks again at least this often for what time alone changes: rests, cold workers.
 constexpr duration placement_period = std::chrono::milliseconds(100);
 // Leases, leaving workers and ended jobs are looked through this often.
+// What is learned changes slowly; a successor that starts from two seconds ago loses nothing.
+constexpr duration harms_period = std::chrono::seconds(2);
 constexpr duration sweep_period = std::chrono::milliseconds(100);
 
 } // namespace
@@ -32,6 +35,7 @@
         const bool idle = predecessor_resigned || worker.silent;
         unresolved_[id] = began_ + lease + (idle ? duration::zero() : silence_limit);
     }
+    harms_.restore(known.harms());
     for (const auto& [id, entry] : known.jobs())
         add_job(entry, true);
     sort_jobs();
@@ -85,6 +89,7 @@
         for (job_work* const job : order_)
             make_due_occurrences(*job);
         sort_jobs();
+        record_harms();
         if (current_log_level() == log_level::debug)
             log_waiting();
     }
@@ -126,6 +131,19 @@
               {{"filling", filling}, {"lasting", lasting}, {"batch", batch}});
 }
 
+/// Written when something was learned, in batches that go out anyway.
+void cell_coordinator::record_harms() {
+    const instant now = with_.time.now();
+    if (now < next_harms_)
+        return;
+    next_harms_ = now + harms_period;
+    std::string record = harms_.encode();
+    if (record == recorded_harms_)
+        return;
+    recorded_harms_ = std::move(record);
+    with_.journal.write({record_key(record_kind::harms, "table"), recorded_harms_, 0});
+}
+
 run_number cell_coordinator::next_run() {
     // Runs of one epoch are counted in the low bits: a later epoch always numbers higher. 2^24
     // starts are over an hour of the design size's peak, and 2^53 bounds what JSON carries exactly.
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -24,6 +24,7 @@
 
 private:
     void log_waiting() const;
+    void record_harms();
 
     // coordinator_jobs.cpp
     void add_job(const job_entry& entry, bool may_run_elsewhere);
@@ -128,6 +129,8 @@
     instant next_sweep_{};
     coordinator_counts counts_;
     harm_table harms_;
+    std::string recorded_harms_;
+    instant next_harms_{};
     /// Expires with this object: answers that come later are dropped.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -35,6 +35,10 @@
         return apply_progress(record, job_id(id));
     if (stream == cell_stream::progress && kind == record_kind::worker)
         return apply_worker(record, worker_id(id));
+    if (stream == cell_stream::progress && kind == record_kind::harms) {
+        harms_ = record.value.value_or("");
+        return;
+    }
     ++unreadable_;
 }
 
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -20,10 +20,10 @@
 // Filling work goes where the worst served neighbour is expected to stay below this share of its
 // target at a high tide of its own load.
 const double highest_log_ratio = std::log(0.9);
-constexpr double high_tide = 0.35;
+constexpr double high_tide = 0.5;
 // One point of expected growth of a neighbour's log tail weighs as much as this share of a worker
 // less to run on.
-constexpr double harm_weight = 2;
+constexpr double harm_weight = 5;
 constexpr double failed_there_penalty = 10;
 constexpr double cold_penalty = 1;
 constexpr double near_data_bonus = 2;
--- a/src/cell/harm_table.cpp
+++ b/src/cell/harm_table.cpp
@@ -1,6 +1,9 @@
 #include "cell/harm_table.h"
 
+#include "cell.pb.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace figwinch {
 namespace {
@@ -39,6 +42,49 @@
     return next;
 }
 
+std::string harm_table::encode() const {
+    std::vector<const std::string*> images(rows_.size(), nullptr);
+    for (const auto& [image, number] : numbers_)
+        images[number] = &image;
+    pb::HarmRecord record;
+    for (const std::string* const image : images)
+        record.add_images(*image);
+    for (image_number serving = 0; serving < rows_.size(); ++serving) {
+        const serving_row& row = rows_[serving];
+        if (std::ranges::all_of(row.seen, [](int seen) { return seen == 0; }))
+            continue;
+        pb::ServingHarms& kept = *record.add_serving();
+        kept.set_image(*images[serving]);
+        kept.set_alone(row.alone);
+        for (image_number filling = 0; filling < rows_.size(); ++filling) {
+            kept.add_harms(static_cast<float>(row.harms[filling]));
+            kept.add_seen(static_cast<std::uint32_t>(row.seen[filling]));
+        }
+    }
+    return record.SerializeAsString();
+}
+
+void harm_table::restore(std::string_view bytes) {
+    pb::HarmRecord record;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return;
+    for (const pb::ServingHarms& kept : record.serving()) {
+        const image_number serving = number(kept.image());
+        if (!std::isfinite(kept.alone()))
+            continue;
+        rows_[serving].alone = kept.alone();
+        const int columns = std::min({record.images_size(), kept.harms_size(), kept.seen_size()});
+        for (int column = 0; column < columns; ++column) {
+            const image_number filling = number(record.images(column));
+            if (!std::isfinite(kept.harms(column)))
+                continue;
+            serving_row& row = rows_[serving];
+            row.harms[filling] = std::clamp<double>(kept.harms(column), 0, greatest_harm);
+            row.seen[filling] = static_cast<int>(kept.seen(column));
+        }
+    }
+}
+
 double harm_table::harm(image_number serving, image_number filling) const {
     return rows_[serving].harms[filling];
 }
--- a/src/cell/harm_table.h
+++ b/src/cell/harm_table.h
@@ -4,6 +4,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace figwinch {
@@ -32,6 +33,9 @@
     double harm(image_number serving, image_number filling) const;
     /// Mean of log(tail / target) of a serving image with nothing beside it.
     double alone(image_number serving) const;
+    /// The table as a record, and back. What can't be read leaves the table as it is.
+    std::string encode() const;
+    void restore(std::string_view record);
     /// Sum of the harms of the neighbours at their shares.
     double harm_of(image_number serving, std::span<const image_share> beside) const;
 
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -142,8 +142,8 @@
             current_ = {read->holder, read->bus_address, lease_epoch(record.offset + 1)};
     }
     // A holder of this host's name that isn't this process is the process before it, which is gone.
-    const bool ours = current_ && current_->holder != self_ &&
-                      node_of(current_->holder) == node_of(self_);
+    const bool ours =
+        current_ && current_->holder != self_ && node_of(current_->holder) == node_of(self_);
     vacant = vacant || ours;
     if (!records.empty())
         vacant_ = vacant;
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -22,8 +22,7 @@
 cell_host::cell_host(event_loop& loop, cell_platform& platform, const cell_host_settings& with,
                      incarnation_id self)
     : loop_(loop), platform_(platform), with_(with),
-      member_(time_, platform, with.cell, std::move(self), to_string(with.bus),
-              with.cpu_share),
+      member_(time_, platform, with.cell, std::move(self), to_string(with.bus), with.cpu_share),
       front_({time_, platform.dialect(), member_.config(), member_.state(), member_.writer(),
               [this](const std::function<void(bool)>& done) { member_.sync_intake(done); },
               [this] { return member_.log_answers(); },
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -21,9 +21,7 @@
 
 private:
     void tick();
-    bool is_ready() const {
-        return !stopping_ && member_.is_loaded() && member_.log_answers();
-    }
+    bool is_ready() const { return !stopping_ && member_.is_loaded() && member_.log_answers(); }
     void answer_ready(const std::shared_ptr<http_responder>& answer) const;
     void finish_stop();
 
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -50,8 +50,7 @@
                   state_.apply(cell_stream::intake, record);
                   intake_.skip(record);
               }),
-      reign_(time, platform.log(), std::move(self), std::move(bus_address),
-             times_of(cpu_share)) {
+      reign_(time, platform.log(), std::move(self), std::move(bus_address), times_of(cpu_share)) {
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
             coordinator_->take_intake(job);
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -68,8 +68,8 @@
     end_in_doubt();
 }
 
-/// No answer: the same records are sent once more, since a lost answer is cheap to get again. Without
-/// an answer to that either, callers are told so and can ask at another host.
+/// No answer: the same records are sent once more, since a lost answer is cheap to get again.
+/// Without an answer to that either, callers are told so and can ask at another host.
 void intake_writer::end_in_doubt() {
     std::deque<entry> keep;
     for (entry& waiting : std::exchange(batch_, {})) {
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -29,7 +29,8 @@
     intake_writer(const clock& time, durable_log& log,
                   std::function<void(const stored_record&)> applied);
 
-    /// Calls back once, at `deadline` at the latest and as soon as the outcome is settled or can't be.
+    /// Calls back once, at `deadline` at the latest and as soon as the outcome is settled or can't
+    /// be.
     void write(std::vector<stored_record> records, instant deadline, handler done);
     void tick();
     std::size_t waiting() const { return waiting_.size() + batch_.size(); }
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -86,8 +86,8 @@
                        });
 }
 
-void job_front::answer_submission(const job_id& id, const responder& answer,
-                                  intake_outcome outcome, instant begun) {
+void job_front::answer_submission(const job_id& id, const responder& answer, intake_outcome outcome,
+                                  instant begun) {
     switch (outcome) {
     case intake_outcome::not_stored:
         return refuse(answer, result_code::log_unavailable, "not stored", id.str());
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -226,8 +226,9 @@
         world_.time().run_for(seconds(6));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world_.watch().starts);
     }
-    /// Story: the log doesn't answer. Callers used to be held until just before their deadline of 3 s,
-    /// and then had no time to ask elsewhere. They are told that the outcome isn't known instead.
+    /// Story: the log doesn't answer. Callers used to be held until just before their deadline of 3
+    /// s, and then had no time to ask elsewhere. They are told that the outcome isn't known
+    /// instead.
     void a_caller_is_not_held_while_the_log_is_silent() {
         begin();
         for (std::size_t host = 0; host < 3; ++host)
@@ -239,8 +240,8 @@
         CPPUNIT_ASSERT(**told == intake_outcome::unknown);
         CPPUNIT_ASSERT(!world_.host(0)->member().log_answers());
     }
-    /// Story: the log stores a job and its answer is lost. The second append finds the way open; the
-    /// caller gets its 2xx and the job runs once.
+    /// Story: the log stores a job and its answer is lost. The second append finds the way open;
+    /// the caller gets its 2xx and the job runs once.
     void a_lost_answer_of_the_log_costs_one_more_append() {
         begin();
         world_.host(0)->way_to_log().lost_answers = 1;
--- a/tests/cell/reign_test.cpp
+++ b/tests/cell/reign_test.cpp
@@ -157,8 +157,8 @@
         CPPUNIT_ASSERT_EQUAL(first, leader());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
     }
-    /// Story: all hosts lose power and come back. The one that led sees its own name on the reign: the
-    /// process that held it is gone, there is nothing to wait for.
+    /// Story: all hosts lose power and come back. The one that led sees its own name on the reign:
+    /// the process that held it is gone, there is nothing to wait for.
     void a_coordinator_that_starts_again_leads_at_once() {
         for (const char* const name : {"h0#1", "h1#1", "h2#1"})
             hosts_.push_back(std::make_unique<candidate>(time_, store_, name));
@@ -168,13 +168,15 @@
             host.reset();
         time_.run_for(seconds(1));
         for (std::size_t index = 0; index < 3; ++index)
-            hosts_[index] = std::make_unique<candidate>(time_, store_, "h" + std::to_string(index) + "#2");
+            hosts_[index] =
+                std::make_unique<candidate>(time_, store_, "h" + std::to_string(index) + "#2");
         time_.run_for(milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(first, leader());
         CPPUNIT_ASSERT(hosts_[first]->election.follows_resignation());
     }
-    /// Story: the coordinator of a large cell was elected on a host with an eighth of a core. Its loop
-    /// fell behind, answers were read after their timeouts, and it took up no cancellation any more.
+    /// Story: the coordinator of a large cell was elected on a host with an eighth of a core. Its
+    /// loop fell behind, answers were read after their timeouts, and it took up no cancellation any
+    /// more.
     void a_strong_host_is_let_go_first() {
         for (const double share : {0.12, 0.2, 0.5, 0.12})
             hosts_.push_back(std::make_unique<candidate>(
--- a/tests/cell/sharing_test.cpp
+++ b/tests/cell/sharing_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(harmless_neighbours_work_at_full_speed);
     CPPUNIT_TEST(harmful_neighbours_are_slowed_just_enough);
     CPPUNIT_TEST(everything_stands_still_before_the_promise_breaks);
+    CPPUNIT_TEST(a_successor_goes_on_from_the_record);
+    CPPUNIT_TEST(bad_records_of_harms_are_passed_over);
     CPPUNIT_TEST(many_images_share_the_last_number);
     CPPUNIT_TEST_SUITE_END();
 
@@ -103,6 +105,34 @@
         }
         CPPUNIT_ASSERT_EQUAL(0, filling[0].percent);
     }
+    void a_successor_goes_on_from_the_record() {
+        harm_table table;
+        const image_number serving = table.number("serving");
+        const image_number hard = table.number("hard");
+        observe(table, serving, hard, 9, table.number("soft"), 400);
+        harm_table next;
+        next.number("another");
+        next.restore(table.encode());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(table.harm(serving, hard),
+                                     next.harm(next.number("serving"), next.number("hard")), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(table.alone(serving), next.alone(next.number("serving")),
+                                     0.01);
+    }
+    void bad_records_of_harms_are_passed_over() {
+        harm_table table;
+        const image_number serving = table.number("serving");
+        const image_number hard = table.number("hard");
+        observe(table, serving, hard, 9, table.number("soft"), 400);
+        const std::string good = table.encode();
+        for (int round = 0; round < 5000; ++round) {
+            std::string bytes = good;
+            bytes[random_() % bytes.size()] = static_cast<char>(random_());
+            bytes.resize(random_() % (bytes.size() + 1));
+            table.restore(bytes);
+            const double harm = table.harm(serving, hard);
+            CPPUNIT_ASSERT(harm >= 0 && harm <= 25);
+        }
+    }
     void many_images_share_the_last_number() {
         harm_table table;
         image_number last = 0;
