--- a/src/cell/harm_table.h
+++ b/src/cell/harm_table.h
@@ -22,7 +22,7 @@
 /// logarithm of tail over target on the shares of the neighbours. The harm of a pair is the growth
 /// of that logarithm for a whole worker of the filling image, never below 0. Pairs differ by
 /// factors of ten: most of the art of sharing is to find a harmless neighbour. Owned by the
-/// coordinator; relearned in seconds after a change of coordinator.
+/// coordinator, which records it for its successors.
 class harm_table {
 public:
     /// The number of an image; all images beyond a bound share one.
