--- a/bench/cell_coordinator.cpp
+++ b/bench/cell_coordinator.cpp
@@ -37,7 +37,7 @@
 // One coordinator in simulated time: what a second of a worker costs in processor time, with the
 // simulated workers' own share in it, and how often the coordinator calls.
 FIGWINCH_BENCH(cell_coordinator) {
-    for (const std::size_t workers : {66, 132, 264, 528}) {
+    for (const std::size_t workers : {66U, 132U, 264U, 528U}) {
         const double heap_before = static_cast<double>(heap_bytes());
         cell_world world(3, 1, workers);
         world.watch().failing = 0;
@@ -52,8 +52,8 @@
             world.time().run_for(measured / measured_s);
         }
         const coordinator_counts after = world.host(0)->member().coordinating()->counts();
-        const auto calls = static_cast<double>(after.starts + after.holds - before.starts -
-                                               before.holds);
+        const auto calls =
+            static_cast<double>(after.starts + after.holds - before.starts - before.holds);
         out.add("processor", size, (processor_seconds() - begun) / measured_s * 1e6, "us/s");
         out.add("calls", size, calls / measured_s, "calls/s");
         out.add("heap", size, static_cast<double>(heap_bytes()) - heap_before, "bytes");
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,205 @@
+#include "platform/config_codec.h"
+#include "platform/job_codec.h"
+#include "platform/json_reader.h"
+#include "platform/store_records.h"
+#include "platform/worker_codec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace figwinch::platform {
+namespace {
+
+/// Bytes from outside: what is read of them, and that nothing malformed gets further.
+class codec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(codec_test);
+    CPPUNIT_TEST(a_submission_is_read);
+    CPPUNIT_TEST(malformed_submissions_are_refused_by_number);
+    CPPUNIT_TEST(job_ids_are_sixteen_hexadecimal_digits);
+    CPPUNIT_TEST(states_are_told_in_the_callers_words);
+    CPPUNIT_TEST(a_configuration_is_read);
+    CPPUNIT_TEST(the_longest_prefix_selects_the_queue);
+    CPPUNIT_TEST(a_worker_is_read);
+    CPPUNIT_TEST(entries_of_other_writers_name_no_worker);
+    CPPUNIT_TEST(a_report_is_read);
+    CPPUNIT_TEST(orders_carry_what_workers_check);
+    CPPUNIT_TEST(records_are_read_back);
+    CPPUNIT_TEST(records_cut_short_are_refused);
+    CPPUNIT_TEST(random_bytes_never_pass_for_anything);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* submission =
+        R"({"spec":"s","steps":[{"count":2,"cpu":500,"memMb":64,"estimateMs":40},)"
+        R"({"count":1,"dependsOn":[0],"gang":true,"longRunning":true,"fills":true,)"
+        R"("requires":"big","affinity":"rack-9","antiAffinity":3,"image":"x","targetMs":50}]})";
+    static constexpr const char* worker =
+        R"({"service":"s","address":"10.9.8.7:80","zone":"z","state":"ready","sequence":3,)"
+        R"("born":1700000000000,"capacity":{"cpu":1000,"memMb":10},"labels":["a","rack-9"]})";
+    static constexpr const char* report =
+        R"({"clockMs":12,"born":5,"running":[["a.0.0.0",7,"c",40,13],["bad"],[1,2,3,4]],)"
+        R"("finished":[[1,"a.0.0.1",6,"done",""],[2,"a.0.0.2",6,"else",""],"x"]})";
+
+public:
+    void a_submission_is_read() {
+        const auto job = decode_submission(submission);
+        CPPUNIT_ASSERT(job.ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, job->steps.size());
+        const step_spec& second = job->steps[1];
+        CPPUNIT_ASSERT(second.gang && second.lasting && second.filling);
+        CPPUNIT_ASSERT_EQUAL(std::string("big"), second.label);
+        CPPUNIT_ASSERT_EQUAL(std::string("rack-9"), second.near_rack.str());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, second.most_per_worker);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, job->steps[0].size.cpu_millis);
+    }
+    void malformed_submissions_are_refused_by_number() {
+        const auto code = [](const char* body) {
+            return code_of(decode_submission(body).status());
+        };
+        CPPUNIT_ASSERT(code("") == result_code::malformed_request);
+        CPPUNIT_ASSERT(code("[1]") == result_code::malformed_request);
+        CPPUNIT_ASSERT(code(R"({"spec":"s"})") == result_code::malformed_request);
+        CPPUNIT_ASSERT(code(R"({"steps":"none"})") == result_code::malformed_request);
+        CPPUNIT_ASSERT(code(R"({"steps":[]})") == result_code::invalid_value);
+        CPPUNIT_ASSERT(code(R"({"steps":[7]})") == result_code::invalid_value);
+        CPPUNIT_ASSERT(code(R"({"steps":[{"count":1,"cpu":"much"}]})") ==
+                       result_code::invalid_value);
+        CPPUNIT_ASSERT(code(R"({"steps":[{"count":1,"dependsOn":[0]}]})") ==
+                       result_code::invalid_value);
+        CPPUNIT_ASSERT(code(R"({"steps":[{"count":1,"cpu":1e300}]})") ==
+                       result_code::invalid_value);
+    }
+    void job_ids_are_sixteen_hexadecimal_digits() {
+        CPPUNIT_ASSERT(is_job_id("0123456789abcdef"));
+        CPPUNIT_ASSERT(!is_job_id("0123456789abcde"));
+        CPPUNIT_ASSERT(!is_job_id("0123456789abcdeg"));
+        CPPUNIT_ASSERT(!is_job_id("0123456789abcdef/"));
+    }
+    void states_are_told_in_the_callers_words() {
+        job_entry job;
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"queued"})"), encode_state(job));
+        job.begun = true;
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"running"})"), encode_state(job));
+        job.cancel_wanted = true;
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"), encode_state(job));
+        job.phase = job_phase::succeeded;
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"succeeded"})"), encode_state(job));
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"waiting":3})"), encode_waiting(3));
+    }
+    void a_configuration_is_read() {
+        const auto config = decode_config(
+            R"({"version":9,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",)"
+            R"("targetLatencyMs":250,"attempts":4,"stretch":1.5,"priority":2},{"name":"broken"},7],)"
+            R"("services":[{"name":"s","enforcesCapacity":true}],"unknown":{}})");
+        CPPUNIT_ASSERT(config.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, config->version.value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, config->queues.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{4}, config->queues[0].attempts);
+        CPPUNIT_ASSERT(config->services[0].guards_capacity);
+        CPPUNIT_ASSERT(!decode_config(R"({"routes":[],"services":[]})").has_value());
+        CPPUNIT_ASSERT(!decode_config(R"({"version":"9","routes":[],"services":[]})").has_value());
+        CPPUNIT_ASSERT(evacuated_by("evacuate/z") == data_centre_id("z"));
+        CPPUNIT_ASSERT(!evacuated_by("config").has_value());
+    }
+    void the_longest_prefix_selects_the_queue() {
+        const auto config =
+            decode_config(R"({"version":1,"services":[],"routes":[)"
+                          R"({"name":"short","host":"h","pathPrefix":"/a/"},)"
+                          R"({"name":"long","host":"h","pathPrefix":"/a/b/"},)"
+                          R"({"name":"other","host":"g","pathPrefix":"/a/b/c/"}]})");
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), config->match("H", "/a/b/c/1")->name.str());
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), config->match("h", "/a/1")->name.str());
+        CPPUNIT_ASSERT(config->match("h", "/b/") == nullptr);
+    }
+    void a_worker_is_read() {
+        const auto read = decode_listing("w1", worker);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("rack-9"), read->rack.str());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, read->capacity.cpu_millis);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1'700'000'000'000}, read->born_ms);
+        CPPUNIT_ASSERT(!read->leaving);
+    }
+    /// Story: another writer has left bytes in the list of workers. They must name no worker to use
+    /// and must not keep the others from being used.
+    void entries_of_other_writers_name_no_worker() {
+        for (const char* const bytes :
+             {"", "{}", "null", R"({"service":"s","address":"10.9.8.7:80","state":"ready"})",
+              R"({"service":"s","address":"nowhere","state":"ready","capacity":{}})",
+              R"({"service":"s","address":"10.9.8.7:80","state":"odd","capacity":{}})",
+              R"({"service":7,"address":"10.9.8.7:80","state":"ready","capacity":{}})",
+              R"({"service":"s","address":"10.9.8.7:80","state":"ready","capacity":3})"})
+            CPPUNIT_ASSERT_MESSAGE(bytes, !decode_listing("w1", bytes).has_value());
+    }
+    void a_report_is_read() {
+        const auto read = decode_report(report);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->running.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{13}, read->running[0].recent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->ended.size());
+        CPPUNIT_ASSERT(read->ended[0].how == run_end::done);
+        CPPUNIT_ASSERT(!decode_report(R"({"running":[]})").has_value());
+    }
+    void orders_carry_what_workers_check() {
+        start_order order{"a.0.0.1", run_number(9), "p\"q", "c", 70, lease_epoch(4)};
+        const auto body = parse_object(encode_start(order));
+        CPPUNIT_ASSERT(body.has_value());
+        json_reader fields(*body);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), fields.text("task"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, fields.integer("run"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, fields.integer("fence"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{70}, fields.integer("untilMs"));
+        CPPUNIT_ASSERT_EQUAL(std::string("p\"q"), fields.text("spec"));
+        hold_order hold;
+        hold.noted = 5;
+        const auto look = parse_object(encode_hold(hold));
+        CPPUNIT_ASSERT(!json_reader(*look).has("untilMs"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, json_reader(*look).integer("lastSeen"));
+    }
+    void records_are_read_back() {
+        const std::vector<stored_record> records = {
+            {"k", std::string("v\0w", 3), 0}, {"gone", std::nullopt, 0}, {"", "x", 0}};
+        std::string body(16, '\0');
+        body[7] = 43;
+        body[15] = 2;
+        body += encode_records(record_form::keyed, records);
+        const auto read = decode_read(record_form::keyed, 40, body);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{43}, read->end);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, read->first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read->records.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{42}, read->records[2].offset);
+        CPPUNIT_ASSERT_EQUAL(std::string("v\0w", 3), *read->records[0].value);
+        CPPUNIT_ASSERT(!read->records[1].value.has_value());
+    }
+    void records_cut_short_are_refused() {
+        std::string body(16, '\0');
+        body += encode_records(record_form::keyed, {{"key", "value", 0}});
+        for (std::size_t size = 0; size < body.size(); ++size)
+            CPPUNIT_ASSERT(size == 16 ||
+                           !decode_read(record_form::keyed, 0, body.substr(0, size)).has_value());
+    }
+    void random_bytes_never_pass_for_anything() {
+        std::mt19937_64 random(3);
+        const std::vector<std::string> good = {submission, worker, report};
+        for (int round = 0; round < 30'000; ++round) {
+            std::string bytes = good[random() % good.size()];
+            for (std::size_t change = 0; change <= random() % 5; ++change)
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            if (random() % 3 == 0)
+                bytes.resize(random() % bytes.size());
+            if (const auto job = decode_submission(bytes); job.ok())
+                CPPUNIT_ASSERT(check_job(*job).ok());
+            decode_listing("w", bytes);
+            decode_report(bytes);
+            decode_config(bytes);
+            decode_read(record_form::keyed, 0, bytes);
+            decode_read(record_form::plain, 0, bytes);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
+
+} // namespace
+} // namespace figwinch::platform
