Don't call a scheduler ready without a configuration

Ruled out: the entry (it checks for a configuration); a slow log (the stream was followed). Change: readiness needs a configuration.

--- a/src/scheduler/daemon_requests.cpp
+++ b/src/scheduler/daemon_requests.cpp
@@ -127,7 +127,10 @@
         return to->respond(text(404, "unknown path\n"));
     if (stopping_ || !core_->is_recovered())
         return to->respond(text(503, stopping_ ? "stopping\n" : "jobs not recovered\n"));
-    const std::string lacks = config_->lacks();
+    std::string lacks = config_->lacks();
+    // A stream that was read to its end and holds no manifest: every job would be refused.
+    if (lacks.empty() && !config_->current())
+        lacks = "a configuration";
     to->respond(lacks.empty() ? text(200, "ready\n") : text(503, lacks + '\n'));
 }
 
--- a/tests/system/test_jobs.py
+++ b/tests/system/test_jobs.py
@@ -77,6 +77,18 @@
         self.assert_no_worker_was_overcommitted()
         self.assert_every_attempt_started_once()
 
+    # The schedulers are up before the first manifest is published. One that said it was ready would be
+    # sent jobs and refuse them all.
+    def test_a_scheduler_without_a_configuration_is_not_ready(self):
+        region = Cluster("mastering", centres=("a",), executors=1)
+        region.__enter__()
+        self.addCleanup(region.__exit__)
+        scheduler = region.schedulers[0]
+        wait_for("the scheduler to say what it lacks", lambda: call(
+            scheduler.http, "GET", "/ready").body.strip() in ("a configuration", b"a configuration"))
+        region.publish(region.manifest())
+        wait_for("the scheduler to be ready", lambda: is_ok(scheduler, "/ready"))
+
     # A customer copies a job that is larger than any worker. Accepted, it would wait for ever.
     def test_a_job_that_fits_no_worker_is_refused(self):
         self.start(centres=("a",), executors=1)
