Let a parted coordinator count on nothing that the log hasn't confirmed

Change: a lease counts as over, and a predecessor's time as passed, only when a renewal asked for after that has been confirmed; new jobs are passed on only while the reign is fresh.

--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -38,6 +38,9 @@
         const clock& time;
         worker_orders& orders;
         progress_writer& journal;
+        /// When the newest renewal was asked for that the log has confirmed: nobody else had
+        /// claimed the reign by then.
+        std::function<instant()> confirmed_at;
         /// Called when a worker shows that a higher epoch exists.
         std::function<void()> deposed;
         /// Drops what the intake stream has of a job that ended long ago; calls back once the log
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -66,6 +66,7 @@
     void forget_gone_workers();
     void resolve(const worker_id& id);
     void resolve_expired();
+    bool is_settled(instant& since) const;
     bool may_start(const job_work& job) const;
     std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
     worker_work* find_worker(const worker_id& id);
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -340,11 +340,22 @@
         const auto clock_ms = worker->clock.at_least(now);
         const std::int64_t slack = lapse_slack.count() / 1000;
         if (!clock_ms || *clock_ms < worker->latest_until_ms + slack)
-            continue;
-        end_lease(*worker);
+            worker->over_since = instant{};
+        else if (is_settled(worker->over_since))
+            end_lease(*worker);
     }
 }
 
+/// Whether the log has confirmed this reign since a lease must have been over. A coordinator that
+/// is parted from the log and from some workers sees their leases run out while its successor,
+/// which it doesn't know of, prolongs them: what it started elsewhere would run twice. A renewal
+/// that was confirmed later says that there was no successor.
+bool cell_coordinator::is_settled(instant& since) const {
+    if (since == instant{})
+        since = with_.time.now();
+    return with_.confirmed_at() > since;
+}
+
 /// Its lease is over by any clock: nothing runs there.
 void cell_coordinator::end_lease(worker_work& worker) {
     const worker_id& id = worker.listing.id;
@@ -381,8 +392,10 @@
 }
 
 void cell_coordinator::resolve_expired() {
-    const instant now = with_.time.now();
-    if (absl::erase_if(unresolved_, [now](const auto& worker) { return now > worker.second; }) > 0)
+    // Confirmed since the bound has passed, for the same reason as in `is_settled`.
+    const instant confirmed = with_.confirmed_at();
+    if (absl::erase_if(unresolved_,
+                       [confirmed](const auto& worker) { return confirmed > worker.second; }) > 0)
         placement_due_ = true;
 }
 
--- a/src/cell/worker_work.h
+++ b/src/cell/worker_work.h
@@ -32,6 +32,8 @@
     bool silent = false;
     instant next_hold{};
     instant reported_at{};
+    /// Since when its lease must have been over; none: it may not be.
+    instant over_since{};
     /// Ends up to `seen` were taken in, up to `noted` recorded in the log.
     std::uint64_t seen = 0;
     std::uint64_t noted = 0;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -53,7 +53,7 @@
       reign_(time, platform.log(), std::move(self), std::move(bus_address), times_of(cpu_share)) {
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
-            coordinator_->take_intake(job);
+            held_back_.push_back(job.id);
     });
 }
 
@@ -91,10 +91,22 @@
     pass_listing();
     // New jobs wait while the log doesn't confirm the reign (see `fresh_reign`).
     intake_.set_pace(reign_.is_fresh() ? leading_intake : following_pace);
+    pass_intake();
     coordinator_->tick();
     journal_->tick();
 }
 
+/// New jobs wait while the log doesn't confirm the reign. A coordinator that was parted from the
+/// log reads what came meanwhile before it learns that it has been followed; its successor starts
+/// those jobs without asking the workers that it can't reach.
+void cell_member::pass_intake() {
+    if (!reign_.is_fresh())
+        return;
+    for (const job_id& id : std::exchange(held_back_, {}))
+        if (const job_entry* const job = state_.find(id))
+            coordinator_->take_intake(*job);
+}
+
 /// Fences the predecessor first, so that what is read after it is all that it ever wrote.
 void cell_member::begin_reign() {
     prepared_ = reign_.epoch();
@@ -122,7 +134,8 @@
         return;
     }
     coordinator_ = coordinator::create(
-        {time_, platform_.orders(), *journal_, [this] { deposed_ = true; },
+        {time_, platform_.orders(), *journal_, [this] { return reign_.confirmed_at(); },
+         [this] { deposed_ = true; },
          [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
         settings_, prepared_, reign_.follows_resignation(), state_);
     if (config_)
@@ -137,6 +150,7 @@
     if (reign_.epoch() == prepared_)
         reign_.yield();
     coordinator_.reset();
+    held_back_.clear();
     journal_.reset();
     intake_.set_pace(following_pace);
 }
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -42,6 +42,7 @@
     void take_operators(const stored_record& record);
     void take_worker(const stored_record& record);
     void pass_listing();
+    void pass_intake();
     void forget_job(const job_id& id, const std::function<void()>& done);
 
     const clock& time_;
@@ -63,6 +64,8 @@
     /// The reign that `journal_` is for; a reign is prepared once.
     lease_epoch prepared_;
     bool deposed_ = false;
+    /// Jobs that came in and that the coordinator hasn't been told of.
+    std::vector<job_id> held_back_;
 };
 
 } // namespace figwinch
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(lasting_tasks_leave_a_worker_that_leaves);
     CPPUNIT_TEST(nothing_starts_in_a_data_centre_that_was_taken_out);
     CPPUNIT_TEST(a_store_that_forgets_its_history_loses_no_job);
+    CPPUNIT_TEST(a_parted_coordinator_doesnt_count_on_leases_running_out);
     CPPUNIT_TEST(a_resend_is_the_same_job);
     CPPUNIT_TEST(a_refused_submission_never_runs);
     CPPUNIT_TEST(a_caller_is_not_held_while_the_log_is_silent);
@@ -200,6 +201,31 @@
         }
         kept_the_rules();
     }
+    /// Story: a data centre is parted from the rest; its host coordinated, keeps two workers and a
+    /// little later loses the store. The others elect a successor, which prolongs the leases of the
+    /// other two workers. The parted host doesn't know of it: by its clock those leases run out.
+    /// What it started elsewhere then would run twice.
+    void a_parted_coordinator_doesnt_count_on_leases_running_out() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        const std::size_t parted = *world_.coordinator();
+        for (std::size_t host = 0; host < 3; ++host)
+            for (const char* const worker : {"w0", "w1", "w2", "w3"})
+                if ((host == parted) != (std::string(worker) < "w2"))
+                    world_.host(host)->way_to_workers().cut_from.insert(worker);
+        world_.time().run_for(milliseconds(2500));
+        world_.host(parted)->way_to_log().state = sim_log::way::silent;
+        world_.time().run_for(seconds(7));
+        kept_the_rules();
+        world_.host(parted)->way_to_log().state = sim_log::way::open;
+        for (std::size_t host = 0; host < 3; ++host)
+            world_.host(host)->way_to_workers().cut_from.clear();
+        world_.time().run_for(seconds(14));
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
     /// Story: a caller sends the same job again at another host, seconds after the first was taken.
     void a_resend_is_the_same_job() {
         begin();
--- a/tests/cell/sim_worker.h
+++ b/tests/cell/sim_worker.h
@@ -79,7 +79,10 @@
         if (order.until_ms)
             extend(*order.until_ms);
         while (!ended_.empty() && ended_.front().number <= order.noted) {
-            watch_.on_noted(name_, ended_.front());
+            // An end that is noted only after the lease has lapsed doesn't count: by then its
+            // coordinator may have started the task elsewhere.
+            if (ended_.front().number > lapsed_up_to_)
+                watch_.on_noted(name_, ended_.front());
             ended_.pop_front();
         }
         return order_outcome::done;
@@ -106,6 +109,7 @@
         fence_ = 0;
         lease_ms_ = 0;
         ends_ = 0;
+        lapsed_up_to_ = 0;
         born_ = time_.now();
     }
     std::size_t running() const { return runs_.size(); }
@@ -155,6 +159,8 @@
     }
     void tick() {
         const bool lapsed = clock_ms() > lease_ms_;
+        if (lapsed)
+            lapsed_up_to_ = ends_;
         for (auto at = runs_.begin(); at != runs_.end();) {
             const std::optional<run_end> how = end_of(at->second, lapsed);
             const run_key key = at->first;
@@ -187,6 +193,8 @@
     std::uint64_t fence_ = 0;
     std::int64_t lease_ms_ = 0;
     std::uint64_t ends_ = 0;
+    /// Ends before the last lapse of the lease.
+    std::uint64_t lapsed_up_to_ = 0;
     std::map<run_key, live_run> runs_;
     std::deque<ended_row> ended_;
     std::map<std::string, std::uint64_t> barred_;
