--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -184,8 +184,10 @@
         for (std::uint64_t at = from; at < read_from.end(); ++at)
             answer.records.push_back(read_from.records[at - read_from.first]);
         if (answer.records.empty() && time_.now() < end)
-            return time_.after(std::chrono::milliseconds(10),
-                               [=, this] { poll(alive, stream, from, end, done); });
+            return time_.after(std::chrono::milliseconds(10), [=, this] {
+                if (!alive.expired())
+                    poll(alive, stream, from, end, done);
+            });
         // What waited while the way was blocked is lost with its connection.
         if (state != way::open)
             answer = read_result{log_fault::silent, {}, 0, 0};
