--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -122,9 +122,11 @@
         read_result fault;
         if (blocked(fault, done))
             return;
-        time_.after(delay,
-                    [this, alive = std::weak_ptr(alive_), stream, from, end = time_.now() + wait,
-                     done = std::move(done)] { poll(alive, stream, from, end, done); });
+        time_.after(delay, [this, alive = std::weak_ptr(alive_), stream, from,
+                            end = time_.now() + wait, done = std::move(done)] {
+            if (!alive.expired())
+                poll(alive, stream, from, end, done);
+        });
     }
     void newest(cell_stream stream, const std::string& after_key,
                 std::function<void(newest_result)> done) override {
