Write logs to standard output, and never wait for their reader

Cause: the users ask for JSON lines on standard output; they went to standard error, through a sink that waits. A frozen collector fills a pipe in seconds, and a coordinator that waits for it prolongs no lease. Seen failing: with a waiting sink a_full_pipe_costs_lines_and_no_time never ends. Ruled out: O_NONBLOCK on the descriptor (it belongs to whoever else holds it); a thread (one loop on one thread). Change: line_sink asks a pipe for room before each line of at most 4,096 bytes, which it then takes whole; lines lost are counted (figwinch_cell_log_lines_lost).

--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -38,6 +38,7 @@
     set("figwinch_cell_records_unreadable", member.state().unreadable(),
         "records of the log that were passed over");
     set("figwinch_cell_jobs_known", member.state().jobs().size(), "jobs that the log keeps");
+    set("figwinch_cell_log_lines_lost", log_lines_lost(), "log lines that no reader took in time");
     set_coordinator(member.coordinating() == nullptr ? coordinator_counts{}
                                                      : member.coordinating()->counts());
     return registry_.expose();
--- a/src/observe/event_logger.cpp
+++ b/src/observe/event_logger.cpp
@@ -1,10 +1,12 @@
 #include "figwinch/observe/event_logger.h"
 
 #include "observe/json_line.h"
+#include "observe/line_sink.h"
 
 #include <spdlog/fmt/chrono.h>
 #include <spdlog/logger.h>
-#include <spdlog/sinks/stdout_sinks.h>
+
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
@@ -16,6 +18,7 @@
 /// The process's one logger and what every line of it says.
 struct process_log {
     std::shared_ptr<spdlog::logger> logger;
+    std::shared_ptr<line_sink> sink;
     std::string program;
     std::string node;
     log_level level = log_level::info;
@@ -43,11 +46,8 @@
 
 void start_logging(std::string_view program, std::string_view node, log_level level) {
     process_log& log = shared_log();
-    // Single-threaded sink: the process has one thread of logic.
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-    sink->set_pattern("%v");
-    log.logger = std::make_shared<spdlog::logger>("figwinch", std::move(sink));
-    log.logger->flush_on(spdlog::level::trace);
+    log.sink = std::make_shared<line_sink>(STDOUT_FILENO);
+    log.logger = std::make_shared<spdlog::logger>("figwinch", log.sink);
     log.program = program;
     log.node = node;
     change_log_level(level);
@@ -60,6 +60,11 @@
         log.logger->set_level(spdlog_levels[static_cast<std::size_t>(level)]);
 }
 
+std::uint64_t log_lines_lost() {
+    const process_log& log = shared_log();
+    return log.sink ? log.sink->lost() : 0;
+}
+
 log_level current_log_level() {
     return shared_log().level;
 }
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,94 @@
+"""Callers of a cell: they submit jobs, try again elsewhere, ask, and cancel."""
+import asyncio
+import json
+
+import aiohttp
+
+PREFIX = "/renders/"
+HOST = "renders.example"
+TRIES = 8
+PATIENCE_S = 3.0
+
+
+class Callers:
+    def __init__(self, cells, rules, random):
+        self.cells = cells
+        self.rules = rules
+        self.random = random
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=PATIENCE_S),
+            headers={"Host": HOST, "Figwinch-Deadline-Ms": str(int(PATIENCE_S * 1000))},
+        )
+
+    async def call(self, method, path, body=None):
+        """The status of one try at any host; 0 when there was no answer."""
+        cell = self.random.choice(self.cells)
+        try:
+            url = f"http://127.0.0.1:{cell.port}{path}"
+            async with self.session.request(method, url, json=body) as response:
+                text = await response.text()
+                return response.status, json.loads(text or "{}")
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError):
+            return 0, {}
+
+    def make_steps(self):
+        steps = []
+        for number in range(self.random.choice([1, 1, 2, 3])):
+            step = {
+                "count": self.random.randint(1, 5),
+                "cpu": self.random.choice([500, 1000, 2000]),
+                "memMb": 256,
+                "estimateMs": 800,
+            }
+            if number:
+                step["dependsOn"] = [number - 1]
+            steps.append(step)
+        return steps
+
+    async def run_job(self, number):
+        job = f"{number:04x}{self.random.getrandbits(48):012x}"
+        lasts = self.random.random() < 0.15
+        steps = [{"count": 2, "cpu": 1000, "memMb": 256, "longRunning": True}]
+        work = {"ms": 0}
+        if not lasts:
+            steps = self.make_steps()
+            work = {"ms": self.random.randint(150, 2000), "fails": int(self.random.random() < 0.1)}
+        self.rules.job_sent(job, steps)
+        self.rules.jobs[job]["refused_only"] = await self.submit(
+            job, {"spec": json.dumps(work), "steps": steps}
+        )
+        if not self.rules.jobs[job]["accepted"]:
+            return
+        await asyncio.sleep(self.random.uniform(0, 2))
+        await self.show(job)
+        if lasts or self.random.random() < 0.1:
+            await self.cancel(job)
+
+    async def submit(self, job, body):
+        """Whether every try was refused with "not run"."""
+        refused_only = True
+        for _ in range(TRIES):
+            status, _ = await self.call("POST", PREFIX + job, body)
+            refused_only = refused_only and status in (429, 503)
+            if 200 <= status < 300:
+                self.rules.job_accepted(job)
+                return False
+            await asyncio.sleep(self.random.uniform(0.1, 0.6))
+        return refused_only
+
+    async def show(self, job):
+        status, answer = await self.call("GET", PREFIX + job)
+        if status:
+            self.rules.state_shown(job, status, answer.get("state"))
+        return answer.get("state")
+
+    async def cancel(self, job):
+        for _ in range(TRIES):
+            status, _ = await self.call("DELETE", PREFIX + job)
+            if status in (200, 410):
+                self.rules.job_cancelled(job)
+                return
+            await asyncio.sleep(0.5)
+        # Whether it took effect isn't known: nothing is expected of the job any more.
+        self.rules.job_cancelled(job)
+        self.rules.jobs[job]["cancelled"] += 3600
--- /dev/null
+++ b/tests/soak/cells.py
@@ -0,0 +1,55 @@
+"""The program under test as separate processes: started, signalled and started again."""
+import asyncio
+import signal
+import socket
+
+
+def free_port():
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        return taken.getsockname()[1]
+
+
+class Cell:
+    """One host. Its way to the store is a link of its own."""
+
+    def __init__(self, program, name, zone, link, log_path):
+        self.program = program
+        self.name = name
+        self.zone = zone
+        self.link = link
+        self.log_path = log_path
+        self.port = free_port()
+        self.ready, self.bus, self.metrics = free_port(), free_port(), free_port()
+        self.process = None
+
+    async def start(self):
+        if self.process and self.process.returncode is None:
+            return
+        flags = {
+            "node": self.name,
+            "data_centre": self.zone,
+            "callers": f"127.0.0.1:{self.port}",
+            "ready": f"127.0.0.1:{self.ready}",
+            "bus": f"127.0.0.1:{self.bus}",
+            "metrics": f"127.0.0.1:{self.metrics}",
+            "log": f"127.0.0.1:{self.link.port}",
+        }
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.program,
+                *[f"--{key}={value}" for key, value in flags.items()],
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number):
+        """Signals, and waits until the process has gone."""
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        if self.process:
+            await self.process.wait()
--- /dev/null
+++ b/tests/soak/link.py
@@ -0,0 +1,68 @@
+"""A TCP proxy on loopback whose link can be delayed, silenced one way or both, cut and reset."""
+import asyncio
+
+
+class Link:
+    """Passes connections on to one server until it is told to misbehave.
+
+    `silent_up` and `silent_down` swallow the bytes of that direction and keep connections open, as
+    something between two hosts does that has lost track of them; new connections hang likewise.
+    `refuse` resets what is open and what comes.
+    """
+
+    def __init__(self):
+        self.target = ("127.0.0.1", 0)
+        self.delay_s = 0.0
+        self.silent_up = False
+        self.silent_down = False
+        self.refuse = False
+        self.open = set()
+        self.server = None
+        self.port = 0
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def heal(self):
+        """New connections work; those that were silenced stay silent for good."""
+        self.delay_s = 0.0
+        self.silent_up = self.silent_down = self.refuse = False
+
+    def reset_all(self):
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def on_connection(self, reader, writer):
+        if self.refuse:
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open.update((writer, up_writer))
+        try:
+            await asyncio.gather(
+                self.pump(reader, up_writer, lambda: self.silent_up),
+                self.pump(up_reader, writer, lambda: self.silent_down),
+            )
+        finally:
+            self.open.difference_update((writer, up_writer))
+
+    async def pump(self, reader, writer, is_silent):
+        lost_track = False
+        try:
+            while data := await reader.read(65536):
+                lost_track = lost_track or is_silent()
+                if lost_track:
+                    continue
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
--- /dev/null
+++ b/tests/soak/rules.py
@@ -0,0 +1,97 @@
+"""What must hold whatever fails, checked from what callers and workers see."""
+import time
+
+# A cancelled job's tasks are gone by then, from the acknowledgement.
+CANCEL_BOUND_S = 5.0
+
+
+class Rules:
+    """Sees every start and end on the workers and every answer to callers."""
+
+    def __init__(self):
+        self.broken = []
+        self.jobs = {}
+        self.running = {}
+        self.done = {}
+        self.noted_done = set()
+        self.failures = {}
+        self.starts = 0
+
+    def fault(self, rule, text):
+        self.broken.append(f"{rule}: {text}")
+
+    def job_sent(self, job, steps):
+        self.jobs.setdefault(
+            job, {"steps": steps, "accepted": None, "cancelled": None, "in_doubt": False}
+        )
+
+    def job_accepted(self, job):
+        entry = self.jobs[job]
+        entry["accepted"] = entry["accepted"] or time.monotonic()
+
+    def job_cancelled(self, job):
+        self.jobs[job]["cancelled"] = self.jobs[job]["cancelled"] or time.monotonic()
+
+    @staticmethod
+    def parse(task):
+        job, occurrence, step, index = task.split(".")
+        return job, int(occurrence), int(step), int(index)
+
+    def run_begun(self, worker, run):
+        self.starts += 1
+        job, _, step, index = self.parse(run.task)
+        entry = self.jobs.get(job)
+        if entry is None or step >= len(entry["steps"]) or index >= entry["steps"][step]["count"]:
+            return self.fault("UNASKED", f"{run.task} on {worker.name}")
+        others = self.running.setdefault(run.task, [])
+        if others:
+            self.fault("TWICE", f"{run.task} run {run.number} on {worker.name} beside {others}")
+        if run.task in self.noted_done:
+            self.fault("TWICE", f"{run.task} run {run.number} started after its noted good end")
+        others.append((worker.name, run.number))
+        for earlier in entry["steps"][step].get("dependsOn", []):
+            self.check_order(run, job, earlier, entry["steps"][earlier]["count"])
+        cancelled = entry["cancelled"]
+        if cancelled and time.monotonic() - cancelled > CANCEL_BOUND_S:
+            self.fault("UNASKED", f"{run.task} started after its job was cancelled")
+
+    def check_order(self, run, job, earlier, count):
+        missing = [i for i in range(count) if f"{job}.0.{earlier}.{i}" not in self.done]
+        if missing:
+            self.fault("ORDER", f"{run.task} before tasks {missing} of step {earlier}")
+
+    def run_over(self, worker, run, how):
+        pairs = self.running.get(run.task, [])
+        if (worker.name, run.number) in pairs:
+            pairs.remove((worker.name, run.number))
+        if how == "done":
+            self.done[run.task] = run.number
+        if how == "failed":
+            self.failures[run.task] = self.failures.get(run.task, 0) + 1
+
+    def ends_noted(self, worker, rows):
+        for _, task, _, how, _ in rows:
+            if how == "done":
+                self.noted_done.add(task)
+
+    def tasks_of(self, job):
+        for number, step in enumerate(self.jobs[job]["steps"]):
+            for index in range(step["count"]):
+                yield f"{job}.0.{number}.{index}"
+
+    def state_shown(self, job, status, state):
+        entry = self.jobs[job]
+        if status == 410 and entry["accepted"]:
+            self.fault("LOST", f"{job} was accepted and is said not to exist")
+        if state == "succeeded" and not all(t in self.done for t in self.tasks_of(job)):
+            self.fault("MIXED", f"{job} is shown as succeeded before its tasks ended")
+        if state == "failed":
+            self.fault("LOST", f"{job} is shown as failed")
+
+    def check_end(self, states):
+        """After a time of calm: every accepted job has been carried out."""
+        for job, entry in self.jobs.items():
+            if entry["accepted"] and not entry["cancelled"] and states.get(job) != "succeeded":
+                self.fault("LOST", f"{job} ended as {states.get(job)}")
+            if entry["refused_only"] and any(t in self.done for t in self.tasks_of(job)):
+                self.fault("REFUSED", f"{job} ran though every try was refused")
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,259 @@
+#!/usr/bin/python3
+"""Runs figwinch-cell as real processes under seeded faults, and checks the promises meanwhile.
+
+Usage: tests/soak/soak.py BUILD_DIR [--seeds A,B,... | --first SEED --count N] [--seconds S] [--keep]
+
+Each seed plays some seconds of callers and overlapping faults (processes killed, stopped, paused;
+links to store and workers delayed, silenced one way or both, reset; workers that crash), then heals
+everything and waits until what was accepted is done. Closes with "tests passed=N failed=N".
+"""
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+
+from aiohttp import web
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+# pylint: disable=wrong-import-position
+from callers import HOST, PREFIX, Callers
+from cells import Cell
+from link import Link
+from rules import Rules
+from store import Store
+from worker import Worker
+
+ZONES = ["north", "middle", "south"]
+HOSTS = 5
+WORKERS = 6
+JOBS_PER_S = 4
+# A lease, the longest that a coordinator acts without the store, and the wait for what is left.
+CALM_S = 40
+
+
+async def serve(app):
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+    await site.start()
+    return runner, site._server.sockets[0].getsockname()[1]  # pylint: disable=protected-access
+
+
+class Soak:
+    def __init__(self, program, seed, seconds, folder):
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.rules = Rules()
+        self.store = Store()
+        self.runners = []
+        self.tasks = []
+        self.workers = [
+            Worker(f"w-{i}", ZONES[i % 3], self.store, self.rules) for i in range(WORKERS)
+        ]
+        self.worker_links = [Link() for _ in self.workers]
+        self.cells = [
+            Cell(program, f"host-{i}", ZONES[i % 3], Link(), folder / f"host-{i}.jsonl")
+            for i in range(HOSTS)
+        ]
+        self.faults = [
+            self.kill,
+            self.terminate,
+            self.pause,
+            self.kill_all,
+            self.harm_store_link,
+            self.harm_store_link,
+            self.harm_store,
+            self.crash_worker,
+            self.harm_worker_link,
+        ]
+        self.story = []
+
+    async def start(self):
+        runner, store_port = await serve(self.store.app)
+        self.runners.append(runner)
+        for worker, link in zip(self.workers, self.worker_links):
+            runner, port = await serve(worker.app)
+            self.runners.append(runner)
+            link.target = ("127.0.0.1", port)
+            await link.listen()
+            worker.address = f"127.0.0.1:{link.port}"
+            self.tasks.append(asyncio.create_task(worker.live()))
+        await self.store.put("keyed.op", "config", json.dumps(self.config()).encode())
+        for cell in self.cells:
+            cell.link.target = ("127.0.0.1", store_port)
+            await cell.link.listen()
+            await cell.start()
+
+    @staticmethod
+    def config():
+        queue = {
+            "name": "renders",
+            "host": HOST,
+            "pathPrefix": PREFIX,
+            "service": "renders",
+            "priority": 0,
+            "attempts": 6,
+            "stretch": 2.0,
+            "targetLatencyMs": 500,
+        }
+        return {"version": 1, "routes": [queue], "services": [{"name": "renders"}]}
+
+    def note(self, text):
+        self.story.append(text)
+
+    def pause_s(self):
+        return self.random.uniform(0.3, 4)
+
+    async def kill(self):
+        cell = self.random.choice(self.cells)
+        self.note(f"kill {cell.name}")
+        await cell.stop(signal.SIGKILL)
+        await asyncio.sleep(self.random.uniform(0.1, 2))
+        await cell.start()
+
+    async def terminate(self):
+        cell = self.random.choice(self.cells)
+        self.note(f"terminate {cell.name}")
+        await cell.stop(signal.SIGTERM)
+        await cell.start()
+
+    async def pause(self):
+        cell = self.random.choice(self.cells)
+        self.note(f"pause {cell.name}")
+        cell.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.pause_s())
+        cell.signal(signal.SIGCONT)
+
+    async def kill_all(self):
+        self.note("kill all")
+        await asyncio.gather(*[cell.stop(signal.SIGKILL) for cell in self.cells])
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        for cell in self.cells:
+            await cell.start()
+
+    async def harm(self, links, what):
+        mode = self.random.choice(["up", "down", "both", "refuse", "reset", "delay"])
+        self.note(f"{mode} {what}")
+        for link in links:
+            link.silent_up = mode in ("up", "both")
+            link.silent_down = mode in ("down", "both")
+            link.refuse = mode == "refuse"
+            link.delay_s = 0.25 if mode == "delay" else 0.0
+            if mode in ("refuse", "reset"):
+                link.reset_all()
+        await asyncio.sleep(self.pause_s())
+        for link in links:
+            link.heal()
+
+    async def harm_store_link(self):
+        cell = self.random.choice(self.cells)
+        await self.harm([cell.link], f"store link of {cell.name}")
+
+    async def harm_store(self):
+        await self.harm([cell.link for cell in self.cells], "store links of all")
+
+    async def crash_worker(self):
+        worker = self.random.choice(self.workers)
+        self.note(f"crash {worker.name}")
+        worker.crash()
+
+    async def harm_worker_link(self):
+        index = self.random.randrange(WORKERS)
+        await self.harm([self.worker_links[index]], f"link of {self.workers[index].name}")
+
+    async def trouble(self):
+        end = asyncio.get_running_loop().time() + self.seconds
+        playing = []
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(self.random.uniform(0.3, 2))
+            playing.append(asyncio.create_task(self.random.choice(self.faults)()))
+        await asyncio.gather(*playing)
+
+    async def play(self):
+        await self.start()
+        callers = Callers(self.cells, self.rules, self.random)
+        await asyncio.sleep(1)
+        trouble = asyncio.create_task(self.trouble())
+        jobs = []
+        while not trouble.done():
+            jobs.append(asyncio.create_task(callers.run_job(len(jobs))))
+            await asyncio.sleep(self.random.expovariate(JOBS_PER_S))
+        await trouble
+        await asyncio.gather(*jobs)
+        for cell in self.cells:
+            await cell.start()
+        self.rules.check_end(await self.wait_for_jobs(callers))
+        await callers.session.close()
+
+    async def wait_for_jobs(self, callers):
+        states = {}
+        rules = self.rules
+        open_jobs = [j for j, e in rules.jobs.items() if e["accepted"] and not e["cancelled"]]
+        for _ in range(CALM_S):
+            for job in list(open_jobs):
+                states[job] = await callers.show(job) or states.get(job)
+                if states[job] == "succeeded":
+                    open_jobs.remove(job)
+            if not open_jobs:
+                break
+            await asyncio.sleep(1)
+        return states
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*[cell.stop(signal.SIGKILL) for cell in self.cells])
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+async def play(program, seed, seconds, keep):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = Soak(program, seed, seconds, folder)
+    try:
+        await soak.play()
+    finally:
+        await soak.stop()
+    rules = soak.rules
+    accepted = sum(1 for entry in rules.jobs.values() if entry["accepted"])
+    good = not rules.broken and accepted > 0
+    print(
+        f"seed {seed} : {'OK' if good else 'FAIL'} ({len(rules.jobs)} jobs, {accepted} accepted, "
+        f"{rules.starts} starts, {len(soak.story)} faults)",
+        flush=True,
+    )
+    for fault in rules.broken[:5]:
+        print(f"  {fault}", flush=True)
+    if not good or keep:
+        print(f"  faults: {'; '.join(soak.story)}\n  logs: {folder}", flush=True)
+    else:
+        shutil.rmtree(folder)
+    return good
+
+
+async def main():
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("build")
+    options.add_argument("--seeds", default="")
+    options.add_argument("--first", type=int, default=1)
+    options.add_argument("--count", type=int, default=1)
+    options.add_argument("--seconds", type=float, default=12)
+    options.add_argument("--keep", action="store_true")
+    with_ = options.parse_args()
+    program = str(pathlib.Path(with_.build) / "src" / "cell_host" / "figwinch-cell")
+    seeds = [int(seed) for seed in with_.seeds.split(",") if seed]
+    seeds = seeds or list(range(with_.first, with_.first + with_.count))
+    passed = 0
+    for seed in seeds:
+        passed += await play(program, seed, with_.seconds, with_.keep)
+    print(f"tests passed={passed} failed={len(seeds) - passed}")
+    return 0 if passed == len(seeds) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/tests/soak/worker.py
@@ -0,0 +1,174 @@
+"""A stand-in of a worker: runs tasks under leases and fences, and reports them over HTTP.
+
+What a task does stands in its payload, as JSON: how long it runs (`ms`) and in how many of its runs
+it fails (`fails`).
+"""
+import asyncio
+import json
+import time
+
+from aiohttp import web
+
+HOLD_LIMIT_MS = 6000
+HEARTBEAT_S = 0.5
+STARTUP_MS = 100
+
+
+class Run:
+    def __init__(self, task, number, payload):
+        self.task = task
+        self.number = number
+        self.begun = time.monotonic()
+        self.ms = payload["ms"]
+        self.fails = payload.get("fails", 0)
+
+    def percent(self):
+        return min(100, int((time.monotonic() - self.begun) * 100_000 / max(1, self.ms)))
+
+
+class Worker:
+    """One machine. `watch` sees each start and end before any caller does."""
+
+    def __init__(self, name, zone, store, watch):
+        self.name = name
+        self.zone = zone
+        self.store = store
+        self.watch = watch
+        self.address = ""
+        self.alive = True
+        self.sequence = 0
+        self.failed_runs = {}
+        self.app = web.Application()
+        self.app.router.add_post("/figwinch/run-start", self.on_start)
+        self.app.router.add_post("/figwinch/run-stop", self.on_stop)
+        self.app.router.add_post("/figwinch/hold", self.on_hold)
+        self.app.router.add_post("/figwinch/pace", self.on_pace)
+        self.begin_life()
+
+    def begin_life(self):
+        self.born = int(time.time() * 1000)
+        self.began = time.monotonic()
+        self.fence = 0
+        self.until_ms = 0
+        self.runs = {}
+        self.ended = []
+        self.end_count = 0
+        self.highest = {}
+        self.news = asyncio.Event()
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.began) * 1000) + 1000
+
+    def crash(self):
+        """Everything that runs here ends unseen; another life begins under the same name."""
+        for run in self.runs.values():
+            self.watch.run_over(self, run, "crashed")
+        self.begin_life()
+
+    def answer(self, status=200, **fields):
+        return web.json_response(
+            {"clockMs": self.clock_ms(), "born": self.born, **fields}, status=status
+        )
+
+    def refusal(self, body):
+        if int(body.get("fence", 0)) < self.fence:
+            return self.answer(409, reason="fence")
+        self.fence = int(body.get("fence", 0))
+        return None
+
+    def prolong(self, until_ms):
+        self.until_ms = max(self.until_ms, min(until_ms, self.clock_ms() + HOLD_LIMIT_MS))
+
+    async def on_start(self, request):
+        body = await request.json()
+        if refused := self.refusal(body):
+            return refused
+        task, number = body["task"], body["run"]
+        if task in self.runs and self.runs[task].number == number:
+            return self.answer()
+        if number <= self.highest.get(task, 0):
+            return self.answer(409, reason="old")
+        if body["untilMs"] <= self.clock_ms():
+            return self.answer(409, reason="late")
+        self.prolong(body["untilMs"])
+        self.highest[task] = number
+        run = Run(task, number, json.loads(body["spec"]))
+        # A second run of a task that runs here is taken, as the platform's workers do.
+        self.watch.run_begun(self, run)
+        self.runs[task] = run
+        return self.answer()
+
+    async def on_stop(self, request):
+        body = await request.json()
+        if refused := self.refusal(body):
+            return refused
+        self.highest[body["task"]] = max(self.highest.get(body["task"], 0), body["run"])
+        run = self.runs.get(body["task"])
+        if run and run.number <= body["run"]:
+            self.end(run, "stopped")
+        return self.answer()
+
+    async def on_pace(self, request):
+        return self.refusal(await request.json()) or self.answer()
+
+    async def on_hold(self, request):
+        body = await request.json()
+        if refused := self.refusal(body):
+            return refused
+        if "untilMs" in body:
+            self.prolong(body["untilMs"])
+        seen = body.get("lastSeen", 0)
+        self.watch.ends_noted(self, [row for row in self.ended if row[0] <= seen])
+        self.ended = [row for row in self.ended if row[0] > seen]
+        if not self.ended and body.get("waitMs"):
+            self.news.clear()
+            try:
+                await asyncio.wait_for(self.news.wait(), body["waitMs"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        running = [[r.task, r.number, "", r.percent(), 0] for r in self.runs.values()]
+        return self.answer(running=running, finished=self.ended[:500])
+
+    def end(self, run, how):
+        del self.runs[run.task]
+        self.end_count += 1
+        self.ended.append([self.end_count, run.task, run.number, how, ""])
+        self.watch.run_over(self, run, how)
+        self.news.set()
+
+    def work(self):
+        """Ends what is due: good ends, failures, and a lease that has run out."""
+        now = time.monotonic()
+        lapsed = self.runs and self.clock_ms() > self.until_ms
+        for run in list(self.runs.values()):
+            if lapsed:
+                self.end(run, "lapsed")
+            elif run.ms and (now - run.begun) * 1000 > run.ms + STARTUP_MS:
+                failed = self.watch.failures.get(run.task, 0)
+                self.end(run, "failed" if failed < run.fails else "done")
+
+    async def live(self):
+        last_beat = 0
+        while True:
+            self.work()
+            if self.alive and time.monotonic() - last_beat > HEARTBEAT_S:
+                last_beat = time.monotonic()
+                await self.beat("ready")
+            await asyncio.sleep(0.02)
+
+    async def beat(self, state):
+        self.sequence += 1
+        entry = {
+            "service": "renders",
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+            "labels": ["a", "rack-1"],
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        await self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
