Carry out queues whose policy asks an advisor

Cause: such queues were refused with 503, so that a deployment with one served none of its jobs. Ruled out: asking each host's own calls (the advisor takes one call a host at a time, and only the coordinator knows who has room); recording tickets (they lapse in seconds). Change: port worker_advisor, step_advice (verdicts that stand, tickets that lapse or die with a worker's life), calls by the coordinator for the best 30 workers with room, tickets on starts, platform/advice_*. Tests: cell_advice_test, six stories with simulated workers that check every ticket; the codec with mutated bytes.

--- a/include/figwinch/cell/cell_config.h
+++ b/include/figwinch/cell/cell_config.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figwinch/cell/queue_name.h"
+#include "figwinch/cell/worker_advisor.h"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -22,8 +23,8 @@
     std::uint32_t attempts = 1;
     double stretch = 1;
     duration target{};
-    /// Asks for advice on workers, which isn't carried out: submissions are refused.
-    bool wants_advice = false;
+    /// Only an advisor knows which workers may run its steps.
+    std::optional<advice_terms> advice;
 };
 
 /// One service: a pool of workers.
--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -4,6 +4,7 @@
 #include "figwinch/cell/cell_settings.h"
 #include "figwinch/cell/cell_state.h"
 #include "figwinch/cell/progress_writer.h"
+#include "figwinch/cell/worker_advisor.h"
 #include "figwinch/cell/worker_orders.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -25,6 +26,7 @@
     std::uint64_t stops = 0;
     std::uint64_t holds = 0;
     std::uint64_t paces = 0;
+    std::uint64_t advice_calls = 0;
 };
 
 /// Decides every start, stop and pace of a cell during one reign. Rules only: it takes an injected
@@ -37,6 +39,7 @@
     struct parts {
         const clock& time;
         worker_orders& orders;
+        worker_advisor& advisor;
         progress_writer& journal;
         /// When the newest renewal was asked for that the log has confirmed: nobody else had
         /// claimed the reign by then.
--- a/include/figwinch/cell/worker_orders.h
+++ b/include/figwinch/cell/worker_orders.h
@@ -18,6 +18,8 @@
     too_late,
     /// A start that found no room.
     no_room,
+    /// A start whose ticket of an advisor is missing or has lapsed.
+    not_advised,
     /// Refused for another reason; nothing was done.
     refused,
     /// Another life of the worker answered: nothing was done.
@@ -44,6 +46,8 @@
     /// On the worker's clock: from then on the start has no effect, and the lease reaches to it.
     std::int64_t until_ms = 0;
     lease_epoch epoch;
+    /// Of the queue's advisor; empty where none is asked.
+    std::string ticket;
 };
 
 /// An order to let a run work at a share of its speed.
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -107,6 +107,14 @@
     std::int64_t left_to_fill(const worker_work& worker) const;
     void leave_leaving_workers();
 
+    // coordinator_advice.cpp
+    bool is_advised(const worker_work& worker, const task_work& task) const;
+    std::string ticket_for(task_work& task, const worker_work& worker) const;
+    void ask_advice(job_work& job, const task_work& task);
+    std::vector<worker_id> advice_candidates(const job_work& job, const task_work& task) const;
+    void take_advice(const task_name& name, const std::vector<worker_id>& asked, instant sent,
+                     const std::optional<worker_advice>& advice);
+
     parts with_;
     cell_settings settings_;
     lease_epoch epoch_;
@@ -129,6 +137,9 @@
     bool placement_due_ = true;
     instant next_placement_{};
     instant next_sweep_{};
+    /// One call for advice at a time.
+    bool advice_in_flight_ = false;
+    instant next_advice_{};
     coordinator_counts counts_;
     slowdown_model slowdowns_;
     std::string recorded_slowdowns_;
--- /dev/null
+++ b/src/cell/coordinator_advice.cpp
@@ -0,0 +1,110 @@
+#include "cell/cell_coordinator.h"
+#include "figwinch/observe.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// A call costs time for each worker that it names, and the advisor takes one at a time: enough for
+// a step of usual width and some that are refused.
+constexpr std::size_t most_asked = 30;
+// After a call without an answer, or one that was turned away.
+constexpr duration ask_again = std::chrono::milliseconds(300);
+// Beyond what the terms say: calls of other hosts don't wait with ours, but the way and its
+// disturbances take their time.
+constexpr duration advice_slack = std::chrono::milliseconds(700);
+// Workers that are known to be good go before those that may be refused.
+constexpr double known_good_bonus = 100;
+
+} // namespace
+
+/// Whether a start of the task may be sent there as far as the queue's policy is concerned.
+bool cell_coordinator::is_advised(const worker_work& worker, const task_work& task) const {
+    if (!task.job->advice)
+        return true;
+    return task.step->advice.ticket(worker.listing.id, worker.born_ms, with_.time.now()) != nullptr;
+}
+
+/// The ticket that a start carries; it stands for the worker's present life from then on.
+std::string cell_coordinator::ticket_for(task_work& task, const worker_work& worker) const {
+    if (!task.job->advice)
+        return "";
+    step_advice& advice = task.step->advice;
+    advice.bind_life(worker.listing.id, worker.born_ms);
+    const std::string* const ticket =
+        advice.ticket(worker.listing.id, worker.born_ms, with_.time.now());
+    return ticket == nullptr ? "" : *ticket;
+}
+
+/// Asks about the workers on which the task would be placed next. One call at a time: the steps of
+/// the most urgent jobs come first by the order of placement.
+void cell_coordinator::ask_advice(job_work& job, const task_work& task) {
+    const instant now = with_.time.now();
+    if (!job.advice || advice_in_flight_ || now < next_advice_)
+        return;
+    std::vector<worker_id> asked = advice_candidates(job, task);
+    if (asked.empty())
+        return;
+    advice_in_flight_ = true;
+    ++counts_.advice_calls;
+    const advice_terms& terms = *job.advice;
+    const duration patience =
+        terms.decide + terms.each * static_cast<int>(asked.size()) + advice_slack;
+    const task_name name = name_of(task);
+    const std::string step = absl::StrCat(job.id.str(), ".", name.occurrence, ".", name.step);
+    with_.advisor.ask(step, asked, patience,
+                      [this, weak = std::weak_ptr(alive_), name, asked,
+                       sent = now](const std::optional<worker_advice>& advice) {
+                          if (!weak.expired() && !deposed_)
+                              take_advice(name, asked, sent, advice);
+                      });
+}
+
+std::vector<worker_id> cell_coordinator::advice_candidates(const job_work& job,
+                                                           const task_work& task) const {
+    struct candidate {
+        worker_id worker;
+        double score = 0;
+    };
+    const instant now = with_.time.now();
+    const step_advice& known = task.step->advice;
+    std::vector<candidate> candidates;
+    for (const auto& [id, worker] : workers_) {
+        if (!usable(*worker, job) || !admits(*worker, task) ||
+            !known.is_open(id, worker->born_ms, now))
+            continue;
+        const double bonus = known.is_good(id) ? known_good_bonus : 0;
+        candidates.push_back({id, score(*worker, task) + bonus});
+    }
+    std::ranges::sort(candidates, std::greater{}, &candidate::score);
+    candidates.resize(std::min(candidates.size(), most_asked));
+    std::vector<worker_id> asked;
+    for (const candidate& one : candidates)
+        asked.push_back(one.worker);
+    return asked;
+}
+
+void cell_coordinator::take_advice(const task_name& name, const std::vector<worker_id>& asked,
+                                   instant sent, const std::optional<worker_advice>& advice) {
+    advice_in_flight_ = false;
+    placement_due_ = true;
+    if (!advice) {
+        next_advice_ = with_.time.now() + ask_again;
+        log_event(log_level::warn, "advice_missing", {{"job", name.job.str()}});
+        return;
+    }
+    task_work* const task = find_task(name);
+    if (task == nullptr || !task->job->advice)
+        return;
+    log_event(log_level::info, "advice_taken",
+              {{"job", name.job.str()},
+               {"step", std::int64_t{name.step}},
+               {"asked", static_cast<std::int64_t>(asked.size())},
+               {"good", static_cast<std::int64_t>(advice->good.size())}});
+    task->step->advice.take(asked, *advice, task->job->advice->valid, sent);
+}
+
+} // namespace figwinch
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -158,6 +158,9 @@
     job.service = queue != nullptr ? queue->service : job.spec->service;
     job.priority = queue != nullptr ? queue->priority : job.spec->priority;
     job.attempts = queue != nullptr ? queue->attempts : job.spec->attempts;
+    // Of a queue that is gone the terms last known stay.
+    if (queue != nullptr)
+        job.advice = queue->advice;
 }
 
 /// Serves the most urgent queue first. Within it a job that can still make its objective goes
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -64,8 +64,10 @@
         if (task.progress.done || task.where != nullptr || now < task.not_before)
             continue;
         worker_work* const worker = choose(job, task, rack_id());
-        if (worker == nullptr)
+        if (worker == nullptr) {
+            ask_advice(job, task);
             return false;
+        }
         start(task, *worker, next_run(), task.progress.checkpoint);
     }
     return true;
@@ -87,8 +89,10 @@
         std::vector<worker_work*> chosen;
         for (task_work& task : step.tasks) {
             worker_work* const worker = choose(job, task, rack);
-            if (worker == nullptr)
+            if (worker == nullptr) {
+                ask_advice(job, task);
                 break;
+            }
             bind(task, *worker);
             chosen.push_back(worker);
         }
@@ -112,7 +116,7 @@
     for (const auto& [id, worker] : workers_) {
         if (!only_rack.empty() && worker->listing.rack != only_rack)
             continue;
-        if (!usable(*worker, job) || !admits(*worker, task))
+        if (!usable(*worker, job) || !admits(*worker, task) || !is_advised(*worker, task))
             continue;
         const double found = score(*worker, task);
         if (best == nullptr || found > best_score) {
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -47,8 +47,8 @@
         mark_dirty(*task.job);
     ++counts_.starts;
     const task_name name = name_of(task);
-    start_order order{to_string(name),         run,   task.job->spec->payload, checkpoint,
-                      task.run.start_until_ms, epoch_};
+    start_order order{to_string(name),         run,    task.job->spec->payload, checkpoint,
+                      task.run.start_until_ms, epoch_, ticket_for(task, worker)};
     log_event(log_level::info, "task_started",
               {{"task", order.task},
                {"run", static_cast<std::int64_t>(run.value())},
@@ -90,6 +90,9 @@
         else
             request_stop(*task);
         return;
+    case order_outcome::not_advised:
+        task->step->advice.drop_ticket(id);
+        return give_back(*task, *worker, duration::zero());
     case order_outcome::no_room:
         return give_back(*task, *worker, rest_without_room);
     case order_outcome::too_late:
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/slowdown_model.h"
+#include "cell/step_advice.h"
 #include "cell/task_work.h"
 #include "figwinch/cell/job_spec.h"
 
@@ -25,6 +26,7 @@
     std::uint32_t placed = 0;
     /// All steps that it depends on have ended well.
     bool ready = false;
+    step_advice advice;
 };
 
 /// One pass over the steps of a job. Owned by its job.
@@ -42,6 +44,7 @@
     service_id service;
     std::uint32_t priority = 0;
     std::uint32_t attempts = 1;
+    std::optional<advice_terms> advice;
     std::map<std::uint32_t, std::unique_ptr<occurrence_work>> occurrences;
     /// Occurrences below this one have ended; those from `occurrences_made` on aren't due yet.
     std::uint32_t occurrences_ended = 0;
--- a/src/cell_host/cell_host_settings.cpp
+++ b/src/cell_host/cell_host_settings.cpp
@@ -9,6 +9,8 @@
 ABSL_FLAG(std::string, bus, "127.0.0.1:7000", "IP number and port for peers");
 ABSL_FLAG(std::string, metrics, "127.0.0.1:7001", "IP number and port of GET /metrics");
 ABSL_FLAG(std::string, log, "127.0.0.1:7100", "the platform's store");
+ABSL_FLAG(std::string, advisor, "",
+          "IP number and port of the advisor on workers; empty: no queue asks for one");
 ABSL_FLAG(double, cpu_share, 1, "share of a core that this process may use; 1: a whole one");
 ABSL_FLAG(int, grace_s, 6, "from SIGTERM until the platform kills the process, s");
 ABSL_FLAG(int, max_hold_ms, 6000, "longest lease that a worker grants, ms");
@@ -39,6 +41,8 @@
     reader.require_endpoint("bus", absl::GetFlag(FLAGS_bus));
     reader.require_endpoint("metrics", absl::GetFlag(FLAGS_metrics));
     reader.require_endpoint("log", absl::GetFlag(FLAGS_log));
+    if (!absl::GetFlag(FLAGS_advisor).empty())
+        reader.require_endpoint("advisor", absl::GetFlag(FLAGS_advisor));
     const double share = absl::GetFlag(FLAGS_cpu_share);
     reader.require(share > 0 && share <= 1024, "cpu_share", std::to_string(share), "0 to 1024");
     reader.require_range("grace_s", absl::GetFlag(FLAGS_grace_s), 1, 600, "s");
@@ -59,6 +63,7 @@
     with.bus = read_endpoint(FLAGS_bus);
     with.metrics = read_endpoint(FLAGS_metrics);
     with.log = read_endpoint(FLAGS_log);
+    with.advisor = parse_endpoint(absl::GetFlag(FLAGS_advisor));
     with.cpu_share = absl::GetFlag(FLAGS_cpu_share);
     with.grace = std::chrono::seconds(absl::GetFlag(FLAGS_grace_s));
     with.cell.max_hold = read_ms(FLAGS_max_hold_ms);
--- a/src/cell_host/cell_host_settings.h
+++ b/src/cell_host/cell_host_settings.h
@@ -4,6 +4,7 @@
 #include "figwinch/net.h"
 #include "figwinch/observe.h"
 
+#include <optional>
 #include <string>
 
 namespace figwinch {
@@ -19,6 +20,8 @@
     endpoint metrics;
     /// The platform's store.
     endpoint log;
+    /// Who knows which workers may run a step, for queues whose policy asks.
+    std::optional<endpoint> advisor;
     /// The share of a core that this process may use.
     double cpu_share = 1;
     duration grace{};
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -134,8 +134,8 @@
         return;
     }
     coordinator_ = coordinator::create(
-        {time_, platform_.orders(), *journal_, [this] { return reign_.confirmed_at(); },
-         [this] { deposed_ = true; },
+        {time_, platform_.orders(), platform_.advisor(), *journal_,
+         [this] { return reign_.confirmed_at(); }, [this] { deposed_ = true; },
          [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
         settings_, prepared_, reign_.follows_resignation(), state_);
     if (config_)
--- a/src/cell_host/cell_platform.h
+++ b/src/cell_host/cell_platform.h
@@ -16,6 +16,7 @@
 
     virtual durable_log& log() = 0;
     virtual worker_orders& orders() = 0;
+    virtual worker_advisor& advisor() = 0;
     virtual const job_dialect& dialect() const = 0;
 
     /// Reads what the streams `operators` and `workers` hold. Nothing on bytes that can't be read.
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -69,9 +69,6 @@
     // Nothing is tried that would leave the caller waiting: another host may reach the log.
     if (!with_.log_answers())
         return refuse(answer, result_code::log_unavailable, "the log doesn't answer", id.str());
-    if (queue.wants_advice)
-        return refuse(answer, result_code::no_scheduler, "advice on workers isn't supported",
-                      id.str());
     job->queue = queue.name;
     job->service = queue.service;
     job->priority = queue.priority;
--- a/src/cell_host/main.cpp
+++ b/src/cell_host/main.cpp
@@ -24,7 +24,7 @@
     start_logging("figwinch-cell", with.node, with.level);
     event_loop loop;
     const incarnation_id self(with.node + "#" + std::to_string(std::random_device{}()));
-    platform::http_platform platform(loop, with.log);
+    platform::http_platform platform(loop, with.log, with.advisor);
     cell_host host(loop, platform, with, self);
     if (const absl::Status listening = host.listen(); !listening.ok()) {
         std::cerr << listening.message() << '\n';
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -17,12 +17,14 @@
     sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
              const std::function<double()>& random, const std::string& name)
         : time_(time), fleet_(fleet), log_(time, store, random), orders_(time, fleet, random),
+          advisor_(time, fleet.policy),
           member_(time.clock(), *this, cell_settings{}, incarnation_id(name), "10.0.0.1:7000", 1) {
         schedule();
     }
     ~sim_host() override {
         log_.kill();
         orders_.kill();
+        advisor_.kill();
     }
 
     cell_member& member() { return member_; }
@@ -33,13 +35,17 @@
 
     durable_log& log() override { return log_; }
     worker_orders& orders() override { return orders_; }
+    worker_advisor& advisor() override { return advisor_; }
     const job_dialect& dialect() const override { std::abort(); }
     bool is_config_key(std::string_view key) const override { return key == "config"; }
     std::optional<cell_config> decode_config(std::string_view) const override {
         cell_config config;
         config.version = config_version(1);
         config.queues.push_back(
-            {queue_name("q"), "h", "/q/", service_id("s"), 0, 3, 2, duration{}, false});
+            {queue_name("q"), "h", "/q/", service_id("s"), 0, 3, 2, duration{}, std::nullopt});
+        config.queues.push_back(
+            {queue_name("advised"), "h", "/advised/", service_id("s"), 0, 3, 2, duration{},
+             advice_terms{std::chrono::milliseconds(20), duration{}, sim_policy::validity}});
         config.services.push_back({service_id("s"), false, false});
         return config;
     }
@@ -72,6 +78,7 @@
     sim_fleet& fleet_;
     sim_log log_;
     sim_orders orders_;
+    sim_advisor advisor_;
     cell_member member_;
     instant frozen_until_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/cell/rule_watch.h
+++ b/tests/cell/rule_watch.h
@@ -27,6 +27,8 @@
     std::map<std::string, resources> room;
     /// Share of runs that fail.
     double failing = 0.05;
+    /// Every task takes 1.5 s.
+    bool long_tasks = false;
     std::vector<std::string> broken;
     /// What happened, for the story of a broken rule.
     std::vector<std::string> trace;
@@ -72,7 +74,7 @@
         const auto name = parse_task_name(task);
         if (jobs.at(name->job.str()).spec.steps.at(name->step).lasting)
             return duration(-1);
-        return std::chrono::milliseconds(200 + draw() % 1500);
+        return std::chrono::milliseconds(long_tasks ? 1500 : 200 + draw() % 1500);
     }
     bool fails(const std::string&) override {
         return static_cast<double>(draw() % 1000) < failing * 1000;
--- a/tests/cell/sim_orders.h
+++ b/tests/cell/sim_orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tests/cell/sim_advisor.h"
 #include "tests/cell/sim_worker.h"
 
 #include <set>
@@ -14,6 +15,7 @@
         bool cut = false;
     };
     std::map<std::string, entry> workers;
+    sim_policy policy;
     /// Share of orders that get no answer and are carried out 2 to 12 s later.
     double late_orders = 0;
     /// Share of orders that are carried out and whose answers are lost.
@@ -33,7 +35,12 @@
     void start(const worker_listing& where, const start_order& order,
                answer_handler done) override {
         send(where, done,
-             [order](sim_worker& worker, bool late) { return worker.start(order, late); });
+             [order, &fleet = fleet_, &time = time_, id = where.id.str()](sim_worker& worker,
+                                                                          bool late) {
+                 if (!fleet.policy.takes(id, order.task, order.ticket, time.now()))
+                     return order_answer{order_outcome::not_advised, worker.clock_ms()};
+                 return worker.start(order, late);
+             });
     }
     void stop(const worker_listing& where, const std::string& task, run_number run,
               lease_epoch epoch, answer_handler done) override {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/advice_codec.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/json_reader.h"
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(orders_carry_what_workers_check);
     CPPUNIT_TEST(records_are_read_back);
     CPPUNIT_TEST(records_cut_short_are_refused);
+    CPPUNIT_TEST(advice_is_asked_for_and_read);
     CPPUNIT_TEST(random_bytes_never_pass_for_anything);
     CPPUNIT_TEST_SUITE_END();
 
@@ -40,6 +42,8 @@
     static constexpr const char* report =
         R"({"clockMs":12,"born":5,"running":[["a.0.0.0",7,"c",40,13],["bad"],[1,2,3,4]],)"
         R"("finished":[[1,"a.0.0.1",6,"done",""],[2,"a.0.0.2",6,"else",""],"x"]})";
+    static constexpr const char* advice =
+        R"({"good":[["w1","t-1"],["w2"],[3,"t-2"],7],"validMs":3000})";
 
 public:
     void a_submission_is_read() {
@@ -141,11 +145,12 @@
         CPPUNIT_ASSERT(!decode_report(R"({"running":[]})").has_value());
     }
     void orders_carry_what_workers_check() {
-        start_order order{"a.0.0.1", run_number(9), "p\"q", "c", 70, lease_epoch(4)};
+        start_order order{"a.0.0.1", run_number(9), "p\"q", "c", 70, lease_epoch(4), "t-1"};
         const auto body = parse_object(encode_start(order));
         CPPUNIT_ASSERT(body.has_value());
         json_reader fields(*body);
         CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), fields.text("task"));
+        CPPUNIT_ASSERT_EQUAL(std::string("t-1"), fields.text("ticket"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, fields.integer("run"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, fields.integer("fence"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{70}, fields.integer("untilMs"));
@@ -179,9 +184,20 @@
             CPPUNIT_ASSERT(size == 16 ||
                            !decode_read(record_form::keyed, 0, body.substr(0, size)).has_value());
     }
+    void advice_is_asked_for_and_read() {
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"step":"a.0.1","workers":["w1","w2"]})"),
+                             encode_question("a.0.1", {worker_id("w1"), worker_id("w2")}));
+        const auto read = decode_advice(advice);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->good.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("t-1"), read->good[0].ticket);
+        CPPUNIT_ASSERT(read->valid == std::chrono::milliseconds(3000));
+        CPPUNIT_ASSERT(!decode_advice(R"({"good":7})").has_value());
+        CPPUNIT_ASSERT(!decode_advice("[]").has_value());
+    }
     void random_bytes_never_pass_for_anything() {
         std::mt19937_64 random(3);
-        const std::vector<std::string> good = {submission, worker, report};
+        const std::vector<std::string> good = {submission, worker, report, advice};
         for (int round = 0; round < 30'000; ++round) {
             std::string bytes = good[random() % good.size()];
             for (std::size_t change = 0; change <= random() % 5; ++change)
@@ -192,6 +208,7 @@
                 CPPUNIT_ASSERT(check_job(*job).ok());
             decode_listing("w", bytes);
             decode_report(bytes);
+            decode_advice(bytes);
             decode_config(bytes);
             decode_read(record_form::keyed, 0, bytes);
             decode_read(record_form::plain, 0, bytes);
