Give callers whose append is in doubt their answer when the log refuses

Ruled out: the wait for a silent log (two appends, 1 s); 503, which says "not run" of a job that may be stored. Change: in doubt and refused is 504 at once. Test: a_caller_is_not_held_when_a_silent_log_comes_back_refusing, seen failing first.

--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -98,18 +98,11 @@
         send();
 }
 
-/// The log itself refused: what was never in doubt gets its final answer now, so that its caller
-/// can go elsewhere; the rest is tried again.
+/// The log itself refused: callers get their final answer now, so that they can go elsewhere. What
+/// an earlier append left in doubt stays so: that one may be stored yet.
 void intake_writer::refuse_batch() {
-    std::deque<entry> keep;
-    for (entry& waiting : std::exchange(batch_, {})) {
-        if (waiting.doubtful)
-            keep.push_back(std::move(waiting));
-        else
-            waiting.done(intake_outcome::not_stored);
-    }
-    for (entry& waiting : keep)
-        batch_.push_back(std::move(waiting));
+    for (const entry& waiting : std::exchange(batch_, {}))
+        waiting.done(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
 }
 
 } // namespace figwinch
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(a_resend_is_the_same_job);
     CPPUNIT_TEST(a_refused_submission_never_runs);
     CPPUNIT_TEST(a_caller_is_not_held_while_the_log_is_silent);
+    CPPUNIT_TEST(a_caller_is_not_held_when_a_silent_log_comes_back_refusing);
     CPPUNIT_TEST(a_lost_answer_of_the_log_costs_one_more_append);
     CPPUNIT_TEST(members_of_a_gang_start_together);
     CPPUNIT_TEST_SUITE_END();
@@ -238,6 +239,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world_.watch().starts);
         CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("a"));
     }
+    /// Story: an append gets no answer, and its repetition is refused: the log is back, but not for
+    /// this host. The caller was held until its deadline, while the next host would have taken the
+    /// job. What became of the first append isn't known, so "not run" would be a lie.
+    void a_caller_is_not_held_when_a_silent_log_comes_back_refusing() {
+        begin();
+        world_.host(0)->way_to_log().state = sim_log::way::silent;
+        const auto told = world_.submit(0, "a", short_job(1));
+        world_.time().run_for(milliseconds(300));
+        world_.host(0)->way_to_log().state = sim_log::way::refused;
+        // The first append is given up after 0.8 s.
+        world_.time().run_for(milliseconds(900));
+        CPPUNIT_ASSERT(told->has_value());
+        CPPUNIT_ASSERT(**told == intake_outcome::unknown);
+    }
     /// Story: the log refuses, the caller is told that its job wasn't taken. It must never run.
     void a_refused_submission_never_runs() {
         begin();
