--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -122,7 +122,9 @@
     for (const job_work* const job : order_) {
         for (const auto& [number, occurrence] : job->occurrences) {
             for (const step_work& step : occurrence->steps) {
-                const std::int64_t waiting = step.ready ? step.left - step.placed : 0;
+                // Members of a gang that ended well are still placed until they have gone.
+                const std::int64_t open = std::int64_t{step.left} - std::int64_t{step.placed};
+                const std::int64_t waiting = step.ready ? std::max<std::int64_t>(0, open) : 0;
                 (step.spec->filling ? filling : step.spec->lasting ? lasting : batch) += waiting;
             }
         }
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -3,6 +3,7 @@
 #include "figwinch/observe.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <cmath>
@@ -30,6 +31,21 @@
 
 } // namespace
 
+namespace {
+
+void log_worker(const worker_listing& row) {
+    if (current_log_level() != log_level::debug)
+        return;
+    log_event(log_level::debug, "worker_found",
+              {{"worker", row.id.str()},
+               {"data_centre", row.data_centre.str()},
+               {"labels", absl::StrJoin(row.labels, ",")},
+               {"cpu_millis", row.capacity.cpu_millis},
+               {"memory_mib", row.capacity.memory_mib}});
+}
+
+} // namespace
+
 worker_work* cell_coordinator::find_worker(const worker_id& id) {
     const auto known = workers_.find(id);
     return known == workers_.end() ? nullptr : known->second.get();
@@ -43,6 +59,7 @@
         if (!worker) {
             worker = std::make_unique<worker_work>();
             worker->reported_at = with_.time.now();
+            log_worker(row);
         }
         worker->listed = true;
         worker->listing = row;
