Lead again at once after a silence, and count leases from last records

Found on the way: a reign between two others that resigned made its successor forget what the first one may still hold (TWICE in the test; needs a worker that only a parted coordinator reaches). Ruled out: a longer silence_limit (every failover with an unreachable worker would wait longer). Change: who led claims as soon as the log answers (its claim fails if anybody wrote meanwhile); reign keeps until when all coordinators before it may have acted. Tests, each seen failing first: a_coordinator_that_sat_out_a_silence_leads_again_at_once, what_a_predecessor_may_have_held_is_counted_from_its_last_renewal, a_reign_between_doesnt_end_what_the_one_before_it_holds.

--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -51,10 +51,17 @@
         std::function<void(const job_id&, std::function<void()> done)> forget;
     };
 
-    /// `epoch` is this reign's; `predecessor_resigned` says that the reign before ended by its own
-    /// word, after which nothing was ordered.
+    /// What is known of the reigns before.
+    struct predecessor {
+        /// It ended by its own word.
+        bool resigned = false;
+        /// Neither it nor any before it ordered anything later than that.
+        instant acted_until{};
+    };
+
+    /// `epoch` is this reign's.
     static std::unique_ptr<coordinator> create(parts with, const cell_settings& settings,
-                                               lease_epoch epoch, bool predecessor_resigned,
+                                               lease_epoch epoch, const predecessor& before,
                                                const cell_state& known);
     virtual ~coordinator() = default;
 
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -54,6 +54,9 @@
     lease_epoch epoch() const { return epoch_; }
     /// Whether the reign before this one ended by resignation.
     bool follows_resignation() const { return follows_resignation_; }
+    /// Until when coordinators before this reign may have acted: up to their resignation, or for
+    /// `silence_limit` after their last record.
+    instant predecessors_acted_until() const { return acted_until_; }
     /// When the newest confirmation of this reign was asked for.
     instant confirmed_at() const { return confirmed_at_; }
     /// Whether the log has confirmed this reign within `fresh_reign`.
@@ -67,6 +70,9 @@
     void follow();
     void set_vacant(bool vacant);
     void take_read(const read_result& read, bool waited);
+    instant latest_begin(const std::vector<stored_record>& records) const;
+    void note_end_of(const reign_record& record, instant written_by);
+    void count_current();
     bool take_records(const std::vector<stored_record>& records);
     void claim();
     void renew();
@@ -89,6 +95,9 @@
     std::optional<instant> vacant_since_;
     bool vacant_ = false;
     bool follows_resignation_ = false;
+    /// When the newest record was written at the latest.
+    instant heard_at_{};
+    instant acted_until_{};
     lease_epoch epoch_;
     std::uint64_t end_ = 0;
     instant next_try_{};
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -18,23 +18,21 @@
 } // namespace
 
 std::unique_ptr<coordinator> coordinator::create(parts with, const cell_settings& settings,
-                                                 lease_epoch epoch, bool predecessor_resigned,
+                                                 lease_epoch epoch, const predecessor& before,
                                                  const cell_state& known) {
-    return std::make_unique<cell_coordinator>(std::move(with), settings, epoch,
-                                              predecessor_resigned, known);
+    return std::make_unique<cell_coordinator>(std::move(with), settings, epoch, before, known);
 }
 
 cell_coordinator::cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
-                                   bool predecessor_resigned, const cell_state& known)
+                                   const predecessor& before, const cell_state& known)
     : with_(std::move(with)), settings_(settings), epoch_(epoch), began_(with_.time.now()) {
-    // A predecessor may act for `silence_limit` after the log last confirmed it, unless it
-    // resigned; what it held last lives for one more lease.
+    // What a predecessor held last lives for one more lease. A worker that the log says is silent
+    // was held no more when this reign began.
     const auto lease =
         std::chrono::duration_cast<duration>(settings_.max_hold / slowest_clock) + lapse_slack;
-    for (const auto& [id, worker] : known.workers()) {
-        const bool idle = predecessor_resigned || worker.silent;
-        unresolved_[id] = began_ + lease + (idle ? duration::zero() : silence_limit);
-    }
+    for (const auto& [id, worker] : known.workers())
+        unresolved_[id] =
+            (worker.silent ? std::min(began_, before.acted_until) : before.acted_until) + lease;
     slowdowns_.restore(known.slowdowns());
     for (const auto& [id, entry] : known.jobs())
         add_job(entry, true);
@@ -43,7 +41,7 @@
               {{"epoch", static_cast<std::int64_t>(epoch_.value())},
                {"jobs", static_cast<std::int64_t>(jobs_.size())},
                {"workers_unresolved", static_cast<std::int64_t>(unresolved_.size())},
-               {"predecessor_resigned", predecessor_resigned}});
+               {"predecessor_resigned", before.resigned}});
 }
 
 void cell_coordinator::take_config(const cell_config& config) {
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -13,7 +13,7 @@
 class cell_coordinator final : public coordinator {
 public:
     cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
-                     bool predecessor_resigned, const cell_state& known);
+                     const predecessor& before, const cell_state& known);
 
     void take_config(const cell_config& config) override;
     void take_evacuated(absl::flat_hash_set<data_centre_id> data_centres) override;
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -38,8 +38,12 @@
 
 void reign::tick() {
     const instant now = time_.now();
-    if (leads_ && now - confirmed_at_ > silence_limit)
+    if (leads_ && now - confirmed_at_ > silence_limit) {
         leads_ = false;
+        // Whoever else may have claimed meanwhile has moved the stream's end, so that a claim at
+        // the known end can only succeed when nobody has.
+        set_vacant(true);
+    }
     if (busy_ || now < next_try_)
         return;
     if (!end_known_)
@@ -128,10 +132,14 @@
 /// Takes in what others wrote. Returns whether the reign is vacant.
 bool reign::take_records(const std::vector<stored_record>& records) {
     bool vacant = false;
+    instant written_by = latest_begin(records);
     for (const stored_record& record : records) {
         const auto read = decode_reign(record.value.value_or(""));
         if (!read)
             continue;
+        if (read->what == reign_record::kind::renewal)
+            written_by += times_.retry_after;
+        note_end_of(*read, written_by);
         vacant = read->what == reign_record::kind::resignation;
         if (vacant) {
             current_.reset();
@@ -154,6 +162,36 @@
     return vacant;
 }
 
+/// Records don't say when they were written. Renewals are at least `retry_after` apart, so that a
+/// page that ends now can't have begun later than this.
+instant reign::latest_begin(const std::vector<stored_record>& records) const {
+    const auto renewals = std::ranges::count_if(records, [](const stored_record& record) {
+        const auto read = decode_reign(record.value.value_or(""));
+        return read && read->what == reign_record::kind::renewal;
+    });
+    return time_.now() - times_.retry_after * static_cast<int>(renewals);
+}
+
+/// Takes in until when coordinators that were followed may have acted: the holder up to this record
+/// when it resigns or is followed, else `silence_limit` longer than its last record. A reign that
+/// came between doesn't shorten that.
+void reign::note_end_of(const reign_record& record, instant written_by) {
+    const bool resigned = record.what == reign_record::kind::resignation;
+    if (record.what == reign_record::kind::claim && current_)
+        count_current();
+    if (resigned)
+        acted_until_ = std::max(acted_until_, written_by);
+    vacant_ = resigned;
+    heard_at_ = written_by;
+}
+
+/// The present holder is followed. One that is known to have ended ordered nothing after its last
+/// record.
+void reign::count_current() {
+    const duration on_its_own = vacant_ ? duration::zero() : silence_limit;
+    acted_until_ = std::max(acted_until_, heard_at_ + on_its_own);
+}
+
 void reign::append(reign_record::kind what, std::function<void(const append_result&)> done) {
     append_guard guard;
     guard.at = end_;
@@ -175,18 +213,28 @@
             end_ = result.offset + 1;
             return lead(result.offset, asked);
         }
-        // Another claimed first, or nobody knows: the next read tells.
-        if (result.fault != log_fault::moved)
-            next_try_ = time_.now() + times_.retry_after;
+        // Another claimed first: the next read tells who.
+        if (result.fault == log_fault::moved)
+            return;
+        // Nobody knows. The judgement holds as long as the stream ends where it did.
+        set_vacant(true);
+        next_try_ = time_.now() + times_.retry_after;
     });
 }
 
 void reign::lead(std::uint64_t claimed_at, instant confirmed) {
     if (resigned_)
         return;
-    leads_ = true;
+    // What this process wrote itself is the newest that the reign before has of the log.
+    if (current_ && current_->holder == self_)
+        heard_at_ = std::max(heard_at_, confirmed_at_);
+    // A claim of ours that was read before its answer came has counted it already.
+    const lease_epoch claimed(claimed_at + 1);
+    if (current_ && current_->epoch != claimed)
+        count_current();
     follows_resignation_ = std::exchange(vacant_, false);
-    epoch_ = lease_epoch(claimed_at + 1);
+    leads_ = true;
+    epoch_ = claimed;
     confirmed_at_ = confirmed;
     next_try_ = confirmed + times_.renew_every;
     current_ = {self_, bus_address_, epoch_};
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -137,7 +137,8 @@
         {time_, platform_.orders(), platform_.advisor(), *journal_,
          [this] { return reign_.confirmed_at(); }, [this] { deposed_ = true; },
          [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
-        settings_, prepared_, reign_.follows_resignation(), state_);
+        settings_, prepared_, {reign_.follows_resignation(), reign_.predecessors_acted_until()},
+        state_);
     if (config_)
         coordinator_->take_config(*config_);
     coordinator_->take_evacuated(evacuated_);
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(running_tasks_go_on_under_the_next_coordinator);
     CPPUNIT_TEST(a_fenced_predecessor_can_order_nothing);
     CPPUNIT_TEST(tasks_of_a_worker_lost_for_good_run_elsewhere_after_its_lease);
+    CPPUNIT_TEST(what_a_predecessor_may_have_held_is_counted_from_its_last_renewal);
+    CPPUNIT_TEST(a_reign_between_doesnt_end_what_the_one_before_it_holds);
     CPPUNIT_TEST(a_late_failure_of_an_earlier_run_counts);
     CPPUNIT_TEST(a_run_of_a_job_that_is_not_read_yet_is_left_alone);
     CPPUNIT_TEST(lasting_tasks_leave_a_worker_that_leaves);
@@ -123,6 +125,54 @@
             CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
         kept_the_rules();
     }
+    /// Story: the log is away for everybody for 6 s, and a worker is lost meanwhile. What the
+    /// worker may hold is over 5 s (the longest that its coordinator acts without the log) and a
+    /// lease after the last renewal that the log had; counted from the next claim, its tasks waited
+    /// 7 s longer.
+    void what_a_predecessor_may_have_held_is_counted_from_its_last_renewal() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        const auto all_ways = [this](sim_log::way state) {
+            for (std::size_t host = 0; host < 3; ++host)
+                world_.host(host)->way_to_log().state = state;
+        };
+        all_ways(sim_log::way::silent);
+        world_.time().run_for(milliseconds(4500));
+        world_.fleet().workers.at("w1").cut = true;
+        world_.fleet().workers.at("w1").worker->reborn();
+        world_.time().run_for(milliseconds(1500));
+        all_ways(sim_log::way::open);
+        world_.time().run_for(seconds(7));
+        kept_the_rules();
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+    }
+    /// Story: a coordinator is parted from the log, but not from a worker that nobody else reaches,
+    /// and goes on holding that worker's tasks for 5 s. Its successor resigns within a second, as
+    /// in a rolling restart. The next one counted the lease from that resignation and started the
+    /// tasks elsewhere while they still ran.
+    void a_reign_between_doesnt_end_what_the_one_before_it_holds() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        const std::size_t parted = *world_.coordinator();
+        for (std::size_t host = 0; host < 3; ++host)
+            if (host != parted)
+                world_.host(host)->way_to_workers().cut_from.insert("w0");
+        world_.host(parted)->way_to_log().state = sim_log::way::silent;
+        std::optional<std::size_t> between;
+        for (int step = 0; step < 40 && (!between || *between == parted); ++step) {
+            world_.time().run_for(milliseconds(100));
+            for (std::size_t host = 0; host < 3; ++host)
+                if (host != parted && world_.host(host)->member().coordinating() != nullptr)
+                    between = host;
+        }
+        CPPUNIT_ASSERT(between && *between != parted);
+        world_.host(*between)->member().resign();
+        world_.time().run_for(seconds(12));
+        kept_the_rules();
+    }
     /// Story: a run fails on a worker that is cut off, a later run of the task fails elsewhere,
     /// then the first failure is reported. It counts although its run has the lower number, or the
     /// task would be started once more than its attempts allow.
--- a/tests/cell/reign_test.cpp
+++ b/tests/cell/reign_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(a_renewal_whose_answer_was_lost_carries_the_reign_on);
     CPPUNIT_TEST(a_host_cut_off_from_the_log_claims_nothing);
     CPPUNIT_TEST(a_coordinator_that_starts_again_leads_at_once);
+    CPPUNIT_TEST(a_coordinator_that_sat_out_a_silence_leads_again_at_once);
     CPPUNIT_TEST(a_strong_host_is_let_go_first);
     CPPUNIT_TEST(unreadable_records_of_others_are_passed_over);
     CPPUNIT_TEST_SUITE_END();
@@ -174,6 +175,22 @@
         CPPUNIT_ASSERT_EQUAL(first, leader());
         CPPUNIT_ASSERT(hosts_[first]->election.follows_resignation());
     }
+    /// Story: the log is away for everybody for longer than a coordinator may act without it. Once
+    /// it is back, nothing starts until somebody leads; the others first wait for renewals that
+    /// can't come, while the one that led knows that its reign is over.
+    void a_coordinator_that_sat_out_a_silence_leads_again_at_once() {
+        start(3);
+        time_.run_for(seconds(2));
+        for (const auto& host : hosts_)
+            host->log.state = sim_log::way::silent;
+        time_.run_for(seconds(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, leaders());
+        for (const auto& host : hosts_)
+            host->log.state = sim_log::way::open;
+        // One call that still waits for its timeout, and the pause after it.
+        time_.run_for(milliseconds(1050));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders());
+    }
     /// Story: the coordinator of a large cell was elected on a host with an eighth of a core. Its
     /// loop fell behind, answers were read after their timeouts, and it took up no cancellation any
     /// more.
