--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -8,8 +8,8 @@
 
 namespace figwinch {
 
-/// The coordinator's rules. Spread over files by what they are about: jobs, workers, runs,
-/// placement and gangs.
+/// The coordinator's rules. Spread over files by what they are about: jobs, workers and their
+/// reports, leases, sharing, runs, stops, placement and advice.
 class cell_coordinator final : public coordinator {
 public:
     cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
@@ -53,14 +53,22 @@
     void register_life(worker_work& worker);
     void take_silence(worker_work& worker);
     void end_silence(worker_work& worker);
+    worker_work* find_worker(const worker_id& id);
+
+    // coordinator_reports.cpp
     void take_ends(worker_work& worker, const std::vector<ended_row>& rows);
     void take_running(worker_work& worker, const worker_report& report, instant asked);
     void take_row(worker_work& worker, const running_row& row);
     void drop_missing(worker_work& worker, const worker_report& report, instant asked,
                       const absl::flat_hash_set<task_work*>& seen);
+    std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
+
+    // coordinator_sharing.cpp
     static void log_sharing(const worker_work& worker);
     void share_processors(worker_work& worker);
     void learn_slowdowns(const worker_work& worker, const std::vector<serving_view>& serving);
+
+    // coordinator_leases.cpp
     void expire_leases();
     void end_lease(worker_work& worker);
     void forget_gone_workers();
@@ -68,8 +76,15 @@
     void resolve_expired();
     bool is_settled(instant& since) const;
     bool may_start(const job_work& job) const;
-    std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
-    worker_work* find_worker(const worker_id& id);
+
+    // coordinator_stops.cpp
+    void request_stop(task_work& task);
+    void stop_stray(const worker_work& worker, const std::string& task, run_number run);
+    void send_stops();
+    void take_stop_answer(const task_name& name, run_number run, const order_answer& answer);
+    void send_pace(task_work& task);
+    void take_pace_answer(const task_name& name, run_number run, int percent,
+                          const order_answer& answer);
 
     // coordinator_runs.cpp
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
@@ -83,13 +98,6 @@
     void bind(task_work& task, worker_work& worker);
     void release(task_work& task);
     static void list_images(worker_work& worker);
-    void request_stop(task_work& task);
-    void stop_stray(const worker_work& worker, const std::string& task, run_number run);
-    void send_stops();
-    void take_stop_answer(const task_name& name, run_number run, const order_answer& answer);
-    void send_pace(task_work& task);
-    void take_pace_answer(const task_name& name, run_number run, int percent,
-                          const order_answer& answer);
     run_number next_run();
     void be_deposed();
 
--- /dev/null
+++ b/src/cell/coordinator_leases.cpp
@@ -0,0 +1,92 @@
+#include "cell/cell_coordinator.h"
+#include "figwinch/cell/record_codec.h"
+#include "figwinch/observe.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// The platform lists a live worker again within two seconds after its store comes back; some more
+// heartbeats are left to it.
+constexpr duration unlisted_kept = std::chrono::seconds(15);
+
+} // namespace
+
+void cell_coordinator::expire_leases() {
+    const instant now = with_.time.now();
+    for (const auto& [id, worker] : workers_) {
+        const auto clock_ms = worker->clock.at_least(now);
+        const std::int64_t slack = lapse_slack.count() / 1000;
+        if (!clock_ms || *clock_ms < worker->latest_until_ms + slack)
+            worker->over_since = instant{};
+        else if (is_settled(worker->over_since))
+            end_lease(*worker);
+    }
+}
+
+/// Whether the log has confirmed this reign since a lease must have been over. A coordinator that
+/// is parted from the log and from some workers sees their leases run out while its successor,
+/// which it doesn't know of, prolongs them: what it started elsewhere would run twice. A renewal
+/// that was confirmed later says that there was no successor.
+bool cell_coordinator::is_settled(instant& since) const {
+    if (since == instant{})
+        since = with_.time.now();
+    return with_.confirmed_at() > since;
+}
+
+/// Its lease is over by any clock: nothing runs there.
+void cell_coordinator::end_lease(worker_work& worker) {
+    const worker_id& id = worker.listing.id;
+    const std::vector<task_work*> lost(worker.tasks.begin(), worker.tasks.end());
+    if (!lost.empty())
+        log_event(log_level::warn, "lease_over",
+                  {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
+    for (task_work* const task : lost)
+        release(*task);
+    // A successor needn't ask it, nor wait for it.
+    if (std::exchange(worker.registered, false))
+        with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+}
+
+void cell_coordinator::forget_gone_workers() {
+    const instant now = with_.time.now();
+    std::vector<worker_id> gone;
+    for (const auto& [id, worker] : workers_)
+        if (!worker->listed && worker->tasks.empty() && !worker->hold_in_flight &&
+            !worker->registering && now - worker->reported_at > unlisted_kept)
+            gone.push_back(id);
+    for (const worker_id& id : gone) {
+        log_event(log_level::info, "worker_forgotten", {{"worker", id.str()}});
+        with_.orders.forget(id);
+        if (workers_[id]->registered)
+            with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+        workers_.erase(id);
+    }
+}
+
+void cell_coordinator::resolve(const worker_id& id) {
+    if (unresolved_.erase(id) > 0)
+        placement_due_ = true;
+}
+
+void cell_coordinator::resolve_expired() {
+    // Confirmed since the bound has passed, for the same reason as in `is_settled`.
+    const instant confirmed = with_.confirmed_at();
+    if (absl::erase_if(unresolved_,
+                       [confirmed](const auto& worker) { return confirmed > worker.second; }) > 0)
+        placement_due_ = true;
+}
+
+/// Whether no earlier coordinator's run of the job's tasks can be anywhere but where reports show
+/// it.
+bool cell_coordinator::may_start(const job_work& job) const {
+    if (!job.may_run_elsewhere)
+        return true;
+    // A row of a job that isn't known yet may be of this one.
+    return unresolved_.empty() && std::ranges::all_of(workers_, [](const auto& entry) {
+               return entry.second->strays.has_value();
+           });
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell/coordinator_reports.cpp
@@ -0,0 +1,129 @@
+#include "cell/cell_coordinator.h"
+#include "figwinch/observe.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// Jobs that a predecessor took up are read within its last second and one reading period.
+constexpr duration unread_job_wait = std::chrono::seconds(3);
+
+} // namespace
+
+void cell_coordinator::take_ends(worker_work& worker, const std::vector<ended_row>& rows) {
+    const std::uint64_t seen_before = worker.seen;
+    for (const ended_row& row : rows) {
+        if (row.number <= worker.seen)
+            continue;
+        worker.seen = row.number;
+        take_end(worker, row);
+    }
+    if (worker.seen == seen_before)
+        return;
+    // A worker forgets an end once it is noted, so the log has to have it first.
+    write_dirty();
+    with_.journal.barrier([this, weak = std::weak_ptr(alive_), id = worker.listing.id,
+                           born = worker.born_ms, noted = worker.seen] {
+        if (weak.expired())
+            return;
+        worker_work* const known = find_worker(id);
+        if (known == nullptr || known->born_ms != born)
+            return;
+        known->noted = std::max(known->noted, noted);
+        known->next_hold = with_.time.now();
+    });
+}
+
+void cell_coordinator::take_running(worker_work& worker, const worker_report& report,
+                                    instant asked) {
+    absl::flat_hash_set<task_work*> seen;
+    for (const running_row& row : report.running) {
+        take_row(worker, row);
+        const auto name = parse_task_name(row.task);
+        task_work* const task = name ? find_task(*name) : nullptr;
+        if (task != nullptr && task->where == &worker && task->run.number == row.run)
+            seen.insert(task);
+    }
+    drop_missing(worker, report, asked, seen);
+    worker.strays = stray_size(worker, report);
+}
+
+void cell_coordinator::take_row(worker_work& worker, const running_row& row) {
+    const auto name = parse_task_name(row.task);
+    task_work* const task = name ? find_task(*name) : nullptr;
+    const instant now = with_.time.now();
+    const bool wanted = task != nullptr && task->job->phase == job_phase::open &&
+                        !task->progress.done && task->where == nullptr;
+    if (wanted) {
+        // Started by a predecessor, or a start whose answer never came.
+        task->run = task_run{};
+        task->run.number = row.run;
+        task->run.ordered_at = now;
+        task->run.progressed_at = now;
+        task->run.now = task_run::phase::running;
+        task->run.settled_at = now;
+        task->job->begun = true;
+        // What it was paced to isn't told.
+        task->run.pace_set = task->step->spec->filling ? -1 : task->run.pace_set;
+        bind(*task, worker);
+    }
+    // A predecessor that didn't know yet that it was one may have started a job that isn't read
+    // here yet: to stop it as a stray would lose its work, and the job would be started beside it.
+    if (task == nullptr && now - began_ < unread_job_wait)
+        return;
+    if (task == nullptr || task->where != &worker || task->run.number != row.run)
+        return stop_stray(worker, row.task, row.run);
+    task_run& run = task->run;
+    if (run.now == task_run::phase::starting)
+        run.now = task_run::phase::running;
+    if (row.percent != run.percent)
+        run.progressed_at = now;
+    run.percent = row.percent;
+    run.recent = row.recent;
+    if (!row.checkpoint.empty())
+        run.checkpoint = row.checkpoint;
+}
+
+/// Gives up runs that the worker's report proves gone: the report was asked for after the last
+/// order about the run was answered, or the start can no longer take effect by the worker's clock.
+void cell_coordinator::drop_missing(worker_work& worker, const worker_report& report, instant asked,
+                                    const absl::flat_hash_set<task_work*>& seen) {
+    std::vector<task_work*> gone;
+    for (task_work* const task : worker.tasks) {
+        if (seen.contains(task))
+            continue;
+        const task_run& run = task->run;
+        const bool settled = run.settled_at && *run.settled_at < asked;
+        const bool start_passed = run.now == task_run::phase::stopping && !run.settled_at &&
+                                  run.start_until_ms < report.clock_ms;
+        if (settled || start_passed)
+            gone.push_back(task);
+    }
+    for (task_work* const task : gone) {
+        log_event(log_level::warn, "run_gone",
+                  {{"task", to_string(name_of(*task))}, {"worker", worker.listing.id.str()}});
+        release(*task);
+    }
+}
+
+/// What the rows of a report take that aren't runs of ours. They count until they have gone: what
+/// is being stopped still has its room. Nothing when a row's job isn't known.
+std::optional<resources> cell_coordinator::stray_size(const worker_work& worker,
+                                                      const worker_report& report) {
+    resources sum;
+    for (const running_row& row : report.running) {
+        const auto name = parse_task_name(row.task);
+        const task_work* const task = name ? find_task(*name) : nullptr;
+        if (task == nullptr)
+            return std::nullopt;
+        if (task->where == &worker && task->run.number == row.run)
+            continue;
+        resources size = task->step->spec->size;
+        size.cpu_millis = task->step->spec->filling ? 0 : size.cpu_millis;
+        sum += size;
+    }
+    return sum;
+}
+
+} // namespace figwinch
