Show people a cell: coordinator, workers, and why jobs wait

Cause: figwinchctl knew nothing of cells; why a job waits could only be guessed from metrics. The soak ends with it: one host coordinates and knows every worker. Ruled out: a line of log for each waiting job (unbounded under load).

--- a/include/figwinch/cell.h
+++ b/include/figwinch/cell.h
@@ -9,6 +9,7 @@
 #include "figwinch/cell/cell_settings.h"
 #include "figwinch/cell/cell_state.h"
 #include "figwinch/cell/coordinator.h"
+#include "figwinch/cell/coordinator_view.h"
 #include "figwinch/cell/durable_log.h"
 #include "figwinch/cell/job_entry.h"
 #include "figwinch/cell/job_progress.h"
--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -3,6 +3,7 @@
 #include "figwinch/cell/cell_config.h"
 #include "figwinch/cell/cell_settings.h"
 #include "figwinch/cell/cell_state.h"
+#include "figwinch/cell/coordinator_view.h"
 #include "figwinch/cell/progress_writer.h"
 #include "figwinch/cell/worker_advisor.h"
 #include "figwinch/cell/worker_orders.h"
@@ -77,6 +78,7 @@
     virtual void tick() = 0;
 
     virtual coordinator_counts counts() const = 0;
+    virtual coordinator_view view() const = 0;
 };
 
 } // namespace figwinch
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -8,6 +8,9 @@
 
 namespace figwinch {
 
+/// A worker that hasn't reported for longer gets nothing new.
+inline constexpr duration reported_within = std::chrono::milliseconds(2200);
+
 /// The coordinator's rules. Spread over files by what they are about: jobs, workers and their
 /// reports, leases, sharing, runs, stops, placement and advice.
 class cell_coordinator final : public coordinator {
@@ -21,6 +24,7 @@
     void take_intake(const job_entry& job) override;
     void tick() override;
     coordinator_counts counts() const override;
+    coordinator_view view() const override;
 
 private:
     void log_waiting() const;
@@ -86,6 +90,12 @@
     void take_pace_answer(const task_name& name, run_number run, int percent,
                           const order_answer& answer);
 
+    // coordinator_view.cpp
+    static void count_tasks(const job_work& job, job_view& row);
+    worker_standing standing_of(const worker_work& worker) const;
+    job_wait wait_of(const job_work& job) const;
+    job_wait wait_of(const job_work& job, const task_work& task) const;
+
     // coordinator_runs.cpp
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
     void take_start_answer(const task_name& name, run_number run, const worker_id& worker,
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -11,8 +11,6 @@
 
 // Starts in one go; the rest follows at the next tick, so that reports are read in between.
 constexpr std::size_t most_starts_at_once = 40;
-// A worker that hasn't reported for longer gets nothing new.
-constexpr duration reported_within = std::chrono::milliseconds(2200);
 // Serving tasks of one image on one worker leave the others to the filling images that hurt them
 // less; worth more than an even spread.
 constexpr double other_image_penalty = 1;
--- /dev/null
+++ b/src/cell/coordinator_view.cpp
@@ -0,0 +1,110 @@
+#include "figwinch/cell/coordinator_view.h"
+
+#include "cell/cell_coordinator.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figwinch {
+namespace {
+
+// A page for people, not a dump: some screens full.
+constexpr std::size_t most_jobs_shown = 200;
+
+} // namespace
+
+std::string_view to_string(worker_standing standing) {
+    static constexpr std::array names = {"usable",    "unlisted", "leaving", "data_centre_out",
+                                         "not_heard", "silent",   "resting"};
+    return names[static_cast<std::size_t>(standing)];
+}
+
+std::string_view to_string(job_wait wait) {
+    static constexpr std::array names = {
+        "none",      "earlier_steps", "earlier_reign", "pause_after_failure",
+        "no_worker", "no_label",      "no_room",       "advice"};
+    return names[static_cast<std::size_t>(wait)];
+}
+
+coordinator_view cell_coordinator::view() const {
+    coordinator_view shown;
+    const instant now = with_.time.now();
+    for (const auto& [id, worker] : workers_)
+        shown.workers.push_back({id, worker->listing.data_centre, standing_of(*worker),
+                                 worker->tasks.size(), worker->listing.capacity - worker->taken});
+    for (const job_work* const job : order_) {
+        if (shown.jobs.size() == most_jobs_shown) {
+            shown.jobs_left_out = order_.size() - most_jobs_shown;
+            break;
+        }
+        job_view& row = shown.jobs.emplace_back();
+        row.id = job->id;
+        row.queue = job->spec->queue;
+        row.priority = job->priority;
+        row.known_for = now - job->known_at;
+        count_tasks(*job, row);
+        row.waits_for = row.waiting == 0 ? job_wait::none : wait_of(*job);
+    }
+    return shown;
+}
+
+void cell_coordinator::count_tasks(const job_work& job, job_view& row) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const step_work& step : occurrence->steps) {
+            for (const task_work& task : step.tasks) {
+                row.running += task.where != nullptr ? 1 : 0;
+                row.waiting += task.where == nullptr && !task.progress.done ? 1 : 0;
+            }
+        }
+    }
+}
+
+/// The same conditions as `usable`, told apart.
+worker_standing cell_coordinator::standing_of(const worker_work& worker) const {
+    const instant now = with_.time.now();
+    if (!worker.listed)
+        return worker_standing::unlisted;
+    if (worker.listing.leaving)
+        return worker_standing::leaving;
+    if (evacuated_.contains(worker.listing.data_centre))
+        return worker_standing::data_centre_out;
+    if (!worker.heard)
+        return worker_standing::not_heard;
+    if (now - worker.reported_at >= reported_within)
+        return worker_standing::silent;
+    if (now < worker.rest_until || !worker.registered)
+        return worker_standing::resting;
+    return worker_standing::usable;
+}
+
+job_wait cell_coordinator::wait_of(const job_work& job) const {
+    if (!may_start(job))
+        return job_wait::earlier_reign;
+    for (const auto& [number, occurrence] : job.occurrences)
+        for (const step_work& step : occurrence->steps)
+            for (const task_work& task : step.tasks)
+                if (step.ready && task.where == nullptr && !task.progress.done)
+                    return wait_of(job, task);
+    return job_wait::earlier_steps;
+}
+
+/// Why a task whose turn has come has no worker.
+job_wait cell_coordinator::wait_of(const job_work& job, const task_work& task) const {
+    if (with_.time.now() < task.not_before)
+        return job_wait::pause_after_failure;
+    const std::string& label = task.step->spec->label;
+    job_wait furthest = job_wait::no_worker;
+    for (const auto& [id, worker] : workers_) {
+        if (!usable(*worker, job))
+            continue;
+        job_wait here = job_wait::no_room;
+        if (!label.empty() && std::ranges::count(worker->listing.labels, label) == 0)
+            here = job_wait::no_label;
+        else if (admits(*worker, task) && !is_advised(*worker, task))
+            here = job_wait::advice;
+        furthest = std::max(furthest, here);
+    }
+    return furthest;
+}
+
+} // namespace figwinch
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -1,5 +1,7 @@
 #include "cell_host/cell_host.h"
 
+#include "cell_host/cell_status.h"
+
 #include <utility>
 
 namespace figwinch {
@@ -8,6 +10,8 @@
 // The balancer asks every second and needs two misses; requests already on their way follow.
 constexpr duration drain_notice = std::chrono::milliseconds(2600);
 constexpr duration drain_period = std::chrono::milliseconds(20);
+// Beside the metrics, for figwinchctl.
+constexpr std::string_view status_path = "/cell";
 constexpr duration stop_margin = std::chrono::milliseconds(700);
 
 http_server_limits caller_limits() {
@@ -49,9 +53,11 @@
     ready_server_ = std::move(*ready);
     auto metrics = http_server::listen(
         loop_, with_.metrics.address, with_.metrics.port, {},
-        [this](const http_request&, const std::shared_ptr<http_responder>& answer) {
+        [this](const http_request& request, const std::shared_ptr<http_responder>& answer) {
             http_response response;
-            response.body = metrics_.expose(member_, front_.counts(), platform_);
+            response.body = request.path == status_path
+                                ? encode_status(with_.node, member_)
+                                : metrics_.expose(member_, front_.counts(), platform_);
             answer->respond(std::move(response));
         });
     if (!metrics.ok())
--- /dev/null
+++ b/src/cell_host/cell_status.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "cell_host/cell_member.h"
+
+#include <string>
+
+namespace figwinch {
+
+/// What a host shows people about itself and, as the coordinator, about its workers and open jobs:
+/// `CellView` of proto/cell.proto as JSON.
+std::string encode_status(const std::string& node, const cell_member& member);
+
+} // namespace figwinch
--- a/tests/cell/cell_advice_test.cpp
+++ b/tests/cell/cell_advice_test.cpp
@@ -38,6 +38,9 @@
         if (!world_.watch().broken.empty())
             CPPUNIT_FAIL(world_.watch().broken.front());
     }
+    coordinator_view view() {
+        return world_.host(*world_.coordinator())->member().coordinating()->view();
+    }
     std::string phase(const std::string& id) {
         const job_entry* const job = world_.job(0, id);
         return job == nullptr ? "unknown" : to_string(job->phase);
@@ -74,6 +77,10 @@
         world_.time().run_for(seconds(6));
         CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("b"));
         CPPUNIT_ASSERT_EQUAL(std::string("open"), phase("adv-a"));
+        const auto shown = view();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, shown.jobs.size());
+        CPPUNIT_ASSERT(shown.jobs[0].waits_for == job_wait::advice);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, shown.jobs[0].waiting);
         policy().silent = false;
         world_.time().run_for(seconds(6));
         CPPUNIT_ASSERT_EQUAL(std::string("succeeded"), phase("adv-a"));
--- a/tests/cell/cell_recovery_test.cpp
+++ b/tests/cell/cell_recovery_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(nothing_starts_in_a_data_centre_that_was_taken_out);
     CPPUNIT_TEST(a_store_that_forgets_its_history_loses_no_job);
     CPPUNIT_TEST(a_parted_coordinator_doesnt_count_on_leases_running_out);
+    CPPUNIT_TEST(people_see_why_a_job_waits);
     CPPUNIT_TEST(a_resend_is_the_same_job);
     CPPUNIT_TEST(a_refused_submission_never_runs);
     CPPUNIT_TEST(a_caller_is_not_held_while_the_log_is_silent);
@@ -277,6 +278,30 @@
             CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
         kept_the_rules();
     }
+    /// Story: a job asks for more than any worker has left, another for a label that none has, a
+    /// third is on its way. People ask the coordinator why the first two don't run.
+    void people_see_why_a_job_waits() {
+        begin();
+        world_.submit(0, "a", lasting(16));
+        world_.time().run_for(seconds(1));
+        step_spec labelled = cell_world::make_step(1, 500);
+        labelled.label = "rare";
+        world_.submit(0, "b", cell_world::make_job({labelled}));
+        world_.submit(0, "c", short_job(1));
+        world_.time().run_for(seconds(1));
+        const coordinator_view shown =
+            world_.host(*world_.coordinator())->member().coordinating()->view();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, shown.workers.size());
+        CPPUNIT_ASSERT(shown.workers[0].standing == worker_standing::usable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, shown.workers[0].tasks);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, shown.jobs.size());
+        std::map<std::string, job_wait> waits;
+        for (const job_view& job : shown.jobs)
+            waits[job.id.str()] = job.waits_for;
+        CPPUNIT_ASSERT(waits.at("a") == job_wait::none);
+        CPPUNIT_ASSERT(waits.at("b") == job_wait::no_label);
+        CPPUNIT_ASSERT(waits.at("c") == job_wait::no_room);
+    }
     /// Story: a caller sends the same job again at another host, seconds after the first was taken.
     void a_resend_is_the_same_job() {
         begin();
--- a/tests/config/ctl_report_test.cpp
+++ b/tests/config/ctl_report_test.cpp
@@ -1,3 +1,4 @@
+#include "ctl/cell_page.h"
 #include "ctl/ctl_commands.h"
 #include "ctl/ctl_report.h"
 #include "tests/config/config_records.h"
@@ -24,8 +25,44 @@
     CPPUNIT_TEST(a_state_shows_data_centres);
     CPPUNIT_TEST(a_difference_lists_names);
     CPPUNIT_TEST(commands_check_their_arguments);
+    CPPUNIT_TEST(a_cell_is_shown_to_people);
+    CPPUNIT_TEST(what_is_no_status_of_a_cell_is_said_so);
     CPPUNIT_TEST_SUITE_END();
 
+    void a_cell_is_shown_to_people() {
+        const auto page =
+            format_cell(R"({"node":"host-1","leads":true,"epoch":"7","coordinator":"host-1#5",)"
+                        R"("log_answers":true,"config_version":"3","jobs_known":"2","workers":[)"
+                        R"({"id":"w1","standing":"usable","tasks":"2","free_cpu_millis":"1500"},)"
+                        R"({"id":"w2","standing":"silent","free_cpu_millis":"4000"}],)"
+                        R"("jobs":[{"id":"0a","queue":"q","waiting":"3","waits_for":"no_room",)"
+                        R"("known_for_s":2.5}],"a_later_field":1})");
+        CPPUNIT_ASSERT(page.has_value());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("host         host-1\n"
+                        "coordinator  host-1#5 (epoch 7), this host\n"
+                        "log          answers\n"
+                        "config       version 3\n"
+                        "jobs known   2\n"
+                        "workers      2\n"
+                        "  silent             1\n"
+                        "  usable             1\n"
+                        "  free processors    1.5\n"
+                        "open jobs    1\n"
+                        "  job                queue        prio  running  waiting    age s  waits "
+                        "for\n"
+                        "  0a                 q               0        0        3      2.5  "
+                        "no_room\n"),
+            *page);
+    }
+    void what_is_no_status_of_a_cell_is_said_so() {
+        for (const char* const text : {"", "{}", "[]", "# HELP metric", R"({"node":7})"})
+            CPPUNIT_ASSERT(!format_cell(text).has_value());
+        const auto report = ctl_commands({}).run("cell", {"nowhere"});
+        CPPUNIT_ASSERT(report.has_value());
+        CPPUNIT_ASSERT(report->exit == exit_code::usage);
+    }
+
     void each_end_has_its_exit_code() {
         const auto exit_of = [](change_end end, result_code code) {
             return report_change(ended(end, code), report_form::json).exit;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,6 +47,7 @@
 class Soak:
     def __init__(self, program, seed, seconds, folder):
         self.random = random.Random(seed)
+        self.ctl = pathlib.Path(program).parent.parent.parent / "tools" / "ctl" / "figwinchctl"
         self.seconds = seconds
         self.rules = Rules()
         self.store = Store()
@@ -188,6 +189,7 @@
         for cell in self.cells:
             await cell.start()
         self.rules.check_end(await self.wait_for_jobs(callers))
+        await self.check_status()
         await callers.session.close()
 
     async def wait_for_jobs(self, callers):
@@ -204,6 +206,20 @@
             await asyncio.sleep(1)
         return states
 
+    async def check_status(self):
+        """What people see: one host coordinates, and it knows every worker."""
+        leaders = []
+        for cell in self.cells:
+            asked = await asyncio.create_subprocess_exec(
+                self.ctl, "--json", "cell", f"127.0.0.1:{cell.metrics}", stdout=asyncio.subprocess.PIPE
+            )
+            text, _ = await asked.communicate()
+            status = json.loads(text) if asked.returncode == 0 else {}
+            if status.get("leads"):
+                leaders.append(len(status["workers"]))
+        if leaders != [WORKERS]:
+            self.rules.fault("STATUS", f"coordinators and the workers they know: {leaders}")
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
--- a/tools/ctl/ctl_commands.cpp
+++ b/tools/ctl/ctl_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "config/manifest_message.h"
 #include "ctl/audit_reader.h"
+#include "ctl/cell_page.h"
 #include "ctl/change_publisher.h"
 #include "ctl/config_recovery.h"
 #include "ctl/log_session.h"
@@ -52,6 +53,7 @@
 std::optional<ctl_report> ctl_commands::run(const std::string& command,
                                             const std::vector<std::string>& arguments) {
     static constexpr std::array table = {
+        command_row{"cell", true, &ctl_commands::cell},
         command_row{"check", true, &ctl_commands::check},
         command_row{"diff", true, &ctl_commands::diff},
         command_row{"drain", true, &ctl_commands::drain},
@@ -67,6 +69,13 @@
     return (this->*(row->call))(arguments.empty() ? "" : arguments.front());
 }
 
+ctl_report ctl_commands::cell(const std::string& host) {
+    const std::optional<endpoint> where = parse_endpoint(host);
+    if (!where)
+        return {exit_code::usage, "error 900: " + host + " is no IP number and port\n"};
+    return show_cell(*where, settings_.limit, settings_.form);
+}
+
 ctl_report ctl_commands::check(const std::string& file) {
     const std::optional<std::string> text = read_file(file);
     if (!text.has_value())
--- a/tools/ctl/ctl_commands.h
+++ b/tools/ctl/ctl_commands.h
@@ -40,6 +40,7 @@
         command_call call;
     };
 
+    ctl_report cell(const std::string& host);
     ctl_report check(const std::string& file);
     ctl_report publish(const std::string& file);
     ctl_report drain(const std::string& data_centre);
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -31,6 +31,9 @@
         "figwinchctl",
         "checks, publishes and compares manifests, takes data centres out and back.\n"
         "Commands:\n"
+        "  cell HOST     a host of a cell, by the address of its metrics: coordinator, workers, "
+        "and\n"
+        "                why jobs wait (--json: the whole status)\n"
         "  check FILE    checks a manifest and lists every fault; asks nothing of the log\n"
         "  publish FILE  puts a manifest into force and waits until it is\n"
         "  drain DC      takes a data centre out: nothing starts in it any more\n"
