--- a/src/cell/coordinator_advice.cpp
+++ b/src/cell/coordinator_advice.cpp
@@ -82,6 +82,7 @@
     std::ranges::sort(candidates, std::greater{}, &candidate::score);
     candidates.resize(std::min(candidates.size(), most_asked));
     std::vector<worker_id> asked;
+    asked.reserve(candidates.size());
     for (const candidate& one : candidates)
         asked.push_back(one.worker);
     return asked;
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -19,7 +19,7 @@
 // much (a logarithm) above its mean load: half the way up its swing. Tried: 0 and 0.4 get less
 // done, 0.1 to 0.2 on mean worth of ten days.
 constexpr double usual_aim = 0.95;
-constexpr double high_tide = 0.25;
+constexpr double usual_load_margin = 0.25;
 // One point of expected slowdown of a neighbour weighs as much as this share of a worker less to
 // run on.
 constexpr double slowdown_weight = 5;
@@ -200,7 +200,7 @@
         const image_number served = group.first;
         const double expected = slowdowns_.slowdown_of(served, worker.filling_images) +
                                 slowdowns_.slowdown(served, task.step->image) * more;
-        return expected <= slowdowns_.usual_headroom(served, high_tide, usual_aim);
+        return expected <= slowdowns_.usual_headroom(served, usual_load_margin, usual_aim);
     });
 }
 
--- a/src/cell/slowdown_model.cpp
+++ b/src/cell/slowdown_model.cpp
@@ -164,10 +164,10 @@
     return usual_headroom(serving, own.deviation, aim);
 }
 
-double slowdown_model::usual_headroom(image_number serving, double tide, double aim) const {
+double slowdown_model::usual_headroom(image_number serving, double above_mean, double aim) const {
     const serving_row& row = rows_[serving];
     const double allowed = utilisation(unloaded_ratio(row.low_log_ratio), aim);
-    return std::log(allowed) - row.mean_log_load - tide;
+    return std::log(allowed) - row.mean_log_load - above_mean;
 }
 
 double slowdown_model::difference(image_number one, image_number other) const {
--- a/src/cell/slowdown_model.h
+++ b/src/cell/slowdown_model.h
@@ -56,9 +56,9 @@
     /// How much slowdown (a logarithm) leaves the tail of a task at `aim` of its target, when its
     /// own load is what is estimated.
     double headroom(image_number serving, const load_estimate& own, double aim) const;
-    /// The same for a task of which only the image is known, at `tide` above the mean load (a
-    /// logarithm).
-    double usual_headroom(image_number serving, double tide, double aim) const;
+    /// The same for a task of which only the image is known, at `above_mean` more than the mean
+    /// load (a logarithm).
+    double usual_headroom(image_number serving, double above_mean, double aim) const;
 
     /// How differently two serving images are slowed, 0 to 1: on a worker that both share a filling
     /// image has to spare the more sensitive one.
--- a/tests/cell/sharing_test.cpp
+++ b/tests/cell/sharing_test.cpp
@@ -31,7 +31,7 @@
     CPPUNIT_TEST(images_differ_as_far_as_is_known);
     CPPUNIT_TEST(harmless_neighbours_work_at_full_speed);
     CPPUNIT_TEST(only_the_harmful_neighbour_is_slowed);
-    CPPUNIT_TEST(harmful_neighbours_work_at_low_tide);
+    CPPUNIT_TEST(harmful_neighbours_work_at_low_load);
     CPPUNIT_TEST(targets_hold_beside_a_harmful_neighbour);
     CPPUNIT_TEST(everything_stands_still_before_the_promise_breaks);
     CPPUNIT_TEST(a_successor_goes_on_from_the_record);
@@ -127,8 +127,8 @@
         CPPUNIT_ASSERT(beside[1].percent <= 30);
     }
     /// The same neighbour that would break a target at the height of the service's own load does no
-    /// harm at its low tide.
-    void harmful_neighbours_work_at_low_tide() {
+    /// harm while its own load is low.
+    void harmful_neighbours_work_at_low_load() {
         observe(5, 1500);
         const double high = 3.6;
         const double low = 10.4;
