Give the rows of a cell's status names of their own

Only the cell's own programs had been linked since. Change: CellWorkerView, CellJobView; a whole build of everything passes.

--- a/src/cell_host/cell_status.cpp
+++ b/src/cell_host/cell_status.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 void add_worker(const worker_view& from, pb::CellView& shown) {
-    pb::WorkerView& row = *shown.add_workers();
+    pb::CellWorkerView& row = *shown.add_workers();
     row.set_id(from.id.str());
     row.set_data_centre(from.data_centre.str());
     row.set_standing(std::string(to_string(from.standing)));
@@ -20,7 +20,7 @@
 }
 
 void add_job(const job_view& from, pb::CellView& shown) {
-    pb::JobView& row = *shown.add_jobs();
+    pb::CellJobView& row = *shown.add_jobs();
     row.set_id(from.id.str());
     row.set_queue(from.queue.str());
     row.set_priority(from.priority);
--- a/tools/ctl/cell_page.cpp
+++ b/tools/ctl/cell_page.cpp
@@ -17,7 +17,7 @@
 std::string format_workers(const pb::CellView& cell) {
     std::map<std::string, int> standings;
     std::int64_t free_cpu_millis = 0;
-    for (const pb::WorkerView& worker : cell.workers()) {
+    for (const pb::CellWorkerView& worker : cell.workers()) {
         ++standings[worker.standing()];
         free_cpu_millis += worker.standing() == "usable" ? worker.free_cpu_millis() : 0;
     }
@@ -35,7 +35,7 @@
     if (cell.jobs_size() > 0)
         text += fmt::format("  {:<18} {:<12} {:>4} {:>8} {:>8} {:>8}  {}\n", "job", "queue", "prio",
                             "running", "waiting", "age s", "waits for");
-    for (const pb::JobView& job : cell.jobs())
+    for (const pb::CellJobView& job : cell.jobs())
         text += fmt::format("  {:<18} {:<12} {:>4} {:>8} {:>8} {:>8.1f}  {}\n", job.id(),
                             job.queue(), job.priority(), job.running(), job.waiting(),
                             job.known_for_s(), job.waits_for());
