Show a lasting task that waits for a worker that never had it

What callers saw: a lasting task failed beside a restart of the coordinator's process and had no run for 11 s, though workers had room. Reproduced in simulated time on the code as it is: a worker goes dark, the coordinator's process ends and starts again, a run fails on a worker that is well; 6 s later it still has no run.

--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -15,10 +15,11 @@
 class sim_host final : public cell_platform {
 public:
     sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
-             const std::function<double()>& random, const std::string& name)
+             const std::function<double()>& random, const std::string& name,
+             const cell_settings& settings)
         : time_(time), fleet_(fleet), log_(time, store, random), orders_(time, fleet, random),
           advisor_(time, fleet.policy),
-          member_(time.clock(), *this, cell_settings{}, incarnation_id(name), "10.0.0.1:7000", 1) {
+          member_(time.clock(), *this, settings, incarnation_id(name), "10.0.0.1:7000", 1) {
         schedule();
     }
     ~sim_host() override {
@@ -88,8 +89,9 @@
 /// is drawn from one seed.
 class cell_world {
 public:
-    cell_world(std::uint64_t seed, std::size_t hosts, std::size_t workers)
-        : random_(seed), watch_(time_, seed + 1) {
+    cell_world(std::uint64_t seed, std::size_t hosts, std::size_t workers,
+               const cell_settings& settings = {})
+        : settings_(settings), random_(seed), watch_(time_, seed + 1) {
         store_.append(cell_stream::operators, {{"config", "1", 0}}, {});
         for (std::size_t index = 0; index < workers; ++index)
             add_worker("w" + std::to_string(index));
@@ -110,7 +112,7 @@
     void start_host(std::size_t index) {
         hosts_[index] = std::make_unique<sim_host>(
             time_, store_, fleet_, [this] { return draw_share(); },
-            "host-" + std::to_string(index) + "#" + std::to_string(++lives_));
+            "host-" + std::to_string(index) + "#" + std::to_string(++lives_), settings_);
     }
     void kill_host(std::size_t index) { hosts_[index].reset(); }
     /// The host that coordinates, or nothing.
@@ -169,8 +171,8 @@
         entry.listing.capacity = {4000, 16'384, 0};
         entry.listing.data_centre = data_centre_id("dc-" + std::to_string(random_() % 2));
         watch_.room[name] = entry.listing.capacity;
-        entry.worker =
-            std::make_unique<sim_worker>(time_, watch_, name, 0.98 + 0.02 * draw_share());
+        entry.worker = std::make_unique<sim_worker>(time_, watch_, name, 0.98 + 0.02 * draw_share(),
+                                                    settings_.max_hold);
         list_worker(name, "ready");
     }
     std::shared_ptr<std::optional<intake_outcome>> write(std::size_t host,
@@ -191,6 +193,7 @@
         });
     }
 
+    cell_settings settings_;
     std::mt19937_64 random_;
     sim_time time_;
     sim_store store_;
--- /dev/null
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -0,0 +1,84 @@
+#include "tests/cell/cell_world.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Tasks that last have to run again within this time of the end of a run, when there is room.
+constexpr duration longest_down = seconds(6);
+
+cell_settings with_lease(duration lease) {
+    cell_settings settings;
+    settings.max_hold = lease;
+    return settings;
+}
+
+/// How soon tasks that last run again.
+class lasting_recovery_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(lasting_recovery_test);
+    CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
+    CPPUNIT_TEST_SUITE_END();
+
+    cell_world world_{7, 3, 4, with_lease(seconds(10))};
+
+    static job_spec lasting(std::uint32_t tasks) {
+        step_spec step = cell_world::make_step(tasks, 1000);
+        step.lasting = true;
+        return cell_world::make_job({step});
+    }
+    static std::string task(const std::string& job, std::uint32_t index) {
+        return job + ".0.0." + std::to_string(index);
+    }
+    sim_worker& worker(const std::string& name) { return *world_.fleet().workers.at(name).worker; }
+    void begin() {
+        world_.watch().failing = 0;
+        world_.time().run_for(seconds(2));
+    }
+    /// A lasting task of a job that a worker has.
+    std::string task_on(const std::string& name, const std::string& job, std::uint32_t tasks) {
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            if (worker(name).has(task(job, index)))
+                return task(job, index);
+        CPPUNIT_FAIL("no task of " + job + " on " + name);
+        return "";
+    }
+    void kept_the_rules() {
+        if (!world_.watch().broken.empty())
+            CPPUNIT_FAIL(world_.watch().broken.front());
+    }
+
+public:
+    /// Story: a worker goes dark, and seconds later the process of the coordinator ends and starts
+    /// again. Then a lasting task fails on another worker, which is well. It had no run for over 10
+    /// s, until the lease of the dark worker was over, which had never had it.
+    void a_task_doesnt_wait_for_a_worker_that_never_had_it() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        world_.fleet().workers.at("w1").cut = true;
+        world_.time().run_for(seconds(1));
+        const std::size_t first = *world_.coordinator();
+        world_.kill_host(first);
+        world_.start_host(first);
+        world_.time().run_for(milliseconds(500));
+        const std::string failing = task_on("w2", "a", 8);
+        worker("w2").fail_run(failing);
+        CPPUNIT_ASSERT(!world_.watch().runs(failing));
+        world_.time().run_for(longest_down);
+        CPPUNIT_ASSERT(world_.watch().runs(failing));
+        world_.time().run_for(seconds(12));
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lasting_recovery_test);
+
+} // namespace
+} // namespace figwinch::sim
--- a/tests/cell/sim_worker.h
+++ b/tests/cell/sim_worker.h
@@ -3,6 +3,7 @@
 #include "figwinch/cell.h"
 #include "tests/cell/sim_time.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -25,13 +26,13 @@
 /// A worker as the platform's pages describe it: fence, lease on its own clock, runs, ends.
 class sim_worker {
 public:
-    sim_worker(sim_time& time, worker_watch& watch, std::string name, double clock_rate)
+    sim_worker(sim_time& time, worker_watch& watch, std::string name, double clock_rate,
+               duration max_hold)
         : time_(time), watch_(watch), name_(std::move(name)), clock_rate_(clock_rate),
-          born_(time.now()), tick_alive_(std::make_shared<bool>(true)) {
+          max_hold_(max_hold), born_(time.now()), tick_alive_(std::make_shared<bool>(true)) {
         schedule();
     }
 
-    static constexpr duration max_hold = std::chrono::seconds(6);
     static constexpr duration stop_time = std::chrono::milliseconds(300);
 
     std::int64_t clock_ms() const {
@@ -113,6 +114,17 @@
         born_ = time_.now();
     }
     std::size_t running() const { return runs_.size(); }
+    bool has(const std::string& task) const {
+        return std::ranges::any_of(runs_, [&](const auto& run) { return run.first.first == task; });
+    }
+    /// Its run of a task, which it has, fails now.
+    void fail_run(const std::string& task) {
+        const auto run = std::ranges::find_if(
+            runs_, [&](const auto& entry) { return entry.first.first == task; });
+        const run_key key = run->first;
+        runs_.erase(run);
+        finish(key, run_end::failed);
+    }
     /// Runs stand still: they get on no more, and end only by a stop or with the lease.
     bool hangs = false;
 
@@ -150,7 +162,7 @@
         return order_outcome::done;
     }
     void extend(std::int64_t until_ms) {
-        const std::int64_t most = clock_ms() + max_hold.count() / 1000;
+        const std::int64_t most = clock_ms() + max_hold_.count() / 1000;
         lease_ms_ = std::max(lease_ms_, std::min(until_ms, most));
     }
     void schedule() {
@@ -193,6 +205,7 @@
     worker_watch& watch_;
     std::string name_;
     double clock_rate_;
+    duration max_hold_;
     instant born_;
     std::uint64_t fence_ = 0;
     std::int64_t lease_ms_ = 0;
