Show a lasting task that waits behind short ones

A lasting task that is down is started in the order of its job's objective, which has long passed: every short task that can still be in time goes first and takes the room that gets free.

--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -22,6 +22,7 @@
 class lasting_recovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(lasting_recovery_test);
     CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
+    CPPUNIT_TEST(a_task_runs_again_before_new_work_takes_the_room);
     CPPUNIT_TEST_SUITE_END();
 
     cell_world world_{7, 3, 4, with_lease(seconds(10))};
@@ -76,6 +77,30 @@
             CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
         kept_the_rules();
     }
+    /// Story: the workers are full and more jobs come than they can serve. A lasting task fails,
+    /// and each time a short task ends another short one, whose caller can still have it in time,
+    /// takes the room.
+    void a_task_runs_again_before_new_work_takes_the_room() {
+        begin();
+        world_.submit(0, "a", lasting(4));
+        world_.time().run_for(seconds(2));
+        for (int index = 0; index < 30; ++index) {
+            step_spec step = cell_world::make_step(8, 500);
+            step.estimate = seconds(60);
+            world_.submit(0, "b" + std::to_string(index), cell_world::make_job({step}));
+        }
+        world_.time().run_for(seconds(2));
+        std::string failing;
+        for (const auto& [name, entry] : world_.fleet().workers)
+            if (failing.empty() && entry.worker->has(task("a", 0))) {
+                failing = task("a", 0);
+                entry.worker->fail_run(failing);
+            }
+        CPPUNIT_ASSERT(!failing.empty());
+        world_.time().run_for(longest_down);
+        CPPUNIT_ASSERT(world_.watch().runs(failing));
+        kept_the_rules();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lasting_recovery_test);
