--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -94,6 +94,7 @@
             next_stragglers_ = now + stragglers_period;
             move_stragglers();
         }
+        log_lasting_waits();
         if (current_log_level() == log_level::debug)
             log_waiting();
     }
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -29,6 +29,7 @@
 
 private:
     void log_waiting() const;
+    void log_lasting_waits();
     void record_slowdowns();
 
     // coordinator_jobs.cpp
@@ -79,6 +80,7 @@
     void forget_gone_workers();
     void resolve(const worker_id& id);
     void resolve_expired();
+    void log_resolved() const;
     bool is_settled(instant& since) const;
     bool may_start(const job_work& job) const;
 
@@ -165,6 +167,7 @@
     instant next_placement_{};
     instant next_sweep_{};
     instant next_stragglers_{};
+    instant next_lasting_waits_{};
     /// One call for advice at a time.
     bool advice_in_flight_ = false;
     instant next_advice_{};
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -126,6 +126,7 @@
             step.tasks[index].job = &job;
             step.tasks[index].step = &step;
             step.tasks[index].index = index;
+            step.tasks[index].down_since = with_.time.now();
         }
     }
     job.occurrences[number] = std::move(made);
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -66,16 +66,35 @@
 }
 
 void cell_coordinator::resolve(const worker_id& id) {
-    if (unresolved_.erase(id) > 0)
-        placement_due_ = true;
+    if (unresolved_.erase(id) == 0)
+        return;
+    placement_due_ = true;
+    log_resolved();
+}
+
+/// One line when the last worker of earlier reigns is accounted for.
+void cell_coordinator::log_resolved() const {
+    if (!unresolved_.empty())
+        return;
+    const duration after = with_.time.now() - began_;
+    log_event(log_level::info, "workers_resolved",
+              {{"epoch", static_cast<std::int64_t>(epoch_.value())},
+               {"after_ms", static_cast<std::int64_t>(after.count() / 1000)}});
 }
 
 void cell_coordinator::resolve_expired() {
     // Confirmed since the bound has passed, for the same reason as in `is_settled`.
     const instant confirmed = with_.confirmed_at();
-    if (absl::erase_if(unresolved_,
-                       [confirmed](const auto& worker) { return confirmed > worker.second; }) > 0)
-        placement_due_ = true;
+    const auto is_over = [confirmed](const auto& worker) {
+        const bool over = confirmed > worker.second;
+        if (over)
+            log_event(log_level::warn, "worker_given_up", {{"worker", worker.first.str()}});
+        return over;
+    };
+    if (absl::erase_if(unresolved_, is_over) == 0)
+        return;
+    placement_due_ = true;
+    log_resolved();
 }
 
 /// Whether no earlier coordinator's run of the job's tasks can be anywhere but where reports show
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -146,6 +146,7 @@
     worker_work& worker = *task.where;
     std::erase(worker.tasks, &task);
     task.where = nullptr;
+    task.down_since = with_.time.now();
     --task.step->placed;
     resources taken = spec.size;
     if (spec.filling) {
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -1,6 +1,7 @@
 #include "figwinch/cell/coordinator_view.h"
 
 #include "cell/cell_coordinator.h"
+#include "figwinch/observe.h"
 
 #include <algorithm>
 #include <array>
@@ -11,6 +12,10 @@
 // A page for people, not a dump: some screens full.
 constexpr std::size_t most_jobs_shown = 200;
 
+// A task that is to last and has no run for longer is told of, a line a period for all of them.
+constexpr duration lasting_wait_told = std::chrono::seconds(2);
+constexpr duration lasting_waits_period = std::chrono::seconds(1);
+
 } // namespace
 
 std::string_view to_string(worker_standing standing) {
@@ -59,6 +64,38 @@
     }
 }
 
+void cell_coordinator::log_lasting_waits() {
+    const instant now = with_.time.now();
+    if (now < next_lasting_waits_)
+        return;
+    next_lasting_waits_ = now + lasting_waits_period;
+    const task_work* longest = nullptr;
+    std::int64_t waiting = 0;
+    for (const job_work* const job : order_) {
+        for (const auto& [number, occurrence] : job->occurrences) {
+            for (const step_work& step : occurrence->steps) {
+                if (!step.spec->lasting || !step.ready)
+                    continue;
+                for (const task_work& task : step.tasks) {
+                    if (task.where != nullptr || now - task.down_since < lasting_wait_told)
+                        continue;
+                    ++waiting;
+                    if (longest == nullptr || task.down_since < longest->down_since)
+                        longest = &task;
+                }
+            }
+        }
+    }
+    if (longest == nullptr)
+        return;
+    const duration down = now - longest->down_since;
+    log_event(log_level::warn, "lasting_tasks_wait",
+              {{"tasks", waiting},
+               {"longest", to_string(name_of(*longest))},
+               {"down_ms", static_cast<std::int64_t>(down.count() / 1000)},
+               {"waits_for", std::string(to_string(wait_of(*longest->job)))}});
+}
+
 /// The same conditions as `usable`, told apart.
 worker_standing cell_coordinator::standing_of(const worker_work& worker) const {
     const instant now = with_.time.now();
--- a/src/cell/task_work.h
+++ b/src/cell/task_work.h
@@ -25,6 +25,8 @@
     instant not_before{};
     /// The last workers on which runs failed, newest first: retries go elsewhere.
     std::array<worker_id, 4> failed_on;
+    /// Since when it has had no run, as far as this coordinator knows.
+    instant down_since{};
     /// How often it was moved because it stood still or lagged.
     std::uint32_t moves = 0;
 };
