Wait for a lasting task's own worker after a change of coordinator

Cause: a new reign doesn't know which runs a worker has that doesn't answer. So it held back every task that it inherited until each such worker had reported or its lease was over, 10.3 s where leases are 10 s. The doubt about one dark worker was as wide as the cell.

Ruled out: that the end of the run was lost between the reigns (the test's run ends after the claim, and is reported to the new reign), and that room was counted wrongly (lasting_tasks_wait says earlier_reign, not no_room).

Change: the worker of a lasting task is recorded in its job's progress before the order to start goes out, in one batch a round. A successor waits for that worker alone. Why it holds: the successor's writer is fenced before it reads, so that it reads every record that let an order go out. While the log is silent the task starts only on the worker that is recorded already.

Conclusion: short tasks still wait for the whole cell; starts of theirs aren't recorded.

--- a/include/figwinch/cell/job_progress.h
+++ b/include/figwinch/cell/job_progress.h
@@ -23,6 +23,9 @@
     std::vector<run_number> failed_runs;
     /// Resume from here; empty: from the start.
     std::string checkpoint;
+    /// Of a lasting task: the worker to which its newest run was to go, recorded before the order
+    /// went out. No run can be on any other worker. Empty: none was ever ordered.
+    worker_id ordered_to;
 };
 
 /// One pass over the steps: tasks by step and index.
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -102,6 +102,7 @@
         placement_due_ = false;
         next_placement_ = now + placement_period;
         place_all();
+        order_when_recorded();
     }
     write_dirty();
 }
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -82,7 +82,9 @@
     void resolve_expired();
     void log_resolved() const;
     bool is_settled(instant& since) const;
-    bool may_start(const job_work& job) const;
+    bool log_confirms() const;
+    bool all_have_reported() const;
+    bool may_start(const task_work& task) const;
 
     // coordinator_stops.cpp
     void request_stop(task_work& task);
@@ -109,6 +111,10 @@
 
     // coordinator_runs.cpp
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
+    static bool is_recorded_first(const step_spec& step);
+    void order_when_recorded();
+    void order_recorded(const task_name& name, run_number run);
+    void order_start(task_work& task);
     void take_start_answer(const task_name& name, run_number run, const worker_id& worker,
                            const order_answer& answer);
     void give_back(task_work& task, worker_work& worker, duration rest);
@@ -125,6 +131,7 @@
     // coordinator_placement.cpp
     void place_all();
     bool place_step(job_work& job, step_work& step);
+    void start_where_recorded(const job_work& job, task_work& task);
     bool place_gang(job_work& job, step_work& step);
     worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
     bool usable(const worker_work& worker, const job_work& job) const;
@@ -159,6 +166,10 @@
     /// Workers that a predecessor may have given tasks and that haven't reported, and when what
     /// they had must be over.
     absl::flat_hash_map<worker_id, instant> unresolved_;
+    /// No worker has a run of an earlier reign that isn't known, as of the last round of starts.
+    bool all_have_reported_ = false;
+    /// Starts of this round that go out once the log has them.
+    std::vector<std::pair<task_name, run_number>> recording_;
     /// Runs that have to go.
     std::vector<task_name> stopping_;
     std::uint64_t last_run_ = 0;
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -35,6 +35,10 @@
     return with_.confirmed_at() > since;
 }
 
+bool cell_coordinator::log_confirms() const {
+    return with_.time.now() - with_.confirmed_at() < fresh_reign;
+}
+
 /// Its lease is over by any clock: nothing runs there.
 void cell_coordinator::end_lease(worker_work& worker) {
     const worker_id& id = worker.listing.id;
@@ -97,15 +101,22 @@
     log_resolved();
 }
 
-/// Whether no earlier coordinator's run of the job's tasks can be anywhere but where reports show
-/// it.
-bool cell_coordinator::may_start(const job_work& job) const {
-    if (!job.may_run_elsewhere)
-        return true;
-    // A row of a job that isn't known yet may be of this one.
+/// Whether every worker that may have runs of earlier coordinators has told of them, or its lease
+/// is over.
+bool cell_coordinator::all_have_reported() const {
+    // A row of a job that isn't known yet may be of any.
     return unresolved_.empty() && std::ranges::all_of(workers_, [](const auto& entry) {
                return entry.second->strays.has_value();
            });
 }
 
+/// Whether no earlier coordinator's run of the task can be anywhere but where reports show it. Only
+/// the worker that the log names can have one of a lasting task: the others, that are dark for
+/// seconds, don't keep it down.
+bool cell_coordinator::may_start(const task_work& task) const {
+    if (!task.job->may_run_elsewhere || all_have_reported_)
+        return true;
+    return is_recorded_first(*task.step->spec) && !unresolved_.contains(task.progress.ordered_to);
+}
+
 } // namespace figwinch
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -35,21 +35,20 @@
 
 void cell_coordinator::place_all() {
     const std::uint64_t before = counts_.starts;
+    all_have_reported_ = all_have_reported();
     // A copy: starting can end jobs only by later answers, but the order may be rebuilt.
     for (job_work* const job : std::vector<job_work*>(order_)) {
-        if (!may_start(*job))
-            continue;
         for (const auto& [number, occurrence] : job->occurrences) {
             for (step_work& step : occurrence->steps) {
                 if (!step.ready || step.placed >= step.left)
                     continue;
-                if (step.spec->gang)
+                if (step.spec->gang && may_start(step.tasks.front()))
                     place_gang(*job, step);
-                else
+                else if (!step.spec->gang)
                     place_step(*job, step);
             }
         }
-        if (counts_.starts - before >= most_starts_at_once) {
+        if (counts_.starts + recording_.size() - before >= most_starts_at_once) {
             placement_due_ = true;
             return;
         }
@@ -59,8 +58,13 @@
 bool cell_coordinator::place_step(job_work& job, step_work& step) {
     const instant now = with_.time.now();
     for (task_work& task : step.tasks) {
-        if (task.progress.done || task.where != nullptr || now < task.not_before)
+        if (task.progress.done || task.where != nullptr || now < task.not_before ||
+            !may_start(task))
+            continue;
+        if (is_recorded_first(*step.spec) && !log_confirms()) {
+            start_where_recorded(job, task);
             continue;
+        }
         worker_work* const worker = choose(job, task, rack_id());
         if (worker == nullptr) {
             ask_advice(job, task);
@@ -71,6 +75,14 @@
     return true;
 }
 
+/// While the log is silent no other worker can be recorded; the one that is needs no record.
+void cell_coordinator::start_where_recorded(const job_work& job, task_work& task) {
+    worker_work* const worker = find_worker(task.progress.ordered_to);
+    if (worker != nullptr && usable(*worker, job) && admits(*worker, task) &&
+        is_advised(*worker, task))
+        start(task, *worker, next_run(), task.progress.checkpoint);
+}
+
 /// Starts all members at once under one run, or none.
 bool cell_coordinator::place_gang(job_work& job, step_work& step) {
     task_work& first = step.tasks.front();
--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -67,6 +67,11 @@
         // What it was paced to isn't told.
         task->run.pace_set = task->step->spec->filling ? -1 : task->run.pace_set;
         bind(*task, worker);
+        if (is_recorded_first(*task->step->spec) &&
+            task->progress.ordered_to != worker.listing.id) {
+            task->progress.ordered_to = worker.listing.id;
+            mark_dirty(*task->job);
+        }
     }
     // A predecessor that didn't know yet that it was one may have started a job that isn't read
     // here yet: to stop it as a stray would lose its work, and the job would be started beside it.
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -25,23 +25,67 @@
 
 } // namespace
 
+/// Binds a task to a worker. The order to start goes out at once, or once the log has it where the
+/// run is to be.
 void cell_coordinator::start(task_work& task, worker_work& worker, run_number run,
                              const std::string& checkpoint) {
-    const instant now = with_.time.now();
-    const std::int64_t clock_ms = worker.clock.at_least(now).value_or(0);
     task.run = task_run{};
     task.run.number = run;
+    task.run.checkpoint = checkpoint;
+    if (task.where == nullptr)
+        bind(task, worker);
+    if (!std::exchange(task.job->begun, true))
+        mark_dirty(*task.job);
+    if (!is_recorded_first(*task.step->spec) || task.progress.ordered_to == worker.listing.id)
+        return order_start(task);
+    task.progress.ordered_to = worker.listing.id;
+    mark_dirty(*task.job);
+    recording_.emplace_back(name_of(task), run);
+}
+
+/// Lasting tasks are few and rarely started, so that a record for each start is cheap; and they
+/// must run again soon when a reign ends. Members of a gang start in one moment.
+bool cell_coordinator::is_recorded_first(const step_spec& step) {
+    return step.lasting && !step.gang;
+}
+
+/// Orders the starts of this round that wait for the log, in one batch.
+void cell_coordinator::order_when_recorded() {
+    if (recording_.empty())
+        return;
+    write_dirty();
+    with_.journal.barrier(
+        [this, weak = std::weak_ptr(alive_), starts = std::exchange(recording_, {})] {
+            if (weak.expired() || deposed_)
+                return;
+            for (const auto& [name, run] : starts)
+                order_recorded(name, run);
+        });
+}
+
+void cell_coordinator::order_recorded(const task_name& name, run_number run) {
+    task_work* const task = find_task(name);
+    if (task == nullptr || task->where == nullptr || task->run.number != run ||
+        task->run.now != task_run::phase::starting)
+        return;
+    // The log may have been silent for seconds: by now the worker may be leaving.
+    if (!usable(*task->where, *task->job))
+        return release(*task);
+    order_start(*task);
+}
+
+void cell_coordinator::order_start(task_work& task) {
+    const instant now = with_.time.now();
+    worker_work& worker = *task.where;
+    const run_number run = task.run.number;
+    const std::string& checkpoint = task.run.checkpoint;
+    const std::int64_t clock_ms = worker.clock.at_least(now).value_or(0);
     task.run.ordered_at = now;
     task.run.seen_at = now;
-    task.run.checkpoint = checkpoint;
     task.run.start_until_ms = clock_ms + start_validity.count() / 1000;
     // A worker that has begun a new life grants a whole lease for an order to the life before.
     worker.latest_until_ms =
         std::max(worker.latest_until_ms, clock_ms + settings_.max_hold.count() / 1000);
-    if (task.where == nullptr)
-        bind(task, worker);
-    if (!std::exchange(task.job->begun, true))
-        mark_dirty(*task.job);
     ++counts_.starts;
     const task_name name = name_of(task);
     start_order order{to_string(name),         run,    task.job->spec->payload, checkpoint,
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -115,8 +115,6 @@
 }
 
 job_wait cell_coordinator::wait_of(const job_work& job) const {
-    if (!may_start(job))
-        return job_wait::earlier_reign;
     for (const auto& [number, occurrence] : job.occurrences)
         for (const step_work& step : occurrence->steps)
             for (const task_work& task : step.tasks)
@@ -127,6 +125,8 @@
 
 /// Why a task whose turn has come has no worker.
 job_wait cell_coordinator::wait_of(const job_work& job, const task_work& task) const {
+    if (!may_start(task))
+        return job_wait::earlier_reign;
     if (with_.time.now() < task.not_before)
         return job_wait::pause_after_failure;
     const std::string& label = task.step->spec->label;
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -66,13 +66,14 @@
             done[index / bits_per_byte] = static_cast<char>(done[index / bits_per_byte] | bit);
             continue;
         }
-        if (task.failed_runs.empty() && task.checkpoint.empty())
+        if (task.failed_runs.empty() && task.checkpoint.empty() && task.ordered_to.empty())
             continue;
         pb::TaskRecord& kept = *record.add_tasks();
         kept.set_index(index);
         for (const run_number run : task.failed_runs)
             kept.add_failed_runs(run.value());
         kept.set_checkpoint(task.checkpoint);
+        kept.set_ordered_to(task.ordered_to.str());
     }
     record.set_done(std::move(done));
 }
@@ -91,6 +92,7 @@
         for (const std::uint64_t run : kept.failed_runs())
             task.failed_runs.emplace_back(run);
         task.checkpoint = kept.checkpoint();
+        task.ordered_to = worker_id(kept.ordered_to());
     }
     return tasks;
 }
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -56,7 +56,9 @@
 public:
     /// Story: a worker goes dark, and seconds later the process of the coordinator ends and starts
     /// again. Then a lasting task fails on another worker, which is well. It had no run for over 10
-    /// s, until the lease of the dark worker was over, which had never had it.
+    /// s, until the lease of the dark worker was over, which had never had it. The new reign
+    /// couldn't tell whose the dark worker's runs were and held back every task that it inherited:
+    /// `waits_for` said earlier_reign all the while, and the wait ended with that lease.
     void a_task_doesnt_wait_for_a_worker_that_never_had_it() {
         begin();
         world_.submit(0, "a", lasting(8));
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -67,6 +67,7 @@
         tasks[0].done = tasks[10].done = true;
         tasks[4].failed_runs = {run_number(77), run_number(5)};
         tasks[4].checkpoint = "c";
+        tasks[3].ordered_to = worker_id("w3");
         progress.occurrences[2].steps = {tasks};
         const auto read = decode_progress(encode_progress(progress));
         CPPUNIT_ASSERT(read.has_value());
@@ -74,6 +75,7 @@
         CPPUNIT_ASSERT(back.at(0).done && back.at(10).done && !back.at(5).done);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back.at(4).failed_runs.size());
         CPPUNIT_ASSERT_EQUAL(std::string("c"), back.at(4).checkpoint);
+        CPPUNIT_ASSERT(back.at(3).ordered_to == worker_id("w3"));
     }
     void random_bytes_are_refused_or_bounded() {
         std::mt19937_64 random(11);
