Start lasting tasks that are down before short ones

Cause: tasks were started in the order of their jobs' objectives, those that can still be in time first. The objective of a lasting job is past a few seconds after it came, so every short task went before it.

Ruled out: too few starts a round; with room for each task the order decides who gets it, whatever the number.

Change: each round of starts serves lasting steps first, then the others, each in the order as before. Why it holds: a short task can't take the room of a lasting one any more, as lasting ones have been tried before in the same round.

Conclusion: a lasting task of a queue that is less urgent goes before an urgent short one; there are few, and their room was given to them before.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -130,6 +130,7 @@
 
     // coordinator_placement.cpp
     void place_all();
+    bool place_jobs(bool lasting, std::uint64_t most);
     bool place_step(job_work& job, step_work& step);
     void start_where_recorded(const job_work& job, task_work& task);
     bool place_gang(job_work& job, step_work& step);
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -33,14 +33,24 @@
 
 } // namespace
 
+/// Lasting tasks go first. They have to run all the time, so that one that is down has been late
+/// for as long; in the order of their jobs' objectives, which are long past, they would wait behind
+/// every short task that can still be in time. They are few: the room that they take was theirs.
 void cell_coordinator::place_all() {
-    const std::uint64_t before = counts_.starts;
     all_have_reported_ = all_have_reported();
+    const std::uint64_t most = counts_.starts + most_starts_at_once;
+    if (!place_jobs(true, most) || !place_jobs(false, most))
+        placement_due_ = true;
+}
+
+/// Starts tasks of steps that last, or of the others, job by job. Returns whether all that can be
+/// started is, within `most` starts in all.
+bool cell_coordinator::place_jobs(bool lasting, std::uint64_t most) {
     // A copy: starting can end jobs only by later answers, but the order may be rebuilt.
     for (job_work* const job : std::vector<job_work*>(order_)) {
         for (const auto& [number, occurrence] : job->occurrences) {
             for (step_work& step : occurrence->steps) {
-                if (!step.ready || step.placed >= step.left)
+                if (step.spec->lasting != lasting || !step.ready || step.placed >= step.left)
                     continue;
                 if (step.spec->gang && may_start(step.tasks.front()))
                     place_gang(*job, step);
@@ -48,11 +58,10 @@
                     place_step(*job, step);
             }
         }
-        if (counts_.starts + recording_.size() - before >= most_starts_at_once) {
-            placement_due_ = true;
-            return;
-        }
+        if (counts_.starts + recording_.size() >= most)
+            return false;
     }
+    return true;
 }
 
 bool cell_coordinator::place_step(job_work& job, step_work& step) {
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -81,7 +81,8 @@
     }
     /// Story: the workers are full and more jobs come than they can serve. A lasting task fails,
     /// and each time a short task ends another short one, whose caller can still have it in time,
-    /// takes the room.
+    /// takes the room. Tasks were started in the order of their jobs' objectives, and that of a
+    /// lasting job is soon past.
     void a_task_runs_again_before_new_work_takes_the_room() {
         begin();
         world_.submit(0, "a", lasting(4));
