--- /dev/null
+++ b/tests/cell/sharing_harm_test.cpp
@@ -0,0 +1,155 @@
+#include "cell/sharing_control.h"
+#include "cell/slowdown_model.h"
+#include "sim_serving.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+
+namespace figwinch {
+namespace {
+
+constexpr double step_s = 0.05;
+constexpr double report_period_s = 0.4;
+/// From a decision until the worker follows it: the order's way and the worker's own delay.
+constexpr double pace_delay_s = 0.15;
+/// Workers tell a tail that is off by an eighth, as a rule.
+constexpr double roughness = 0.12;
+constexpr double played_s = 120;
+constexpr double longest_allowed_s = 4;
+
+/// One worker in simulated time: serving tasks, filling tasks that come and go, and the control
+/// that sees reports and orders paces.
+class shared_worker {
+public:
+    explicit shared_worker(std::uint64_t seed) : random_(seed) {
+        for (int index = 0; index < images; ++index) {
+            serving_.push_back(model_.number("serving" + std::to_string(index)));
+            filling_.push_back(model_.number("filling" + std::to_string(index)));
+            for (int other = 0; other < images; ++other)
+                truth_[index][other] = draw(0.2, 5.8);
+        }
+        const int count = 2 + static_cast<int>(random_() % 3);
+        const image_number image = random_() % images;
+        for (int index = 0; index < count; ++index)
+            tasks_.push_back({image, sim_serving(draw(0, 1))});
+        for (int index = 0; index < 3; ++index)
+            beside_.push_back(new_neighbour());
+    }
+
+    /// The longest time on end, within `seconds`, that a serving task was over its target by what
+    /// filled beside it.
+    double longest_harm_s(double seconds) {
+        for (double s = 0; s < seconds; s += step_s) {
+            advance(s);
+            if (s >= next_report_s_)
+                report(s);
+        }
+        return longest_harm_s_;
+    }
+
+private:
+    static constexpr int images = 3;
+    struct neighbour {
+        image_number image;
+        double share;
+        double left_s;
+        int pace = 100;
+        int next_pace = 100;
+        double next_pace_at_s = 0;
+    };
+    struct served {
+        image_number image;
+        sim_serving queue;
+        double harmed_s = 0;
+    };
+
+    double draw(double low, double high) {
+        return std::uniform_real_distribution<double>(low, high)(random_);
+    }
+    neighbour new_neighbour() { return {random_() % images, draw(0.05, 0.2), draw(2, 20)}; }
+    double slowdown(const served& task) const {
+        double sum = 0;
+        for (const neighbour& other : beside_)
+            sum += truth_[task.image][other.image] * other.share * other.pace / 100;
+        return sum;
+    }
+    void advance(double s) {
+        for (neighbour& other : beside_) {
+            if (s >= other.next_pace_at_s)
+                other.pace = other.next_pace;
+            other.left_s -= step_s * other.pace / 100;
+            if (other.left_s <= 0)
+                other = new_neighbour();
+        }
+        for (served& task : tasks_) {
+            const bool harmed =
+                task.queue.tail_ratio(s, slowdown(task)) > 1 && task.queue.tail_ratio(s, 0) <= 1;
+            task.harmed_s = harmed ? task.harmed_s + step_s : 0;
+            longest_harm_s_ = std::max(longest_harm_s_, task.harmed_s);
+        }
+    }
+    void report(double s) {
+        next_report_s_ = s + report_period_s;
+        const instant now{std::chrono::milliseconds(10'000 + static_cast<int>(s * 1000))};
+        std::vector<image_share> used;
+        for (const neighbour& other : beside_)
+            used.push_back({filling_[other.image], other.share * other.pace / 100});
+        std::normal_distribution<double> rough(0, roughness);
+        std::vector<serving_view> serving;
+        for (served& task : tasks_) {
+            const double tail = task.queue.tail_ratio(s, slowdown(task)) * std::exp(rough(random_));
+            model_.learn(serving_[task.image], tail, used, task.queue.estimate, now);
+            serving.push_back({serving_[task.image], tail, &task.queue.estimate});
+        }
+        std::vector<filling_view> filling;
+        for (const neighbour& other : beside_)
+            filling.push_back({filling_[other.image], other.share});
+        control_.decide(model_, serving, filling, now);
+        for (std::size_t index = 0; index < filling.size(); ++index) {
+            beside_[index].next_pace = filling[index].percent;
+            beside_[index].next_pace_at_s = s + pace_delay_s;
+        }
+    }
+
+    std::mt19937_64 random_;
+    double longest_harm_s_ = 0;
+    double next_report_s_ = 0;
+    double truth_[images][images] = {};
+    slowdown_model model_;
+    sharing_control control_;
+    std::vector<image_number> serving_;
+    std::vector<image_number> filling_;
+    std::vector<served> tasks_;
+    std::vector<neighbour> beside_;
+};
+
+/// The promise to tasks that serve: never over target for 4 s on end by what fills beside them.
+class sharing_harm_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(sharing_harm_test);
+    CPPUNIT_TEST(no_task_stays_over_its_target_for_seconds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on
+    /// some days and not on a replay. Two minutes each of 2,000 workers with serving and filling
+    /// tasks of images that slow each other by amounts not known beforehand, and reports off by an
+    /// eighth.
+    void no_task_stays_over_its_target_for_seconds() {
+        std::vector<std::uint64_t> broken;
+        for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+            shared_worker worker(seed);
+            if (worker.longest_harm_s(played_s) >= longest_allowed_s)
+                broken.push_back(seed);
+        }
+        const std::string first = broken.empty() ? "" : std::to_string(broken.front());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("first seed " + first, std::size_t{0}, broken.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(sharing_harm_test);
+
+} // namespace
+} // namespace figwinch
