Count time over target by the average of a task's reports

Cause: neighbours stand still after a second, and all of them after 2.2 s, of reports over target in a row. Reports are off by an eighth, and tails are steered to the target itself, so that about one report in three of a task that is a little over its target says that it isn't: each began the count anew.

Ruled out for this test: late paces and unseen neighbours, which it doesn't have; exact reports break nothing in 20,000 workers.

Change: time over target is counted by the average of a task's reports with a memory of 0.6 s, from 0.03 (a logarithm) under the target on. Why it holds: the average halves the roughness, so that a task that stays over its target can't seem under it for long.

--- a/bench/cell_sharing.cpp
+++ b/bench/cell_sharing.cpp
@@ -55,7 +55,7 @@
         for (sim_serving& task : tasks_) {
             const double tail = task.reported(at_s, slowdown, random_);
             model_.learn(number, tail, used, task.estimate, now);
-            serving.push_back({number, tail, &task.estimate});
+            serving.push_back({number, tail, &task.estimate, &task.tail});
             if (counted != nullptr) {
                 ++counted->reports;
                 counted->over += task.tail_ratio(at_s, slowdown) > 1 ? 1 : 0;
@@ -105,14 +105,15 @@
         used.push_back({beside.back().image, filling_share});
     }
     std::vector<load_estimate> loads(tasks);
+    std::vector<tail_estimate> tails(tasks);
     sharing_control control;
     const auto report_once = [&](int number) {
         const instant now{std::chrono::milliseconds(400 * number)};
         std::vector<serving_view> views;
         views.reserve(tasks);
-        for (load_estimate& load : loads) {
-            model.learn(serving, 0.6, used, load, now);
-            views.push_back({serving, 0.6, &load});
+        for (std::size_t index = 0; index < loads.size(); ++index) {
+            model.learn(serving, 0.6, used, loads[index], now);
+            views.push_back({serving, 0.6, &loads[index], &tails[index]});
         }
         control.decide(model, views, beside, now);
     };
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -44,7 +44,7 @@
             const double tail_us = static_cast<double>(task->run.recent) * 1000.0;
             serving.push_back({task->step->image,
                                tail_us / static_cast<double>(spec.tail_target.count()),
-                               &task->run.load});
+                               &task->run.load, &task->run.tail});
         }
     }
     if (current_log_level() == log_level::debug)
--- a/src/cell/sharing_control.cpp
+++ b/src/cell/sharing_control.cpp
@@ -12,6 +12,10 @@
 constexpr duration suspicious_over = std::chrono::milliseconds(1000);
 constexpr duration longest_over = std::chrono::milliseconds(2200);
 constexpr duration stand_still = std::chrono::milliseconds(1200);
+// Tails are averaged over two or three reports, which leaves half of their roughness.
+constexpr double tail_memory_s = 0.6;
+// What is left of it: a tail that seems this little (a logarithm) under its target may be over.
+constexpr double doubtful_log_ratio = -0.03;
 // The share of the target that tails are steered to. Lower aims keep filling work waiting for
 // more than the serving tasks gain: 0.95, and 0.08 for the growth until the next report, cost 0.03
 // to 0.1 of mean worth over ten days.
@@ -23,6 +27,14 @@
 constexpr int slowest = 10;
 constexpr int step = 10;
 
+void take_report(const serving_view& served, instant now) {
+    tail_estimate& tail = *served.tail;
+    const double age_s = std::chrono::duration<double>(now - tail.reported_at).count();
+    const double news = 1 - std::exp(-age_s / tail_memory_s);
+    tail.log_ratio += news * (std::log(served.tail_ratio) - tail.log_ratio);
+    tail.reported_at = now;
+}
+
 int in_steps(double share) {
     const int percent = static_cast<int>(share * full) / step * step;
     return percent < slowest ? 0 : std::clamp(percent, 0, full);
@@ -58,9 +70,15 @@
 
 } // namespace
 
+/// For how long a task may have been over its target. Counted by the average of its last reports:
+/// tails are steered to the target, where one report in three of a task that is over it says that
+/// it isn't, and each of these would begin the count anew.
 duration sharing_control::time_over(const std::vector<serving_view>& serving, instant now) {
-    const bool over = std::ranges::any_of(
-        serving, [](const serving_view& served) { return served.tail_ratio > 1; });
+    for (const serving_view& served : serving)
+        take_report(served, now);
+    const bool over = std::ranges::any_of(serving, [](const serving_view& served) {
+        return served.tail->log_ratio > doubtful_log_ratio;
+    });
     if (over && !is_over_)
         over_since_ = now;
     is_over_ = over;
--- a/src/cell/sharing_control.h
+++ b/src/cell/sharing_control.h
@@ -7,6 +7,13 @@
 
 namespace figwinch {
 
+/// The tail of one serving task over its last reports, each of which is rough.
+struct tail_estimate {
+    /// log(tail / target).
+    double log_ratio = -1;
+    instant reported_at{};
+};
+
 /// A serving task as its worker reported it.
 struct serving_view {
     image_number image = 0;
@@ -14,6 +21,8 @@
     double tail_ratio = 0;
     /// What is known of its own load; kept with the task's run.
     load_estimate* load = nullptr;
+    /// Over its last reports; kept with the task's run.
+    tail_estimate* tail = nullptr;
 };
 
 /// A filling task beside it. Shares are of the worker's processors.
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cell/slowdown_model.h"
+#include "cell/sharing_control.h"
 #include "figwinch/cell/queue_name.h"
 
 #include <cstdint>
@@ -39,6 +39,7 @@
     std::int64_t recent = 0;
     /// Of a serving task: what its own users ask of it.
     load_estimate load;
+    tail_estimate tail;
     int pace_wanted = 100;
     int pace_set = 100;
     instant pace_set_at{};
--- a/tests/cell/sharing_harm_test.cpp
+++ b/tests/cell/sharing_harm_test.cpp
@@ -102,7 +102,7 @@
         for (served& task : tasks_) {
             const double tail = task.queue.tail_ratio(s, slowdown(task)) * std::exp(rough(random_));
             model_.learn(serving_[task.image], tail, used, task.queue.estimate, now);
-            serving.push_back({serving_[task.image], tail, &task.queue.estimate});
+            serving.push_back({serving_[task.image], tail, &task.queue.estimate, &task.queue.tail});
         }
         std::vector<filling_view> filling;
         for (const neighbour& other : beside_)
@@ -133,10 +133,10 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on
-    /// some days and not on a replay. Two minutes each of 2,000 workers with serving and filling
-    /// tasks of images that slow each other by amounts not known beforehand, and reports off by an
-    /// eighth.
+    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on some
+    /// days and not on a replay. Tails are steered to the target, and reports are off by an eighth:
+    /// one report that seemed under it began the count anew after which neighbours stand still. With
+    /// exact reports none of 20,000 such workers breaks the promise, with rough ones 27 did.
     void no_task_stays_over_its_target_for_seconds() {
         std::vector<std::uint64_t> broken;
         for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
--- a/tests/cell/sharing_test.cpp
+++ b/tests/cell/sharing_test.cpp
@@ -71,8 +71,8 @@
             model_.learn(serving_, task.tail_ratio(s, 0), {}, task.estimate, at(s));
         sharing_control control;
         std::vector<filling_view> beside = {{filling, share}};
-        control.decide(model_, {{serving_, task.tail_ratio(at_s, 0), &task.estimate}}, beside,
-                       at(at_s));
+        control.decide(model_, {{serving_, task.tail_ratio(at_s, 0), &task.estimate, &task.tail}},
+                       beside, at(at_s));
         return beside[0].percent;
     }
 
@@ -122,7 +122,7 @@
             model_.learn(serving_, task.tail_ratio(s, 0), {}, task.estimate, at(s));
         sharing_control control;
         std::vector<filling_view> beside = {{soft_, 0.1}, {hard_, 0.2}};
-        control.decide(model_, {{serving_, 0.6, &task.estimate}}, beside, at(3.6));
+        control.decide(model_, {{serving_, 0.6, &task.estimate, &task.tail}}, beside, at(3.6));
         CPPUNIT_ASSERT_EQUAL(100, beside[0].percent);
         CPPUNIT_ASSERT(beside[1].percent <= 30);
     }
@@ -157,7 +157,7 @@
                 over_uncontrolled += task.tail_ratio(s, 5 * 0.12) > 1 ? 1 : 0;
                 ++reports;
                 model_.learn(serving_, tail, used, task.estimate, at(s));
-                serving.push_back({serving_, tail, &task.estimate});
+                serving.push_back({serving_, tail, &task.estimate, &task.tail});
             }
             control.decide(model_, serving, beside, at(s));
             worked += beside[0].percent / 100.0;
@@ -174,10 +174,11 @@
         observe(0, 2000);
         sharing_control control;
         load_estimate unknown;
+        tail_estimate tail;
         std::vector<filling_view> filling;
         for (int ms = 0; ms <= 2500; ms += 500) {
             filling = {{soft_, 0.1}};
-            control.decide(model_, {{serving_, 1.5, &unknown}}, filling, at(ms / 1000.0));
+            control.decide(model_, {{serving_, 1.5, &unknown, &tail}}, filling, at(ms / 1000.0));
         }
         CPPUNIT_ASSERT_EQUAL(0, filling[0].percent);
     }
--- a/tests/cell/sim_serving.h
+++ b/tests/cell/sim_serving.h
@@ -36,6 +36,7 @@
     }
 
     load_estimate estimate;
+    tail_estimate tail;
 
 private:
     double phase_;
