--- a/tests/cell/sharing_harm_test.cpp
+++ b/tests/cell/sharing_harm_test.cpp
@@ -133,10 +133,11 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on some
-    /// days and not on a replay. Tails are steered to the target, and reports are off by an eighth:
-    /// one report that seemed under it began the count anew after which neighbours stand still. With
-    /// exact reports none of 20,000 such workers breaks the promise, with rough ones 27 did.
+    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on
+    /// some days and not on a replay. Tails are steered to the target, and reports are off by an
+    /// eighth: one report that seemed under it began the count anew after which neighbours stand
+    /// still. With exact reports none of 20,000 such workers breaks the promise, with rough ones 27
+    /// did.
     void no_task_stays_over_its_target_for_seconds() {
         std::vector<std::uint64_t> broken;
         for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
