Show short jobs that wait for a worker that never had them

The same cause as for lasting tasks: a new reign holds back every short task that it inherited until the last worker has reported or its lease is over. Reproduced in simulated time: neither a job's second step nor a job that hadn't begun starts within 4.9 s.

--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -11,6 +11,8 @@
 
 /// Tasks that last have to run again within this time of the end of a run, when there is room.
 constexpr duration longest_down = seconds(6);
+/// And urgent work starts within this time.
+constexpr duration longest_to_start = milliseconds(4900);
 
 cell_settings with_lease(duration lease) {
     cell_settings settings;
@@ -23,6 +25,7 @@
     CPPUNIT_TEST_SUITE(lasting_recovery_test);
     CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
     CPPUNIT_TEST(a_task_runs_again_before_new_work_takes_the_room);
+    CPPUNIT_TEST(a_short_job_doesnt_wait_for_a_worker_that_never_had_it);
     CPPUNIT_TEST_SUITE_END();
 
     cell_world world_{7, 3, 4, with_lease(seconds(10))};
@@ -104,6 +107,30 @@
         CPPUNIT_ASSERT(world_.watch().runs(failing));
         kept_the_rules();
     }
+    /// Story: a worker goes dark, jobs begin on the others, and the process of the coordinator ends
+    /// and starts again. Neither their next steps nor jobs that hadn't begun were started for over
+    /// 10 s, until the lease of the dark worker was over.
+    void a_short_job_doesnt_wait_for_a_worker_that_never_had_it() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        world_.fleet().workers.at("w1").cut = true;
+        world_.time().run_for(seconds(3));
+        step_spec second = cell_world::make_step(3, 500);
+        second.after = {0};
+        world_.submit(0, "b", cell_world::make_job({cell_world::make_step(3, 500), second}));
+        world_.time().run_for(milliseconds(150));
+        const std::size_t first = *world_.coordinator();
+        world_.submit((first + 1) % 3, "c", cell_world::make_job({cell_world::make_step(2, 500)}));
+        world_.time().run_for(milliseconds(5));
+        world_.kill_host(first);
+        world_.start_host(first);
+        world_.time().run_for(longest_to_start);
+        CPPUNIT_ASSERT(world_.watch().begun("b.0.1.0"));
+        CPPUNIT_ASSERT(world_.watch().begun("c.0.0.0"));
+        world_.time().run_for(seconds(15));
+        kept_the_rules();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lasting_recovery_test);
--- a/tests/cell/rule_watch.h
+++ b/tests/cell/rule_watch.h
@@ -80,6 +80,7 @@
         return static_cast<double>(draw() % 1000) < failing * 1000;
     }
 
+    bool begun(const std::string& task) const { return running_.contains(task); }
     bool ended_well(const std::string& task) const { return done_.contains(task); }
     bool runs(const std::string& task) const {
         const auto known = running_.find(task);
