Let short tasks too wait for their own workers alone

Cause: as for lasting tasks. Starts of short tasks weren't recorded, so that a run of any inherited task could be on the dark worker.

Ruled out: a set of racks or data centres in place of workers; one dark worker would hold back nearly every job. A record for each short task; large jobs would write theirs anew with every round.

Change: a job's progress names all workers to which its short tasks may have been ordered, recorded before the order goes out, one batch a round; gangs as well. A successor waits for these alone, and a job that was read after the claim can't have been started by a predecessor, whose writer is fenced. While the log is silent, tasks are started on workers that are recorded already and nowhere else: before, any accepted task was started for 5 s.

Figures: a_short_job_doesnt_wait_for_a_worker_that_never_had_it, neither step started within 4.9 s before, both after; cell_test 75 passed, 0 failed; all three histories of cell_history_test passed.

An outage of the log now stops jobs that haven't begun at once.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -65,6 +65,7 @@
     void take_ends(worker_work& worker, const std::vector<ended_row>& rows);
     void take_running(worker_work& worker, const worker_report& report, instant asked);
     void take_row(worker_work& worker, const running_row& row);
+    void note_place(task_work& task, const worker_work& worker);
     void drop_missing(worker_work& worker, const worker_report& report, instant asked,
                       const absl::flat_hash_set<task_work*>& seen);
     std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
@@ -83,7 +84,6 @@
     void log_resolved() const;
     bool is_settled(instant& since) const;
     bool log_confirms() const;
-    bool all_have_reported() const;
     bool may_start(const task_work& task) const;
 
     // coordinator_stops.cpp
@@ -111,7 +111,8 @@
 
     // coordinator_runs.cpp
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
-    static bool is_recorded_first(const step_spec& step);
+    static bool has_own_record(const step_spec& step);
+    static bool is_recorded_at(const task_work& task, const worker_work& worker);
     void order_when_recorded();
     void order_recorded(const task_name& name, run_number run);
     void order_start(task_work& task);
@@ -132,7 +133,6 @@
     void place_all();
     bool place_jobs(bool lasting, std::uint64_t most);
     bool place_step(job_work& job, step_work& step);
-    void start_where_recorded(const job_work& job, task_work& task);
     bool place_gang(job_work& job, step_work& step);
     worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
     bool usable(const worker_work& worker, const job_work& job) const;
@@ -167,8 +167,6 @@
     /// Workers that a predecessor may have given tasks and that haven't reported, and when what
     /// they had must be over.
     absl::flat_hash_map<worker_id, instant> unresolved_;
-    /// No worker has a run of an earlier reign that isn't known, as of the last round of starts.
-    bool all_have_reported_ = false;
     /// Starts of this round that go out once the log has them.
     std::vector<std::pair<task_name, run_number>> recording_;
     /// Runs that have to go.
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -40,6 +40,7 @@
     progress.begun = job.begun;
     progress.phase = job.phase;
     progress.occurrences_ended = job.occurrences_ended;
+    progress.ordered_to = job.ordered_to;
     if (job.phase != job_phase::open)
         return progress;
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -86,6 +87,8 @@
 }
 
 void cell_coordinator::restore_progress(job_work& job, const job_progress& progress) {
+    job.ordered_to = progress.ordered_to;
+    job.recorded_to = progress.ordered_to;
     job.occurrences_ended = progress.occurrences_ended;
     job.occurrences_made = progress.occurrences_ended;
     for (const auto& [number, kept] : progress.occurrences) {
@@ -99,6 +102,7 @@
             const std::size_t tasks = std::min(kept.steps[s].size(), step.tasks.size());
             for (std::size_t t = 0; t < tasks; ++t) {
                 step.tasks[t].progress = kept.steps[s][t];
+                step.tasks[t].recorded = true;
                 step.left -= kept.steps[s][t].done ? 1 : 0;
             }
         }
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -101,22 +101,17 @@
     log_resolved();
 }
 
-/// Whether every worker that may have runs of earlier coordinators has told of them, or its lease
-/// is over.
-bool cell_coordinator::all_have_reported() const {
-    // A row of a job that isn't known yet may be of any.
-    return unresolved_.empty() && std::ranges::all_of(workers_, [](const auto& entry) {
-               return entry.second->strays.has_value();
-           });
-}
-
 /// Whether no earlier coordinator's run of the task can be anywhere but where reports show it. Only
-/// the worker that the log names can have one of a lasting task: the others, that are dark for
-/// seconds, don't keep it down.
+/// the workers that the log names can have one: others, that are dark for seconds, don't hold it
+/// back.
 bool cell_coordinator::may_start(const task_work& task) const {
-    if (!task.job->may_run_elsewhere || all_have_reported_)
+    if (unresolved_.empty() || !task.job->may_run_elsewhere)
         return true;
-    return is_recorded_first(*task.step->spec) && !unresolved_.contains(task.progress.ordered_to);
+    if (has_own_record(*task.step->spec))
+        return !unresolved_.contains(task.progress.ordered_to);
+    return std::ranges::none_of(task.job->ordered_to, [this](const worker_id& worker) {
+        return unresolved_.contains(worker);
+    });
 }
 
 } // namespace figwinch
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -37,7 +37,6 @@
 /// for as long; in the order of their jobs' objectives, which are long past, they would wait behind
 /// every short task that can still be in time. They are few: the room that they take was theirs.
 void cell_coordinator::place_all() {
-    all_have_reported_ = all_have_reported();
     const std::uint64_t most = counts_.starts + most_starts_at_once;
     if (!place_jobs(true, most) || !place_jobs(false, most))
         placement_due_ = true;
@@ -70,10 +69,6 @@
         if (task.progress.done || task.where != nullptr || now < task.not_before ||
             !may_start(task))
             continue;
-        if (is_recorded_first(*step.spec) && !log_confirms()) {
-            start_where_recorded(job, task);
-            continue;
-        }
         worker_work* const worker = choose(job, task, rack_id());
         if (worker == nullptr) {
             ask_advice(job, task);
@@ -84,14 +79,6 @@
     return true;
 }
 
-/// While the log is silent no other worker can be recorded; the one that is needs no record.
-void cell_coordinator::start_where_recorded(const job_work& job, task_work& task) {
-    worker_work* const worker = find_worker(task.progress.ordered_to);
-    if (worker != nullptr && usable(*worker, job) && admits(*worker, task) &&
-        is_advised(*worker, task))
-        start(task, *worker, next_run(), task.progress.checkpoint);
-}
-
 /// Starts all members at once under one run, or none.
 bool cell_coordinator::place_gang(job_work& job, step_work& step) {
     task_work& first = step.tasks.front();
@@ -132,11 +119,15 @@
                                       const rack_id& only_rack) {
     worker_work* best = nullptr;
     double best_score = 0;
+    // While the log is silent nothing can be recorded; what is recorded already can be used.
+    const bool any_worker = log_confirms();
     for (const auto& [id, worker] : workers_) {
         if (!only_rack.empty() && worker->listing.rack != only_rack)
             continue;
         if (!usable(*worker, job) || !admits(*worker, task) || !is_advised(*worker, task))
             continue;
+        if (!any_worker && !is_recorded_at(task, *worker))
+            continue;
         const double found = score(*worker, task);
         if (best == nullptr || found > best_score) {
             best = worker.get();
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -36,19 +36,31 @@
         bind(task, worker);
     if (!std::exchange(task.job->begun, true))
         mark_dirty(*task.job);
-    if (!is_recorded_first(*task.step->spec) || task.progress.ordered_to == worker.listing.id)
+    if (is_recorded_at(task, worker))
         return order_start(task);
-    task.progress.ordered_to = worker.listing.id;
+    if (has_own_record(*task.step->spec)) {
+        task.progress.ordered_to = worker.listing.id;
+        task.recorded = false;
+    } else {
+        task.job->ordered_to.insert(worker.listing.id);
+    }
     mark_dirty(*task.job);
     recording_.emplace_back(name_of(task), run);
 }
 
-/// Lasting tasks are few and rarely started, so that a record for each start is cheap; and they
-/// must run again soon when a reign ends. Members of a gang start in one moment.
-bool cell_coordinator::is_recorded_first(const step_spec& step) {
+/// Lasting tasks must run again soon when a reign ends, and are few: a worker is recorded for each.
+/// Of others the job records all workers that it uses. Members of a gang start and go together.
+bool cell_coordinator::has_own_record(const step_spec& step) {
     return step.lasting && !step.gang;
 }
 
+/// Whether the log has it that the task's runs may be on the worker.
+bool cell_coordinator::is_recorded_at(const task_work& task, const worker_work& worker) {
+    if (!has_own_record(*task.step->spec))
+        return task.job->recorded_to.contains(worker.listing.id);
+    return task.recorded && task.progress.ordered_to == worker.listing.id;
+}
+
 /// Orders the starts of this round that wait for the log, in one batch.
 void cell_coordinator::order_when_recorded() {
     if (recording_.empty())
@@ -65,12 +77,18 @@
 
 void cell_coordinator::order_recorded(const task_name& name, run_number run) {
     task_work* const task = find_task(name);
-    if (task == nullptr || task->where == nullptr || task->run.number != run ||
-        task->run.now != task_run::phase::starting)
+    if (task == nullptr || task->where == nullptr || task->run.number != run)
+        return;
+    worker_work& worker = *task->where;
+    if (has_own_record(*task->step->spec))
+        task->recorded = true;
+    else
+        task->job->recorded_to.insert(worker.listing.id);
+    if (task->run.now != task_run::phase::starting)
         return;
     // The log may have been silent for seconds: by now the worker may be leaving.
-    if (!usable(*task->where, *task->job))
-        return release(*task);
+    if (!usable(worker, *task->job))
+        return give_back(*task, worker, duration::zero());
     order_start(*task);
 }
 
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace figwinch {
@@ -53,6 +54,10 @@
     std::uint32_t occurrences_made = 0;
     bool begun = false;
     job_phase phase = job_phase::open;
+    /// Workers to which runs of its short tasks may go (`job_progress::ordered_to`), and those of
+    /// them that the log has.
+    std::set<worker_id> ordered_to;
+    std::set<worker_id> recorded_to;
     /// Its progress has changed since it was last written.
     bool dirty = false;
     /// Being dropped from the log.
--- a/src/cell/task_work.h
+++ b/src/cell/task_work.h
@@ -18,6 +18,8 @@
     step_work* step = nullptr;
     std::uint32_t index = 0;
     task_progress progress;
+    /// The log has `progress.ordered_to`.
+    bool recorded = false;
     /// Where `run` is; nothing when no run of the task can be anywhere.
     worker_work* where = nullptr;
     task_run run;
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -20,7 +20,7 @@
     return settings;
 }
 
-/// How soon tasks that last run again.
+/// How soon tasks run again, or begin, when a coordinator or a worker goes.
 class lasting_recovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(lasting_recovery_test);
     CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
@@ -109,7 +109,8 @@
     }
     /// Story: a worker goes dark, jobs begin on the others, and the process of the coordinator ends
     /// and starts again. Neither their next steps nor jobs that hadn't begun were started for over
-    /// 10 s, until the lease of the dark worker was over.
+    /// 10 s, until the lease of the dark worker was over: nothing told the new reign that none of
+    /// their runs could be there.
     void a_short_job_doesnt_wait_for_a_worker_that_never_had_it() {
         begin();
         world_.submit(0, "a", lasting(8));
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -69,6 +69,7 @@
         tasks[4].checkpoint = "c";
         tasks[3].ordered_to = worker_id("w3");
         progress.occurrences[2].steps = {tasks};
+        progress.ordered_to = {worker_id("w1"), worker_id("w2")};
         const auto read = decode_progress(encode_progress(progress));
         CPPUNIT_ASSERT(read.has_value());
         const std::vector<task_progress>& back = read->occurrences.at(2).steps.at(0);
@@ -76,6 +77,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back.at(4).failed_runs.size());
         CPPUNIT_ASSERT_EQUAL(std::string("c"), back.at(4).checkpoint);
         CPPUNIT_ASSERT(back.at(3).ordered_to == worker_id("w3"));
+        CPPUNIT_ASSERT(read->ordered_to == progress.ordered_to);
     }
     void random_bytes_are_refused_or_bounded() {
         std::mt19937_64 random(11);
