Read a stream to its end before a reign begins on it

A sync of a host's copy ended with the first page of a read (1 MB on the users' platform), however far the copy was behind, so that a reign could begin without what its predecessor wrote last: tasks taken for not started, or for not ended.

Change: a sync goes on until a read reaches the end that the log told with it. A page without records ends it too, so that records that can't be read don't keep it going.

--- a/include/figwinch/cell/keyed_follower.h
+++ b/include/figwinch/cell/keyed_follower.h
@@ -46,6 +46,7 @@
     void finish_load();
     void read(duration wait);
     void take(const read_result& read);
+    void sync_again();
     void take_record(const stored_record& record);
     void retry_later();
     void finish_syncs(bool good);
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -109,9 +109,7 @@
                    {"first", static_cast<std::int64_t>(read.first)}});
         loaded_ = false;
         next_read_ = time_.now();
-        asked_.insert(asked_.end(), being_answered_.begin(), being_answered_.end());
-        being_answered_.clear();
-        return;
+        return sync_again();
     }
     if (read.fault != log_fault::none) {
         retry_later();
@@ -121,11 +119,21 @@
     failing_ = false;
     for (const stored_record& record : read.records)
         take_record(record);
-    finish_syncs(true);
+    if (!read.records.empty() && next_ < read.end)
+        sync_again();
+    else
+        finish_syncs(true);
     if (!asked_.empty())
         tick();
 }
 
+/// One read answers with a page: a copy that is further behind has more to read, and a reign that
+/// began on part of it would not know what its predecessor wrote last.
+void keyed_follower::sync_again() {
+    asked_.insert(asked_.end(), being_answered_.begin(), being_answered_.end());
+    being_answered_.clear();
+}
+
 void keyed_follower::take_record(const stored_record& record) {
     // Appended by this process and applied while the read was on its way.
     if (record.offset < next_)
--- /dev/null
+++ b/tests/cell/keyed_follower_test.cpp
@@ -0,0 +1,47 @@
+#include "tests/cell/sim_store.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How a host's copy of a stream keeps up.
+class keyed_follower_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(keyed_follower_test);
+    CPPUNIT_TEST(a_sync_reads_to_the_end_however_many_pages_that_takes);
+    CPPUNIT_TEST_SUITE_END();
+
+    sim_time time_;
+    sim_store store_;
+    sim_log log_{time_, store_, [] { return 1.0; }};
+
+public:
+    /// Story: a host's copy is more than one page behind when it becomes coordinator. Its sync
+    /// ended with the first page, so that it began its reign without knowing what its predecessor
+    /// had recorded last, and could start a task that was running.
+    void a_sync_reads_to_the_end_however_many_pages_that_takes() {
+        std::size_t applied = 0;
+        keyed_follower follower(time_.clock(), log_, cell_stream::progress, {},
+                                [&applied](const stored_record&) { ++applied; });
+        follower.tick();
+        time_.run_for(seconds(1));
+        CPPUNIT_ASSERT(follower.is_loaded());
+        constexpr std::size_t behind = 35;
+        for (std::size_t index = 0; index < behind; ++index)
+            store_.append(cell_stream::progress, {{"k" + std::to_string(index), "v", 0}}, {});
+        log_.most_read = 10;
+        std::size_t known = 0;
+        follower.sync([&known, &applied](bool good) { known = good ? applied : 0; });
+        time_.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(behind, known);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(keyed_follower_test);
+
+} // namespace
+} // namespace figwinch::sim
--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -3,6 +3,7 @@
 #include "figwinch/cell.h"
 #include "tests/cell/sim_time.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -99,6 +100,8 @@
     /// Share of the appends that are done and not answered.
     double lost_answers = 0;
     duration delay = std::chrono::milliseconds(4);
+    /// Records that one read answers with.
+    std::size_t most_read = 100'000;
 
     void append(cell_stream stream, const std::vector<stored_record>& records,
                 const append_guard& guard, std::function<void(append_result)> done) override {
@@ -183,7 +186,7 @@
             answer.fault = log_fault::expired;
             return done(answer);
         }
-        for (std::uint64_t at = from; at < read_from.end(); ++at)
+        for (std::uint64_t at = from; at < std::min(read_from.end(), from + most_read); ++at)
             answer.records.push_back(read_from.records[at - read_from.first]);
         if (answer.records.empty() && time_.now() < end)
             return time_.after(std::chrono::milliseconds(10), [=, this] {
