Tell what the longest waiting lasting task itself waits for

lasting_tasks_wait named the reason of the job's first waiting task; since tasks wait for their own workers, reasons differ within a job. Found by review; no test, the line is for people.

--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -93,7 +93,7 @@
               {{"tasks", waiting},
                {"longest", to_string(name_of(*longest))},
                {"down_ms", static_cast<std::int64_t>(down.count() / 1000)},
-               {"waits_for", std::string(to_string(wait_of(*longest->job)))}});
+               {"waits_for", std::string(to_string(wait_of(*longest->job, *longest)))}});
 }
 
 /// The same conditions as `usable`, told apart.
