Doubt every worker of a job whose records name none

A version that didn't record workers leaves jobs that have begun and name none. That was read as "can be nowhere": during an upgrade the lasting tasks of a dark worker were started elsewhere while they ran there (TWICE).

Change: a job that has begun and names no worker waits for all, as before workers were recorded. A job's first record that says it has begun names one in this version, so that nothing waits longer.

--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -54,6 +54,18 @@
     return progress;
 }
 
+/// Whether progress tells of any worker where runs may be; that of a job that has begun does.
+bool names_a_worker(const job_progress& progress) {
+    if (!progress.ordered_to.empty())
+        return true;
+    return std::ranges::any_of(progress.occurrences, [](const auto& occurrence) {
+        return std::ranges::any_of(occurrence.second.steps, [](const auto& tasks) {
+            return std::ranges::any_of(
+                tasks, [](const task_progress& task) { return !task.ordered_to.empty(); });
+        });
+    });
+}
+
 } // namespace
 
 void cell_coordinator::add_job(const job_entry& entry, bool may_run_elsewhere) {
@@ -110,6 +122,7 @@
             std::ranges::count_if(occurrence.steps, [](const step_work& s) { return s.left > 0; }));
         refresh_ready(occurrence);
     }
+    job.any_worker_in_doubt = progress.begun && !names_a_worker(progress);
 }
 
 occurrence_work& cell_coordinator::make_occurrence(job_work& job, std::uint32_t number) {
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -107,6 +107,8 @@
 bool cell_coordinator::may_start(const task_work& task) const {
     if (unresolved_.empty() || !task.job->may_run_elsewhere)
         return true;
+    if (task.job->any_worker_in_doubt)
+        return false;
     if (has_own_record(*task.step->spec))
         return !unresolved_.contains(task.progress.ordered_to);
     return std::ranges::none_of(task.job->ordered_to, [this](const worker_id& worker) {
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -58,6 +58,8 @@
     /// them that the log has.
     std::set<worker_id> ordered_to;
     std::set<worker_id> recorded_to;
+    /// It had begun when its progress named no worker: a version that didn't record them wrote it.
+    bool any_worker_in_doubt = false;
     /// Its progress has changed since it was last written.
     bool dirty = false;
     /// Being dropped from the log.
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
     CPPUNIT_TEST(a_task_runs_again_before_new_work_takes_the_room);
     CPPUNIT_TEST(a_short_job_doesnt_wait_for_a_worker_that_never_had_it);
+    CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
     CPPUNIT_TEST_SUITE_END();
 
     cell_world world_{7, 3, 4, with_lease(seconds(10))};
@@ -132,6 +133,44 @@
         world_.time().run_for(seconds(15));
         kept_the_rules();
     }
+    /// Takes the workers out of all progress records, as a version that didn't record them wrote.
+    void forget_recorded_workers() {
+        sim_store::stream& progress = world_.store().of(cell_stream::progress);
+        for (auto& [key, kept] : progress.newest) {
+            auto job = key.front() == static_cast<char>(record_kind::progress) && kept.value
+                           ? decode_progress(*kept.value)
+                           : std::nullopt;
+            if (!job)
+                continue;
+            job->ordered_to.clear();
+            for (auto& [number, occurrence] : job->occurrences)
+                for (std::vector<task_progress>& tasks : occurrence.steps)
+                    for (task_progress& of : tasks)
+                        of.ordered_to = worker_id();
+            kept.value = encode_progress(*job);
+        }
+        world_.store().compact();
+    }
+    /// Story: all hosts are replaced by a newer version while a worker is dark. The version before
+    /// didn't record workers, and none recorded was taken for none used: the dark worker's tasks
+    /// were started elsewhere while they ran there.
+    void records_without_workers_leave_every_worker_in_doubt() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        world_.fleet().workers.at("w1").cut = true;
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.kill_host(host);
+        forget_recorded_workers();
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.start_host(host);
+        world_.time().run_for(seconds(8));
+        kept_the_rules();
+        world_.time().run_for(seconds(12));
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lasting_recovery_test);
