Record the workers of a job's short tasks in a record of their own

Cause: with the workers in the job's progress, each round of starts wrote all that is known of the job, and 14 bytes a worker.

Change: the set has its own key (`o`), 2 bytes a worker: a mark of 16 bits of its id's hash. Two workers with one mark only add doubt. Workers that haven't reported are held against it once a step and round.

--- a/include/figwinch/cell/cell_state.h
+++ b/include/figwinch/cell/cell_state.h
@@ -38,6 +38,7 @@
     void apply_job(const stored_record& record, const job_id& id);
     void apply_cancellation(const stored_record& record, const job_id& id);
     void apply_progress(const stored_record& record, const job_id& id);
+    void apply_ordered_to(const stored_record& record, const job_id& id);
     void apply_worker(const stored_record& record, const worker_id& id);
     void erase_if_empty(const job_id& id);
 
--- a/include/figwinch/cell/job_progress.h
+++ b/include/figwinch/cell/job_progress.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -42,9 +41,6 @@
     /// Occurrences below this one have ended and are no longer kept.
     std::uint32_t occurrences_ended = 0;
     std::map<std::uint32_t, occurrence_progress> occurrences;
-    /// Workers to which runs of tasks were to go that have no `ordered_to` of their own, recorded
-    /// before the orders went out. No run of them can be on any other worker.
-    std::set<worker_id> ordered_to;
 };
 
 } // namespace figwinch
--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -16,6 +16,7 @@
     job = 'j',
     cancellation = 'c',
     progress = 'p',
+    ordered_to = 'o',
     worker = 'w',
     slowdowns = 'h'
 };
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -35,6 +35,7 @@
     for (const auto& [id, worker] : known.workers())
         unresolved_[id] =
             (worker.silent ? std::min(began_, before.acted_until) : before.acted_until) + lease;
+    mark_unresolved();
     slowdowns_.restore(known.slowdowns());
     for (const auto& [id, entry] : known.jobs())
         add_job(entry, true);
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -44,6 +44,7 @@
     void end_job(job_work& job, job_phase phase);
     void drop_ended_jobs();
     void mark_dirty(job_work& job);
+    void mark_widened(job_work& job, const worker_work& worker);
     void write_dirty();
     void write_progress(const job_work& job);
     void sort_jobs();
@@ -65,7 +66,6 @@
     void take_ends(worker_work& worker, const std::vector<ended_row>& rows);
     void take_running(worker_work& worker, const worker_report& report, instant asked);
     void take_row(worker_work& worker, const running_row& row);
-    void note_place(task_work& task, const worker_work& worker);
     void drop_missing(worker_work& worker, const worker_report& report, instant asked,
                       const absl::flat_hash_set<task_work*>& seen);
     std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
@@ -81,6 +81,7 @@
     void forget_gone_workers();
     void resolve(const worker_id& id);
     void resolve_expired();
+    void mark_unresolved();
     void log_resolved() const;
     bool is_settled(instant& since) const;
     bool log_confirms() const;
@@ -113,6 +114,7 @@
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
     static bool has_own_record(const step_spec& step);
     static bool is_recorded_at(const task_work& task, const worker_work& worker);
+    void note_place(task_work& task, const worker_work& worker);
     void order_when_recorded();
     void order_recorded(const task_name& name, run_number run);
     void order_start(task_work& task);
@@ -162,11 +164,15 @@
     std::map<job_id, std::unique_ptr<job_work>> jobs_;
     /// Open jobs in the order in which they are served.
     std::vector<job_work*> order_;
+    /// Jobs whose progress, or whose workers, have changed since they were last written.
     std::vector<job_work*> dirty_;
+    std::vector<job_work*> widened_;
     std::map<worker_id, std::unique_ptr<worker_work>> workers_;
     /// Workers that a predecessor may have given tasks and that haven't reported, and when what
     /// they had must be over.
     absl::flat_hash_map<worker_id, instant> unresolved_;
+    worker_marks unresolved_marks_;
+    std::size_t marked_unresolved_ = 0;
     /// Starts of this round that go out once the log has them.
     std::vector<std::pair<task_name, run_number>> recording_;
     /// Runs that have to go.
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -33,6 +33,8 @@
         return apply_cancellation(record, job_id(id));
     if (stream == cell_stream::progress && kind == record_kind::progress)
         return apply_progress(record, job_id(id));
+    if (stream == cell_stream::progress && kind == record_kind::ordered_to)
+        return apply_ordered_to(record, job_id(id));
     if (stream == cell_stream::progress && kind == record_kind::worker)
         return apply_worker(record, worker_id(id));
     if (stream == cell_stream::progress && kind == record_kind::slowdowns) {
@@ -95,6 +97,17 @@
     job.progress_record = *record.value;
 }
 
+void cell_state::apply_ordered_to(const stored_record& record, const job_id& id) {
+    if (!record.value) {
+        if (const auto known = jobs_.find(id); known != jobs_.end())
+            known->second.ordered_to = {};
+        return erase_if_empty(id);
+    }
+    job_entry& job = jobs_[id];
+    job.id = id;
+    job.ordered_to = worker_marks::decode(*record.value);
+}
+
 void cell_state::apply_worker(const stored_record& record, const worker_id& id) {
     if (!record.value) {
         workers_.erase(id);
@@ -112,7 +125,7 @@
     if (known == jobs_.end())
         return;
     const job_entry& job = known->second;
-    if (!job.spec && !job.cancel_wanted && job.progress_record.empty())
+    if (!job.spec && !job.cancel_wanted && job.progress_record.empty() && job.ordered_to.empty())
         jobs_.erase(known);
 }
 
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -40,7 +40,6 @@
     progress.begun = job.begun;
     progress.phase = job.phase;
     progress.occurrences_ended = job.occurrences_ended;
-    progress.ordered_to = job.ordered_to;
     if (job.phase != job_phase::open)
         return progress;
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -54,10 +53,8 @@
     return progress;
 }
 
-/// Whether progress tells of any worker where runs may be; that of a job that has begun does.
+/// Whether progress names a worker for a task of its own.
 bool names_a_worker(const job_progress& progress) {
-    if (!progress.ordered_to.empty())
-        return true;
     return std::ranges::any_of(progress.occurrences, [](const auto& occurrence) {
         return std::ranges::any_of(occurrence.second.steps, [](const auto& tasks) {
             return std::ranges::any_of(
@@ -83,6 +80,8 @@
     job.may_run_elsewhere = may_run_elsewhere;
     job.phase = entry.phase;
     job.begun = entry.begun;
+    job.ordered_to = entry.ordered_to;
+    job.recorded_to = entry.ordered_to;
     apply_queue(job);
     jobs_.emplace(entry.id, std::move(made));
     if (job.phase != job_phase::open) {
@@ -99,8 +98,6 @@
 }
 
 void cell_coordinator::restore_progress(job_work& job, const job_progress& progress) {
-    job.ordered_to = progress.ordered_to;
-    job.recorded_to = progress.ordered_to;
     job.occurrences_ended = progress.occurrences_ended;
     job.occurrences_made = progress.occurrences_ended;
     for (const auto& [number, kept] : progress.occurrences) {
@@ -122,7 +119,7 @@
             std::ranges::count_if(occurrence.steps, [](const step_work& s) { return s.left > 0; }));
         refresh_ready(occurrence);
     }
-    job.any_worker_in_doubt = progress.begun && !names_a_worker(progress);
+    job.any_worker_in_doubt = progress.begun && job.ordered_to.empty() && !names_a_worker(progress);
 }
 
 occurrence_work& cell_coordinator::make_occurrence(job_work& job, std::uint32_t number) {
@@ -257,8 +254,8 @@
     const instant now = with_.time.now();
     for (const auto& [id, job] : jobs_) {
         const bool old = now - job->ended_at > settings_.status_kept + status_slack;
-        if (job->phase == job_phase::open || job->dirty || job->forgetting || !old ||
-            has_runs(*job))
+        if (job->phase == job_phase::open || job->dirty || job->widened || job->forgetting ||
+            !old || has_runs(*job))
             continue;
         job->forgetting = true;
         // The acceptance goes first: a job that is accepted and has no progress would run again.
@@ -266,6 +263,7 @@
             if (weak.expired())
                 return;
             with_.journal.write({record_key(record_kind::progress, id.str()), std::nullopt, 0});
+            with_.journal.write({record_key(record_kind::ordered_to, id.str()), std::nullopt, 0});
             jobs_.erase(id);
         });
     }
@@ -277,7 +275,18 @@
     dirty_.push_back(&job);
 }
 
+void cell_coordinator::mark_widened(job_work& job, const worker_work& worker) {
+    job.ordered_to.add(worker.listing.id);
+    if (!std::exchange(job.widened, true))
+        widened_.push_back(&job);
+}
+
 void cell_coordinator::write_dirty() {
+    for (job_work* const job : std::exchange(widened_, {})) {
+        job->widened = false;
+        with_.journal.write(
+            {record_key(record_kind::ordered_to, job->id.str()), job->ordered_to.encode(), 0});
+    }
     for (job_work* const job : std::exchange(dirty_, {})) {
         job->dirty = false;
         write_progress(*job);
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -76,6 +76,17 @@
     log_resolved();
 }
 
+/// Many workers report in the same moment: the marks are made anew once a round of starts. Marks of
+/// a worker that has reported meanwhile only add doubt.
+void cell_coordinator::mark_unresolved() {
+    if (marked_unresolved_ == unresolved_.size())
+        return;
+    marked_unresolved_ = unresolved_.size();
+    unresolved_marks_ = {};
+    for (const auto& [id, until] : unresolved_)
+        unresolved_marks_.add(id);
+}
+
 /// One line when the last worker of earlier reigns is accounted for.
 void cell_coordinator::log_resolved() const {
     if (!unresolved_.empty())
@@ -111,9 +122,7 @@
         return false;
     if (has_own_record(*task.step->spec))
         return !unresolved_.contains(task.progress.ordered_to);
-    return std::ranges::none_of(task.job->ordered_to, [this](const worker_id& worker) {
-        return unresolved_.contains(worker);
-    });
+    return !task.job->ordered_to.meets(unresolved_marks_);
 }
 
 } // namespace figwinch
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -37,6 +37,7 @@
 /// for as long; in the order of their jobs' objectives, which are long past, they would wait behind
 /// every short task that can still be in time. They are few: the room that they take was theirs.
 void cell_coordinator::place_all() {
+    mark_unresolved();
     const std::uint64_t most = counts_.starts + most_starts_at_once;
     if (!place_jobs(true, most) || !place_jobs(false, most))
         placement_due_ = true;
@@ -65,9 +66,13 @@
 
 bool cell_coordinator::place_step(job_work& job, step_work& step) {
     const instant now = with_.time.now();
+    // Of other steps all tasks are in the same doubt.
+    const bool each = has_own_record(*step.spec);
+    if (!each && !may_start(step.tasks.front()))
+        return false;
     for (task_work& task : step.tasks) {
         if (task.progress.done || task.where != nullptr || now < task.not_before ||
-            !may_start(task))
+            (each && !may_start(task)))
             continue;
         worker_work* const worker = choose(job, task, rack_id());
         if (worker == nullptr) {
--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -67,7 +67,9 @@
         // What it was paced to isn't told.
         task->run.pace_set = task->step->spec->filling ? -1 : task->run.pace_set;
         bind(*task, worker);
-        note_place(*task, worker);
+        // The next successor looks for it where the log says.
+        if (!is_recorded_at(*task, worker))
+            note_place(*task, worker);
     }
     // A predecessor that didn't know yet that it was one may have started a job that isn't read
     // here yet: to stop it as a stray would lose its work, and the job would be started beside it.
@@ -84,17 +86,6 @@
         run.checkpoint = row.checkpoint;
 }
 
-/// A run that was taken over must be on a worker that the log names, for the next successor too.
-void cell_coordinator::note_place(task_work& task, const worker_work& worker) {
-    if (is_recorded_at(task, worker))
-        return;
-    if (has_own_record(*task.step->spec))
-        task.progress.ordered_to = worker.listing.id;
-    else
-        task.job->ordered_to.insert(worker.listing.id);
-    mark_dirty(*task.job);
-}
-
 /// Gives up runs that the worker's report proves gone: the report was asked for after the last
 /// order about the run was answered, or the start can no longer take effect by the worker's clock.
 void cell_coordinator::drop_missing(worker_work& worker, const worker_report& report, instant asked,
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -38,13 +38,7 @@
         mark_dirty(*task.job);
     if (is_recorded_at(task, worker))
         return order_start(task);
-    if (has_own_record(*task.step->spec)) {
-        task.progress.ordered_to = worker.listing.id;
-        task.recorded = false;
-    } else {
-        task.job->ordered_to.insert(worker.listing.id);
-    }
-    mark_dirty(*task.job);
+    note_place(task, worker);
     recording_.emplace_back(name_of(task), run);
 }
 
@@ -57,10 +51,19 @@
 /// Whether the log has it that the task's runs may be on the worker.
 bool cell_coordinator::is_recorded_at(const task_work& task, const worker_work& worker) {
     if (!has_own_record(*task.step->spec))
-        return task.job->recorded_to.contains(worker.listing.id);
+        return task.job->recorded_to.may_have(worker.listing.id);
     return task.recorded && task.progress.ordered_to == worker.listing.id;
 }
 
+/// Has it written that the task's runs may be on the worker.
+void cell_coordinator::note_place(task_work& task, const worker_work& worker) {
+    if (!has_own_record(*task.step->spec))
+        return mark_widened(*task.job, worker);
+    task.progress.ordered_to = worker.listing.id;
+    task.recorded = false;
+    mark_dirty(*task.job);
+}
+
 /// Orders the starts of this round that wait for the log, in one batch.
 void cell_coordinator::order_when_recorded() {
     if (recording_.empty())
@@ -83,7 +86,7 @@
     if (has_own_record(*task->step->spec))
         task->recorded = true;
     else
-        task->job->recorded_to.insert(worker.listing.id);
+        task->job->recorded_to.add(worker.listing.id);
     if (task->run.now != task_run::phase::starting)
         return;
     // The log may have been silent for seconds: by now the worker may be leaving.
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -4,10 +4,10 @@
 #include "cell/step_advice.h"
 #include "cell/task_work.h"
 #include "figwinch/cell/job_spec.h"
+#include "figwinch/cell/worker_marks.h"
 
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 namespace figwinch {
@@ -54,11 +54,13 @@
     std::uint32_t occurrences_made = 0;
     bool begun = false;
     job_phase phase = job_phase::open;
-    /// Workers to which runs of its short tasks may go (`job_progress::ordered_to`), and those of
-    /// them that the log has.
-    std::set<worker_id> ordered_to;
-    std::set<worker_id> recorded_to;
-    /// It had begun when its progress named no worker: a version that didn't record them wrote it.
+    /// Workers to which runs of its short tasks may go (`job_entry::ordered_to`), and those of them
+    /// that the log has.
+    worker_marks ordered_to;
+    worker_marks recorded_to;
+    /// `ordered_to` has grown since it was last written.
+    bool widened = false;
+    /// It had begun when its records named no worker: a version that didn't record them wrote them.
     bool any_worker_in_doubt = false;
     /// Its progress has changed since it was last written.
     bool dirty = false;
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -157,8 +157,6 @@
     record.set_begun(progress.begun);
     record.set_phase(static_cast<pb::JobPhase>(progress.phase));
     record.set_occurrences_ended(progress.occurrences_ended);
-    for (const worker_id& worker : progress.ordered_to)
-        record.add_ordered_to(worker.str());
     for (const auto& [number, occurrence] : progress.occurrences) {
         pb::OccurrenceRecord& kept = *record.add_occurrences();
         kept.set_number(number);
@@ -176,8 +174,6 @@
     progress.begun = record->begun();
     progress.phase = static_cast<job_phase>(record->phase());
     progress.occurrences_ended = record->occurrences_ended();
-    for (const std::string& worker : record->ordered_to())
-        progress.ordered_to.emplace(worker);
     for (const pb::OccurrenceRecord& kept : record->occurrences()) {
         occurrence_progress& occurrence = progress.occurrences[kept.number()];
         for (const pb::StepProgressRecord& step : kept.steps())
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -142,7 +142,6 @@
                            : std::nullopt;
             if (!job)
                 continue;
-            job->ordered_to.clear();
             for (auto& [number, occurrence] : job->occurrences)
                 for (std::vector<task_progress>& tasks : occurrence.steps)
                     for (task_progress& of : tasks)
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(records_test);
     CPPUNIT_TEST(a_job_survives_its_record);
     CPPUNIT_TEST(progress_survives_its_record);
+    CPPUNIT_TEST(marks_name_all_workers_and_hardly_any_other);
     CPPUNIT_TEST(random_bytes_are_refused_or_bounded);
     CPPUNIT_TEST(names_of_tasks_are_read_back);
     CPPUNIT_TEST(malformed_names_are_refused);
@@ -69,7 +70,6 @@
         tasks[4].checkpoint = "c";
         tasks[3].ordered_to = worker_id("w3");
         progress.occurrences[2].steps = {tasks};
-        progress.ordered_to = {worker_id("w1"), worker_id("w2")};
         const auto read = decode_progress(encode_progress(progress));
         CPPUNIT_ASSERT(read.has_value());
         const std::vector<task_progress>& back = read->occurrences.at(2).steps.at(0);
@@ -77,7 +77,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back.at(4).failed_runs.size());
         CPPUNIT_ASSERT_EQUAL(std::string("c"), back.at(4).checkpoint);
         CPPUNIT_ASSERT(back.at(3).ordered_to == worker_id("w3"));
-        CPPUNIT_ASSERT(read->ordered_to == progress.ordered_to);
+    }
+    void marks_name_all_workers_and_hardly_any_other() {
+        worker_marks marks;
+        for (int index = 0; index < 400; ++index)
+            marks.add(worker_id("w" + std::to_string(index)));
+        const std::string bytes = marks.encode();
+        CPPUNIT_ASSERT(bytes.size() <= 800);
+        const worker_marks read = worker_marks::decode(bytes);
+        CPPUNIT_ASSERT(read == marks);
+        worker_marks one;
+        CPPUNIT_ASSERT(!read.meets(one));
+        one.add(worker_id("w7"));
+        CPPUNIT_ASSERT(read.meets(one) && one.meets(read));
+        int others = 0;
+        for (int index = 0; index < 10'000; ++index) {
+            const bool named = read.may_have(worker_id("w" + std::to_string(index)));
+            CPPUNIT_ASSERT(named || index >= 400);
+            others += named && index >= 400 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(others < 150);
+        // Half a mark is left out.
+        CPPUNIT_ASSERT(worker_marks::decode("abc") == worker_marks::decode("ab"));
     }
     void random_bytes_are_refused_or_bounded() {
         std::mt19937_64 random(11);
