--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -11,6 +11,8 @@
 
 /// Tasks that last have to run again within this time of the end of a run, when there is room.
 constexpr duration longest_down = seconds(6);
+/// Those of a worker that is lost, within this time, in which the worker's silence is noticed.
+constexpr duration longest_after_loss = seconds(9);
 /// And urgent work starts within this time.
 constexpr duration longest_to_start = milliseconds(4900);
 
@@ -26,6 +28,8 @@
     CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
     CPPUNIT_TEST(a_task_runs_again_before_new_work_takes_the_room);
     CPPUNIT_TEST(a_short_job_doesnt_wait_for_a_worker_that_never_had_it);
+    CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_within_its_lease);
+    CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
     CPPUNIT_TEST_SUITE_END();
 
@@ -133,6 +137,42 @@
         world_.time().run_for(seconds(15));
         kept_the_rules();
     }
+    /// The worker is gone for good, which its host's silence doesn't tell.
+    void lose(const std::string& name) {
+        world_.fleet().workers.at(name).cut = true;
+        worker(name).reborn();
+        world_.time().after(seconds(3), [this, name] { world_.unlist_worker(name); });
+    }
+    void all_run(const std::string& job, std::uint32_t tasks) {
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task(job, index)));
+    }
+    /// Story: a worker that grants leases of 10 s is lost for good. Its lasting tasks had no run
+    /// for 10 s, though the others had room.
+    void tasks_of_a_dark_worker_run_again_within_its_lease() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        lose("w1");
+        world_.time().run_for(longest_after_loss);
+        all_run("a", 8);
+        kept_the_rules();
+    }
+    /// Story: as before, and the coordinator's process ends a second later and starts again. The
+    /// new reign waited for a whole lease from its own begin, 11 s from the loss.
+    void tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        lose("w1");
+        world_.time().run_for(seconds(1));
+        const std::size_t first = *world_.coordinator();
+        world_.kill_host(first);
+        world_.start_host(first);
+        world_.time().run_for(longest_after_loss - seconds(1));
+        all_run("a", 8);
+        kept_the_rules();
+    }
     /// Takes the workers out of all progress records, as a version that didn't record them wrote.
     void forget_recorded_workers() {
         sim_store::stream& progress = world_.store().of(cell_stream::progress);
