Hold workers for 6 s at most, whatever they would grant

Cause: each hold asked for the longest lease that a worker grants, and nobody may start a lost worker's tasks until that is over. The longest grant is a bound, not a need: a cell that is killed as a whole holds its workers again in some seconds.

Ruled out: to count a silent worker's lease from when its silence was recorded; a process that has just started can't tell when that was.

Change: holds ask for 6 s at most. A start may reach a new life of a worker under the same id, which grants it a whole lease, as the order's end is a time on the other life's clock: a run that no report has shown keeps its worker in doubt for the longest lease, and so does a worker that another life is listed of. What isn't covered: such a new life that nobody reaches, not even the store, under a coordinator that is lost too.

When the coordinator's host is lost for good with a worker, its tasks still wait for 5 s and a lease.

--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -2,8 +2,14 @@
 
 #include "figwinch/base.h"
 
+#include <algorithm>
+
 namespace figwinch {
 
+/// The lease that a coordinator asks for where workers would grant a longer one. Bounds how long
+/// the tasks of a lost worker have no run; all hosts of a cell can start again within it.
+inline constexpr duration longest_lease = std::chrono::seconds(6);
+
 /// What a coordinator is told about its platform, and its own bounds. Defaults suit the stand-ins.
 struct cell_settings {
     /// The longest lease that a worker grants.
@@ -16,6 +22,9 @@
     duration gang_wait = std::chrono::seconds(3);
     /// How much longer a task takes away from its data.
     double far_factor = 2;
+
+    /// What holds ask for.
+    duration lease() const { return std::min(max_hold, longest_lease); }
 };
 
 /// How long a coordinator goes on when the log doesn't confirm it. Bounds what a successor has to
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -30,11 +30,16 @@
     : with_(std::move(with)), settings_(settings), epoch_(epoch), began_(with_.time.now()) {
     // What a predecessor held last lives for one more lease. A worker that the log says is silent
     // was held no more when this reign began.
-    const auto lease =
-        std::chrono::duration_cast<duration>(settings_.max_hold / slowest_clock) + lapse_slack;
-    for (const auto& [id, worker] : known.workers())
-        unresolved_[id] =
-            (worker.silent ? std::min(began_, before.acted_until) : before.acted_until) + lease;
+    const auto over_after = [](duration lease) {
+        return std::chrono::duration_cast<duration>(lease / slowest_clock) + lapse_slack;
+    };
+    whole_leases_over_ = before.acted_until + over_after(settings_.max_hold);
+    for (const auto& [id, worker] : known.workers()) {
+        const instant held_until =
+            worker.silent ? std::min(began_, before.acted_until) : before.acted_until;
+        unresolved_[id] = held_until + over_after(settings_.lease());
+        held_lives_[id] = worker.born_ms;
+    }
     mark_unresolved();
     slowdowns_.restore(known.slowdowns());
     for (const auto& [id, entry] : known.jobs())
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -56,6 +56,7 @@
     void hold(worker_work& worker);
     void take_report(const worker_id& id, instant asked, order_outcome outcome,
                      const worker_report& report);
+    bool is_other_life(const worker_id& id, std::uint64_t born_ms) const;
     void start_new_life(worker_work& worker, std::uint64_t born_ms);
     void register_life(worker_work& worker);
     void take_silence(worker_work& worker);
@@ -172,6 +173,10 @@
     /// they had must be over.
     absl::flat_hash_map<worker_id, instant> unresolved_;
     worker_marks unresolved_marks_;
+    /// The lives of workers that predecessors held, and when a whole lease that they brought about
+    /// must be over.
+    absl::flat_hash_map<worker_id, std::uint64_t> held_lives_;
+    instant whole_leases_over_{};
     std::size_t marked_unresolved_ = 0;
     /// Starts of this round that go out once the log has them.
     std::vector<std::pair<task_name, run_number>> recording_;
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -39,15 +39,28 @@
     return with_.time.now() - with_.confirmed_at() < fresh_reign;
 }
 
-/// Its lease is over by any clock: nothing runs there.
+/// Its lease is over by any clock: nothing runs there but what a start that no report has shown may
+/// have brought about, under a lease of its own.
 void cell_coordinator::end_lease(worker_work& worker) {
     const worker_id& id = worker.listing.id;
-    const std::vector<task_work*> lost(worker.tasks.begin(), worker.tasks.end());
+    std::vector<task_work*> lost;
+    std::int64_t kept_until_ms = 0;
+    for (task_work* const task : worker.tasks) {
+        if (task->run.may_live_until_ms > worker.latest_until_ms)
+            kept_until_ms = std::max(kept_until_ms, task->run.may_live_until_ms);
+        else
+            lost.push_back(task);
+    }
     if (!lost.empty())
         log_event(log_level::warn, "lease_over",
                   {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
     for (task_work* const task : lost)
         release(*task);
+    if (kept_until_ms > 0) {
+        worker.latest_until_ms = kept_until_ms;
+        worker.over_since = instant{};
+        return;
+    }
     // A successor needn't ask it, nor wait for it.
     if (std::exchange(worker.registered, false))
         with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -78,6 +78,7 @@
     if (task == nullptr || task->where != &worker || task->run.number != row.run)
         return stop_stray(worker, row.task, row.run);
     task_run& run = task->run;
+    run.may_live_until_ms = 0;
     if (run.now == task_run::phase::starting)
         run.now = task_run::phase::running;
     note_progress(run, row.percent);
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -104,9 +104,8 @@
     task.run.ordered_at = now;
     task.run.seen_at = now;
     task.run.start_until_ms = clock_ms + start_validity.count() / 1000;
-    // A worker that has begun a new life grants a whole lease for an order to the life before.
-    worker.latest_until_ms =
-        std::max(worker.latest_until_ms, clock_ms + settings_.max_hold.count() / 1000);
+    worker.latest_until_ms = std::max(worker.latest_until_ms, task.run.start_until_ms);
+    task.run.may_live_until_ms = clock_ms + settings_.max_hold.count() / 1000;
     ++counts_.starts;
     const task_name name = name_of(task);
     start_order order{to_string(name),         run,    task.job->spec->payload, checkpoint,
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -55,6 +55,9 @@
         const bool other_life = row.born_ms != 0 && worker->born_ms != 0;
         if (other_life && row.born_ms != worker->born_ms)
             worker->unanswered = std::max(worker->unanswered, 1);
+        const auto unresolved = unresolved_.find(row.id);
+        if (unresolved != unresolved_.end() && is_other_life(row.id, row.born_ms))
+            unresolved->second = std::max(unresolved->second, whole_leases_over_);
     }
     placement_due_ = true;
 }
@@ -77,7 +80,7 @@
     // the order may still arrive, and then they live on unseen.
     const auto clock_ms = worker.clock.at_least(now);
     if (clock_ms && !worker.silent && worker.unanswered == 0) {
-        order.until_ms = *clock_ms + settings_.max_hold.count() / 1000;
+        order.until_ms = *clock_ms + settings_.lease().count() / 1000;
         worker.latest_until_ms = std::max(worker.latest_until_ms, *order.until_ms);
         const bool shared = worker.filling_cpu > 0 && worker.lasting_cpu > 0;
         order.wait = worker.noted < worker.seen ? duration::zero()
@@ -116,8 +119,11 @@
         start_new_life(*worker, report.born_ms);
     worker->clock.observe(report.clock_ms, now);
     // A predecessor may have held it until this moment, but not after: its orders are refused now.
-    if (!std::exchange(worker->heard, true))
-        worker->latest_until_ms = report.clock_ms + settings_.max_hold.count() / 1000;
+    if (!std::exchange(worker->heard, true)) {
+        const duration lease =
+            is_other_life(id, report.born_ms) ? settings_.max_hold : settings_.lease();
+        worker->latest_until_ms = report.clock_ms + lease.count() / 1000;
+    }
     resolve(id);
     take_ends(*worker, report.ended);
     take_running(*worker, report, asked);
@@ -128,6 +134,14 @@
         worker->next_hold = now + unnoted_pause;
 }
 
+/// Whether a worker's life isn't the one that predecessors held. An order to start that was for the
+/// life before may have reached this one, which then granted a whole lease: the order's end is a
+/// time on the other life's clock.
+bool cell_coordinator::is_other_life(const worker_id& id, std::uint64_t born_ms) const {
+    const auto held = held_lives_.find(id);
+    return born_ms != 0 && (held == held_lives_.end() || held->second != born_ms);
+}
+
 void cell_coordinator::start_new_life(worker_work& worker, std::uint64_t born_ms) {
     if (worker.born_ms != 0)
         log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
