Show tasks at another pace than the coordinator believes

One hypothesis: a filling task doesn't work at the pace that the coordinator takes it to have.

Reproduced in simulated time: workers of the tests keep the pace of each run, carry it out 100 ms after the order, and show it by the processors in use and the tails of what serves. Orders to pace can lose their answers, or be carried out 2 to 12 s late as other orders there.

--- a/tests/cell/rule_watch.h
+++ b/tests/cell/rule_watch.h
@@ -29,6 +29,8 @@
     double failing = 0.05;
     /// Every task takes 1.5 s.
     bool long_tasks = false;
+    /// How long tasks that fill take; 0: as long as others.
+    duration filling_length{};
     std::vector<std::string> broken;
     /// What happened, for the story of a broken rule.
     std::vector<std::string> trace;
@@ -71,15 +73,22 @@
             ++failures_noted_[row.task];
     }
     duration length_of(const std::string& task) override {
-        const auto name = parse_task_name(task);
-        if (jobs.at(name->job.str()).spec.steps.at(name->step).lasting)
+        const step_spec& step = step_of(task);
+        if (step.lasting)
             return duration(-1);
+        if (step.filling && filling_length > duration::zero())
+            return filling_length;
         return std::chrono::milliseconds(long_tasks ? 1500 : 200 + draw() % 1500);
     }
     bool fails(const std::string&) override {
         return static_cast<double>(draw() % 1000) < failing * 1000;
     }
 
+    const step_spec& step_of(const std::string& task) const override {
+        const auto name = parse_task_name(task);
+        return jobs.at(name->job.str()).spec.steps.at(name->step);
+    }
+
     bool ended_well(const std::string& task) const { return done_.contains(task); }
     bool runs(const std::string& task) const {
         const auto known = running_.find(task);
@@ -151,10 +160,6 @@
         if (!fits(taken, room.at(worker)))
             blame("LIMIT", task, worker);
     }
-    const step_spec& step_of(const std::string& task) const {
-        const auto name = parse_task_name(task);
-        return jobs.at(name->job.str()).spec.steps.at(name->step);
-    }
     static resources counted(const step_spec& step) {
         resources size = step.size;
         size.cpu_millis = step.filling ? 0 : size.cpu_millis;
--- a/tests/cell/sim_orders.h
+++ b/tests/cell/sim_orders.h
@@ -3,6 +3,7 @@
 #include "tests/cell/sim_advisor.h"
 #include "tests/cell/sim_worker.h"
 
+#include <algorithm>
 #include <set>
 
 namespace figwinch::sim {
@@ -20,6 +21,9 @@
     double late_orders = 0;
     /// Share of orders that are carried out and whose answers are lost.
     double lost_answers = 0;
+    /// The same for orders to pace, where it is more.
+    double late_paces = 0;
+    double lost_pace_answers = 0;
 };
 
 /// One host's way to the workers.
@@ -34,7 +38,7 @@
 
     void start(const worker_listing& where, const start_order& order,
                answer_handler done) override {
-        send(where, done,
+        send(where, draw(where), done,
              [order, &fleet = fleet_, &time = time_, id = where.id.str()](sim_worker& worker,
                                                                           bool late) {
                  if (!fleet.policy.takes(id, order.task, order.ticket, time.now()))
@@ -44,14 +48,15 @@
     }
     void stop(const worker_listing& where, const std::string& task, run_number run,
               lease_epoch epoch, answer_handler done) override {
-        send(where, done, [task, run, epoch](sim_worker& worker, bool) {
+        send(where, draw(where), done, [task, run, epoch](sim_worker& worker, bool) {
             return worker.stop(task, run, epoch);
         });
     }
-    void pace(const worker_listing& where, const pace_order&, answer_handler done) override {
-        send(where, done, [](sim_worker& worker, bool) {
-            return order_answer{order_outcome::done, worker.clock_ms()};
-        });
+    void pace(const worker_listing& where, const pace_order& order, answer_handler done) override {
+        const order_fate fate = draw(where, std::max(fleet_.late_orders, fleet_.late_paces),
+                                     std::max(fleet_.lost_answers, fleet_.lost_pace_answers));
+        send(where, fate, done,
+             [order](sim_worker& worker, bool late) { return worker.pace(order, late); });
     }
     void hold(const worker_listing& where, const hold_order& order, hold_handler done) override {
         const order_fate fate = draw(where);
@@ -96,23 +101,26 @@
         return fleet_.workers.at(where.id.str()).worker->born_ms();
     }
     order_fate draw(const worker_listing& where) {
+        return draw(where, fleet_.late_orders, fleet_.lost_answers);
+    }
+    order_fate draw(const worker_listing& where, double late, double lost) {
         order_fate drawn;
         if (is_cut(where.id.str())) {
             drawn.arrives = drawn.answered = false;
             return drawn;
         }
-        if (random_() < fleet_.late_orders) {
+        if (random_() < late) {
             drawn.late = true;
             drawn.answered = false;
             drawn.delay = std::chrono::milliseconds(2000 + static_cast<int>(random_() * 10'000));
-        } else if (random_() < fleet_.lost_answers) {
+        } else if (random_() < lost) {
             drawn.answered = false;
         }
         return drawn;
     }
     template <class Order>
-    void send(const worker_listing& where, const answer_handler& done, Order order) {
-        const order_fate fate = draw(where);
+    void send(const worker_listing& where, const order_fate& fate, const answer_handler& done,
+              Order order) {
         const auto answer = [alive = std::weak_ptr(alive_), done](const order_answer& result) {
             if (!alive.expired())
                 done(result);
--- a/tests/cell/sim_worker.h
+++ b/tests/cell/sim_worker.h
@@ -4,6 +4,7 @@
 #include "tests/cell/sim_time.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <string>
@@ -21,9 +22,10 @@
     /// How long a run takes, and whether it fails; negative: for ever.
     virtual duration length_of(const std::string& task) = 0;
     virtual bool fails(const std::string& task) = 0;
+    virtual const step_spec& step_of(const std::string& task) const = 0;
 };
 
-/// A worker as the platform's pages describe it: fence, lease on its own clock, runs, ends.
+/// A worker as the platform's pages describe it: fence, lease on its own clock, runs, paces, ends.
 class sim_worker {
 public:
     sim_worker(sim_time& time, worker_watch& watch, std::string name, double clock_rate,
@@ -34,6 +36,7 @@
     }
 
     static constexpr duration stop_time = std::chrono::milliseconds(300);
+    static constexpr duration pace_time = std::chrono::milliseconds(100);
 
     std::int64_t clock_ms() const {
         const auto age = static_cast<double>((time_.now() - born_).count());
@@ -74,6 +77,23 @@
             known->second.stopping = time_.now() + stop_time;
         return answer;
     }
+    order_answer pace(const pace_order& order, bool late) {
+        order_answer answer;
+        answer.clock_ms = clock_ms();
+        if (!take_epoch(order.epoch)) {
+            answer.outcome = order_outcome::superseded;
+            return answer;
+        }
+        answer.outcome = order_outcome::done;
+        late_paces += late ? 1 : 0;
+        time_.after(pace_time, [this, weak = std::weak_ptr(tick_alive_), order] {
+            if (weak.expired())
+                return;
+            if (const auto known = runs_.find({order.task, order.run}); known != runs_.end())
+                known->second.pace = order.percent;
+        });
+        return answer;
+    }
     order_outcome hold(const hold_order& order) {
         if (!take_epoch(order.epoch))
             return order_outcome::superseded;
@@ -96,7 +116,8 @@
         report.clock_ms = clock_ms();
         report.born_ms = born_ms();
         for (const auto& [key, run] : runs_)
-            report.running.push_back({key.first, key.second, "", percent(run, time_.now()), 0});
+            report.running.push_back(
+                {key.first, key.second, "", percent(run, time_.now()), recent(key.first, run)});
         report.ended.assign(ended_.begin(), ended_.end());
         return report;
     }
@@ -125,13 +146,38 @@
         runs_.erase(run);
         finish(key, run_end::failed);
     }
+    /// The pace at which a task's run works, per cent; nothing when there is no run.
+    std::optional<int> pace_of(const std::string& task) const {
+        for (const auto& [key, run] : runs_)
+            if (key.first == task)
+                return run.pace;
+        return std::nullopt;
+    }
+    /// Tail / target of the tasks that serve here: a queue with one server, whose utilisation is
+    /// multiplied by what fills beside it. Each core of filling work adds `slowdown_per_core`.
+    double tail_ratio(double filling_cores) const {
+        const double busy = serving_load * std::exp(slowdown_per_core * filling_cores);
+        return unloaded_ratio / (1 - std::min(busy, 0.99));
+    }
+    /// Whether they are over their target by what fills beside them.
+    bool harms() const { return tail_ratio(filling_cores()) > 1 && tail_ratio(0) <= 1; }
+    /// Utilisation that the users of each serving task cause.
+    double serving_load = 0.3;
+    double slowdown_per_core = 1.2;
+    /// Orders to pace that were carried out late.
+    int late_paces = 0;
     /// Runs stand still: they get on no more, and end only by a stop or with the lease.
     bool hangs = false;
 
 private:
     using run_key = std::pair<std::string, run_number>;
+    static constexpr double unloaded_ratio = 0.2;
+    static constexpr duration tick_period = std::chrono::milliseconds(20);
     struct live_run {
         instant started;
+        int pace = 100;
+        /// Time that its pace has taken from it.
+        duration lost{};
         duration length{};
         bool fails = false;
         std::optional<instant> stopping;
@@ -142,9 +188,23 @@
             return 7;
         if (of.length < duration::zero())
             return 100;
-        const auto part = (now - of.started) * 100 / of.length;
+        const auto part = (now - of.started - of.lost) * 100 / of.length;
         return static_cast<int>(std::min<std::int64_t>(part, 99));
     }
+    double filling_cores() const {
+        double cores = 0;
+        for (const auto& [key, run] : runs_)
+            if (const step_spec& step = watch_.step_of(key.first); step.filling)
+                cores += static_cast<double>(step.size.cpu_millis * run.pace) / 100'000;
+        return cores;
+    }
+    std::int64_t recent(const std::string& task, const live_run& run) const {
+        const step_spec& step = watch_.step_of(task);
+        if (step.tail_target <= duration::zero())
+            return step.size.cpu_millis * run.pace / 100;
+        const auto target_ms = static_cast<double>(step.tail_target.count()) / 1000;
+        return std::llround(target_ms * tail_ratio(filling_cores()));
+    }
     bool take_epoch(lease_epoch epoch) {
         if (epoch.value() < fence_)
             return false;
@@ -166,7 +226,7 @@
         lease_ms_ = std::max(lease_ms_, std::min(until_ms, most));
     }
     void schedule() {
-        time_.after(std::chrono::milliseconds(20), [this, weak = std::weak_ptr(tick_alive_)] {
+        time_.after(tick_period, [this, weak = std::weak_ptr(tick_alive_)] {
             if (weak.expired())
                 return;
             tick();
@@ -178,6 +238,7 @@
         if (lapsed)
             lapsed_up_to_ = ends_;
         for (auto at = runs_.begin(); at != runs_.end();) {
+            at->second.lost += tick_period * (100 - at->second.pace) / 100;
             const std::optional<run_end> how = end_of(at->second, lapsed);
             const run_key key = at->first;
             at = how ? runs_.erase(at) : std::next(at);
@@ -190,7 +251,8 @@
             return run_end::lapsed;
         if (of.stopping)
             return time_.now() >= *of.stopping ? std::optional(run_end::stopped) : std::nullopt;
-        if (!hangs && of.length >= duration::zero() && time_.now() - of.started >= of.length)
+        if (!hangs && of.length >= duration::zero() &&
+            time_.now() - of.started - of.lost >= of.length)
             return of.fails ? run_end::failed : run_end::done;
         return std::nullopt;
     }
