--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(a_short_job_doesnt_wait_for_a_worker_that_never_had_it);
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_within_its_lease);
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator);
+    CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
     CPPUNIT_TEST_SUITE_END();
 
@@ -173,6 +174,27 @@
         all_run("a", 8);
         kept_the_rules();
     }
+    /// Story: a worker is lost, and a moment later a lasting task fails on another. It was started
+    /// again on the lost one, which had the most room and wasn't known to be silent, and had no run
+    /// until that start could have no effect any more, 10 s later.
+    void a_task_isnt_started_again_on_a_worker_that_has_just_gone() {
+        begin();
+        world_.submit(0, "a", lasting(7));
+        world_.time().run_for(seconds(3));
+        std::string least;
+        for (const auto& [name, entry] : world_.fleet().workers)
+            if (least.empty() || entry.worker->running() < worker(least).running())
+                least = name;
+        lose(least);
+        world_.time().run_for(milliseconds(1200));
+        const std::string failing = task_on(least == "w0" ? "w2" : "w0", "a", 7);
+        for (auto& [name, entry] : world_.fleet().workers)
+            if (entry.worker->has(failing))
+                entry.worker->fail_run(failing);
+        world_.time().run_for(longest_down);
+        CPPUNIT_ASSERT(world_.watch().runs(failing));
+        kept_the_rules();
+    }
     /// Takes the workers out of all progress records, as a version that didn't record them wrote.
     void forget_recorded_workers() {
         sim_store::stream& progress = world_.store().of(cell_stream::progress);
