--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -30,6 +30,7 @@
 private:
     void log_waiting() const;
     void log_lasting_waits();
+    std::int64_t count_down(const step_work& step, const task_work*& longest) const;
     void record_slowdowns();
 
     // coordinator_jobs.cpp
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -71,21 +71,11 @@
     next_lasting_waits_ = now + lasting_waits_period;
     const task_work* longest = nullptr;
     std::int64_t waiting = 0;
-    for (const job_work* const job : order_) {
-        for (const auto& [number, occurrence] : job->occurrences) {
-            for (const step_work& step : occurrence->steps) {
-                if (!step.spec->lasting || !step.ready)
-                    continue;
-                for (const task_work& task : step.tasks) {
-                    if (task.where != nullptr || now - task.down_since < lasting_wait_told)
-                        continue;
-                    ++waiting;
-                    if (longest == nullptr || task.down_since < longest->down_since)
-                        longest = &task;
-                }
-            }
-        }
-    }
+    for (const job_work* const job : order_)
+        for (const auto& [number, occurrence] : job->occurrences)
+            for (const step_work& step : occurrence->steps)
+                if (step.spec->lasting && step.ready)
+                    waiting += count_down(step, longest);
     if (longest == nullptr)
         return;
     const duration down = now - longest->down_since;
@@ -96,6 +86,21 @@
                {"waits_for", std::string(to_string(wait_of(*longest->job, *longest)))}});
 }
 
+/// How many tasks of a step have had no run for long; `longest` becomes the one that waits longest,
+/// of these and the one that it was.
+std::int64_t cell_coordinator::count_down(const step_work& step, const task_work*& longest) const {
+    const instant now = with_.time.now();
+    std::int64_t waiting = 0;
+    for (const task_work& task : step.tasks) {
+        if (task.where != nullptr || now - task.down_since < lasting_wait_told)
+            continue;
+        ++waiting;
+        if (longest == nullptr || task.down_since < longest->down_since)
+            longest = &task;
+    }
+    return waiting;
+}
+
 /// The same conditions as `usable`, told apart.
 worker_standing cell_coordinator::standing_of(const worker_work& worker) const {
     const instant now = with_.time.now();
