Start a lasting task again where a worker has just reported

What callers saw: a lasting task that failed a moment after a worker was lost had no run for 6 to 10 s (LOST).

Cause: a worker counts as usable for 2.2 s after its last report, and a lost one has room. An order that gets no answer binds its task there until the start can have no effect any more.

Ruled out: usable for less than 2.2 s for all work; workers that wait for an end report once a second, and short tasks lose nothing by a late answer but their own time.

Change: a lasting task that has run before goes to a worker that has reported within 0.6 s and owes no answer, where there is one; then the score decides as before. First starts are spread as before.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -139,6 +139,7 @@
     bool place_step(job_work& job, step_work& step);
     bool place_gang(job_work& job, step_work& step);
     worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
+    bool is_surely_there(const worker_work& worker, const task_work& task) const;
     bool usable(const worker_work& worker, const job_work& job) const;
     bool admits(const worker_work& worker, const task_work& task) const;
     double score(const worker_work& worker, const task_work& task) const;
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -27,6 +27,9 @@
 constexpr double cold_penalty = 1;
 constexpr double near_data_bonus = 2;
 
+// Reports of a worker at work are up to a second apart.
+constexpr duration just_reported = std::chrono::milliseconds(600);
+
 double share(std::int64_t part, std::int64_t whole) {
     return whole <= 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
 }
@@ -123,7 +126,7 @@
 worker_work* cell_coordinator::choose(const job_work& job, const task_work& task,
                                       const rack_id& only_rack) {
     worker_work* best = nullptr;
-    double best_score = 0;
+    std::pair<bool, double> best_score;
     // While the log is silent nothing can be recorded; what is recorded already can be used.
     const bool any_worker = log_confirms();
     for (const auto& [id, worker] : workers_) {
@@ -133,7 +136,7 @@
             continue;
         if (!any_worker && !is_recorded_at(task, *worker))
             continue;
-        const double found = score(*worker, task);
+        const std::pair found{is_surely_there(*worker, task), score(*worker, task)};
         if (best == nullptr || found > best_score) {
             best = worker.get();
             best_score = found;
@@ -142,6 +145,16 @@
     return best;
 }
 
+/// A worker that was lost a moment ago still looks usable, and has room. A lasting task that is
+/// started there is down until that start can have no effect any more; so a task that has run
+/// before goes to a worker that has just reported, where there is one. First starts come many at a
+/// time and are spread over all workers.
+bool cell_coordinator::is_surely_there(const worker_work& worker, const task_work& task) const {
+    if (!has_own_record(*task.step->spec) || task.progress.ordered_to.empty())
+        return true;
+    return worker.unanswered == 0 && with_.time.now() - worker.reported_at < just_reported;
+}
+
 bool cell_coordinator::usable(const worker_work& worker, const job_work& job) const {
     const instant now = with_.time.now();
     return worker.listed && !worker.listing.leaving && worker.heard && worker.registered &&
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -176,7 +176,8 @@
     }
     /// Story: a worker is lost, and a moment later a lasting task fails on another. It was started
     /// again on the lost one, which had the most room and wasn't known to be silent, and had no run
-    /// until that start could have no effect any more, 10 s later.
+    /// until that start could have no effect any more, 10 s later: among workers that look usable
+    /// nothing preferred one that had just answered.
     void a_task_isnt_started_again_on_a_worker_that_has_just_gone() {
         begin();
         world_.submit(0, "a", lasting(7));
