Try a resignation again until the log has it

What callers saw: 1.6 s without a coordinator in a rolling restart, although the one before had been told to stop and had resigned.

Cause: the resignation was appended once, at the end of the stream that the host knew. A renewal of its own on its way moved the end; a store that refused or didn't answer lost it.

Ruled out: waiting for the renewal's answer first, which costs half a second when that answer is lost; waiting for a try's answer before the next one, which costs the same; a longer life of the process: after callers' last answers, 2.6 to 5.3 s after the signal, another host has claimed unless the log is away for all.

Change: class resignation appends every 150 ms, beside what is unanswered. When the end has moved it reads on: an own renewal moves the end of the next try, which goes out at once; an own resignation settles it, and so does another's record. It goes on while callers are served and ends with the process. A line says resignation_stored or resignation_unconfirmed. Why it holds: each try asks the stream to end where the host has read to and still held the reign, so at most one for each end is stored, and none behind another's claim. A try is written later than the last order, so that leases counted from it are counted too long at most. The coordinator goes in the same call as the first try; a new test sees no order after it.

Conclusion: both losses that could be read in the code are mended; which of them the incident had isn't known.

--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -9,6 +9,8 @@
 
 namespace figwinch {
 
+class resignation;
+
 /// Who the coordinator is, as far as a host knows.
 struct reign_view {
     incarnation_id holder;
@@ -45,8 +47,11 @@
     ~reign();
 
     void tick();
-    /// Gives up the reign and never claims again, for a planned stop.
+    /// Gives up the reign and never claims again, for a planned stop. `tick` goes on until the log
+    /// has the resignation.
     void resign();
+    /// The process ends: what the log doesn't have of a resignation is given up.
+    void abandon_resignation();
     /// Gives up the reign after another sign of a higher epoch; may claim again later.
     void yield();
 
@@ -103,6 +108,7 @@
     instant next_try_{};
     instant confirmed_at_{};
     std::optional<reign_view> current_;
+    std::unique_ptr<resignation> resignation_;
     /// Expires with this object: answers that come later are dropped.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -1,5 +1,6 @@
 #include "figwinch/cell/reign.h"
 
+#include "cell/resignation.h"
 #include "figwinch/cell/cell_settings.h"
 
 #include <algorithm>
@@ -32,6 +33,9 @@
 
 void reign::tick() {
     const instant now = time_.now();
+    // Beside what this host reads for itself, which may be waiting for an answer that got lost.
+    if (resignation_)
+        resignation_->tick();
     if (leads_ && now - confirmed_at_ > silence_limit) {
         leads_ = false;
         // Whoever else may have claimed meanwhile has moved the stream's end, so that a claim at
@@ -53,7 +57,12 @@
     const bool led = std::exchange(leads_, false);
     resigned_ = true;
     if (led)
-        append(reign_record::kind::resignation, [](const append_result&) {});
+        resignation_ = std::make_unique<resignation>(time_, log_, self_, bus_address_, end_);
+}
+
+void reign::abandon_resignation() {
+    if (resignation_)
+        resignation_->abandon();
 }
 
 void reign::yield() {
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -85,7 +85,7 @@
     member_.resign();
     bound_ = loop_.after(with_.grace - stop_margin, [this] {
         log_event(log_level::error, "stop_bound_reached", {});
-        loop_.stop();
+        end();
     });
     notice_ = loop_.after(drain_notice, [this] { finish_stop(); });
 }
@@ -94,8 +94,15 @@
     callers_server_->stop_accepting();
     draining_ = loop_.every(drain_period, [this] {
         if (callers_server_->in_flight() == 0)
-            loop_.stop();
+            end();
     });
 }
 
+/// A resignation has had all the time that callers needed; after the missed renewals of that time
+/// another host has claimed unless the log is away for all.
+void cell_host::end() {
+    member_.abandon_resignation();
+    loop_.stop();
+}
+
 } // namespace figwinch
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -16,7 +16,7 @@
 
     absl::Status listen();
     /// A planned stop: the reign goes at once, readiness with it; callers are served until the
-    /// balancer has seen that.
+    /// balancer has seen that, and as long the resignation is tried.
     void stop();
 
 private:
@@ -24,6 +24,7 @@
     bool is_ready() const { return !stopping_ && member_.is_loaded() && member_.log_answers(); }
     void answer_ready(const std::shared_ptr<http_responder>& answer) const;
     void finish_stop();
+    void end();
 
     event_loop& loop_;
     system_clock time_;
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -19,8 +19,11 @@
 
     /// Does what is due; returns how long the next call may wait.
     duration tick();
-    /// Gives the reign up for a planned stop; callers may still be served.
+    /// Gives the reign up for a planned stop; callers may still be served. From then on it orders
+    /// nothing, and `tick` goes on until the log has the resignation.
     void resign();
+    /// The process ends.
+    void abandon_resignation() { reign_.abandon_resignation(); }
 
     const std::optional<cell_config>& config() const { return config_; }
     const cell_state& state() const { return state_; }
--- a/tests/cell/resignation_test.cpp
+++ b/tests/cell/resignation_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/cell/cell_world.h"
 #include "tests/cell/sim_candidate.h"
 
 #include <cppunit/TestFixture.h>
@@ -62,6 +63,7 @@
     CPPUNIT_TEST(a_resignation_that_got_no_answer_is_followed_at_once);
     CPPUNIT_TEST(a_resignation_whose_answer_was_lost_is_written_once);
     CPPUNIT_TEST(a_late_resignation_ends_nobody_elses_reign);
+    CPPUNIT_TEST(a_host_that_has_resigned_orders_nothing_while_it_tries);
     CPPUNIT_TEST_SUITE_END();
 
     /// The coordinator resigns while its way to the store is as told, for less than a retry takes.
@@ -149,6 +151,31 @@
             CPPUNIT_ASSERT_EQUAL(0L, cell.count(reign_record::kind::resignation));
         }
     }
+    /// Story: the store refuses the resignation for half a second, while a job comes in at another
+    /// host. The one that resigned still follows the log; it must leave the job to its successor.
+    void a_host_that_has_resigned_orders_nothing_while_it_tries() {
+        cell_world world(1, 2, 4);
+        world.watch().failing = 0;
+        world.time().run_for(seconds(3));
+        const std::size_t first = *world.coordinator();
+        const std::size_t second = 1 - first;
+        world.host(first)->way_to_log().state = sim_log::way::refused;
+        world.host(first)->member().resign();
+        world.submit(second, "a", cell_world::make_job({cell_world::make_step(4, 500)}));
+        for (int step = 0; step < 50; ++step) {
+            world.time().run_for(milliseconds(10));
+            CPPUNIT_ASSERT(world.host(first)->member().coordinating() == nullptr);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.watch().starts);
+        world.host(first)->way_to_log().state = sim_log::way::open;
+        world.time().run_for(retry_period + at_once);
+        CPPUNIT_ASSERT(world.coordinator() == second);
+        CPPUNIT_ASSERT(world.host(second)->member().election().follows_resignation());
+        world.time().run_for(seconds(2));
+        CPPUNIT_ASSERT(world.host(first)->member().coordinating() == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, world.watch().starts);
+        CPPUNIT_ASSERT(world.watch().broken.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(resignation_test);
