Show a claim stored after its host has resigned

What callers would see: after a planned stop of a host that has just claimed, three missed renewals without a coordinator, and leases counted 5 s longer.

Cause: a host that resigns while its claim is on its way doesn't lead yet, so it writes no resignation; its claim is stored all the same, and the log shows a reign that nobody holds.

Change: a test that stops the claiming host in every second millisecond of 60 around its claim.

Conclusion: shown without sockets; rare, since the claim must be on its way.

--- a/tests/cell/resignation_test.cpp
+++ b/tests/cell/resignation_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(a_resignation_beside_a_renewal_is_followed_at_once);
     CPPUNIT_TEST(a_resignation_that_was_refused_is_followed_at_once);
     CPPUNIT_TEST(a_resignation_that_got_no_answer_is_followed_at_once);
+    CPPUNIT_TEST(a_host_that_resigns_while_it_claims_is_followed_at_once);
     CPPUNIT_TEST(a_resignation_whose_answer_was_lost_is_written_once);
     CPPUNIT_TEST(a_late_resignation_ends_nobody_elses_reign);
     CPPUNIT_TEST(a_host_that_has_resigned_orders_nothing_while_it_tries);
@@ -112,6 +113,33 @@
     void a_resignation_that_got_no_answer_is_followed_at_once() {
         resign_while(sim_log::way::silent);
     }
+    /// Story: the next host to be restarted is the one that has just claimed. Its claim is stored
+    /// after it has resigned, so that the log shows a reign that nobody holds.
+    void a_host_that_resigns_while_it_claims_is_followed_at_once() {
+        constexpr duration modesty = milliseconds(300);
+        long raced = 0;
+        for (duration phase{}; phase < milliseconds(60); phase += milliseconds(2)) {
+            cell_of_candidates cell(milliseconds(10));
+            candidate& first = cell.add();
+            cell.time.run_for(seconds(1));
+            candidate& second = cell.add();
+            candidate& third = cell.add(modesty);
+            cell.time.run_for(seconds(2));
+            CPPUNIT_ASSERT(first.election.leads());
+            first.election.resign();
+            cell.time.run_for(phase);
+            const bool led = second.election.leads();
+            const std::uint64_t resigned_at = cell.end();
+            second.election.resign();
+            cell.time.run_for(modesty + 2 * at_once);
+            if (!led)
+                raced += cell.count(reign_record::kind::claim, resigned_at) - 1;
+            CPPUNIT_ASSERT(!second.election.leads());
+            CPPUNIT_ASSERT_MESSAGE(text_of(phase), third.election.leads());
+            CPPUNIT_ASSERT_MESSAGE(text_of(phase), third.election.follows_resignation());
+        }
+        CPPUNIT_ASSERT(raced > 0);
+    }
     /// Story: the resignation is stored and its answer lost. Another one behind a successor's claim
     /// would end that reign.
     void a_resignation_whose_answer_was_lost_is_written_once() {
