Give back a reign whose claim is stored after its host resigned

What callers would see: after a planned stop of a host that has just claimed, three missed renewals without a coordinator, and leases counted 5 s longer.

Cause: only a host that led wrote a resignation. A claim on its way when its host resigned was stored, and nobody said that the reign was vacant; nor did a host whose reign had run out in a silence of the log.

Ruled out: appending a resignation before the log has shown the claim. In place of the claim it would end the reign before, whose holder may be parted and acting, without its 5 s being counted.

Change: a host that has resigned writes its resignation when the log shows the reign as its own: by the claim's answer, or by reading the claim when that answer is lost. Why it holds: it is appended right behind a record that shows the host as holder, on the condition that the stream ends there.

--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -82,6 +82,7 @@
     void claim();
     void renew();
     void lead(std::uint64_t claimed_at, instant confirmed);
+    void give_back(std::uint64_t end);
     void take_moved();
     void append(reign_record::kind what, std::function<void(const append_result&)> done);
 
--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -54,10 +54,19 @@
 }
 
 void reign::resign() {
-    const bool led = std::exchange(leads_, false);
+    leads_ = false;
     resigned_ = true;
-    if (led)
-        resignation_ = std::make_unique<resignation>(time_, log_, self_, bus_address_, end_);
+    if (current_ && current_->holder == self_)
+        give_back(end_);
+}
+
+/// By the log this host holds the reign at `end` and has resigned. That may show only later: a
+/// claim that was on its way is stored all the same, and without a word of its own the others would
+/// wait for renewals that can't come. Behind a claim of another's it must not be said, which is why
+/// nothing is appended before the log has shown the host's own.
+void reign::give_back(std::uint64_t end) {
+    if (!resignation_)
+        resignation_ = std::make_unique<resignation>(time_, log_, self_, bus_address_, end);
 }
 
 void reign::abandon_resignation() {
@@ -164,7 +173,7 @@
 
 void reign::lead(std::uint64_t claimed_at, instant confirmed) {
     if (resigned_)
-        return;
+        return give_back(claimed_at + 1);
     // What this process wrote itself is the newest that the reign before has of the log.
     if (current_ && current_->holder == self_)
         heard_at_ = std::max(heard_at_, confirmed_at_);
--- a/src/cell/reign_records.cpp
+++ b/src/cell/reign_records.cpp
@@ -42,8 +42,10 @@
     if (!records.empty())
         vacant_ = vacant;
     // A claim of ours whose answer was lost counts from its record.
-    const bool own = current_ && current_->holder == self_ && !resigned_;
-    if (own && !leads_ && !vacant && current_->epoch > epoch_)
+    const bool own = current_ && current_->holder == self_ && !vacant;
+    if (own && resigned_)
+        give_back(records.back().offset + 1);
+    else if (own && !leads_ && current_->epoch > epoch_)
         lead(current_->epoch.value() - 1, time_.now());
     return vacant;
 }
--- a/tests/cell/resignation_test.cpp
+++ b/tests/cell/resignation_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(a_resignation_that_was_refused_is_followed_at_once);
     CPPUNIT_TEST(a_resignation_that_got_no_answer_is_followed_at_once);
     CPPUNIT_TEST(a_host_that_resigns_while_it_claims_is_followed_at_once);
+    CPPUNIT_TEST(a_host_that_resigns_with_its_claim_in_doubt_is_followed_before_it_is_missed);
     CPPUNIT_TEST(a_resignation_whose_answer_was_lost_is_written_once);
     CPPUNIT_TEST(a_late_resignation_ends_nobody_elses_reign);
     CPPUNIT_TEST(a_host_that_has_resigned_orders_nothing_while_it_tries);
@@ -140,6 +141,30 @@
         }
         CPPUNIT_ASSERT(raced > 0);
     }
+    /// Story: the claim's answer was lost besides. The host learns from the log that the reign is
+    /// its own, and gives it back before the others have missed three renewals.
+    void a_host_that_resigns_with_its_claim_in_doubt_is_followed_before_it_is_missed() {
+        cell_of_candidates cell;
+        candidate& first = cell.add();
+        cell.time.run_for(seconds(1));
+        candidate& second = cell.add();
+        constexpr duration modesty = milliseconds(300);
+        candidate& third = cell.add(modesty);
+        cell.time.run_for(seconds(2));
+        second.log.lost_answers = 1;
+        first.election.resign();
+        cell.time.run_for(at_once);
+        CPPUNIT_ASSERT_EQUAL(2L, cell.count(reign_record::kind::claim));
+        CPPUNIT_ASSERT(!second.election.leads());
+        second.log.lost_answers = 0;
+        second.election.resign();
+        cell.time.run_for(reign_times{}.takeover_after - at_once);
+        CPPUNIT_ASSERT_EQUAL(2L, cell.count(reign_record::kind::resignation));
+        cell.time.run_for(modesty + at_once);
+        CPPUNIT_ASSERT(!second.election.leads());
+        CPPUNIT_ASSERT(third.election.leads());
+        CPPUNIT_ASSERT(third.election.follows_resignation());
+    }
     /// Story: the resignation is stored and its answer lost. Another one behind a successor's claim
     /// would end that reign.
     void a_resignation_whose_answer_was_lost_is_written_once() {
