Show lasting tasks held by a record without an order

What callers would see: lasting tasks of a job that has just come have no run for a lease after the coordinator's process ended, though workers have room.

The coordinator chose a worker 400 ms after it had logged worker_silent for it (`usable` asks for a report within 2.2 s and not whether the worker is silent), and ended between record and order; the next reign waited for that worker, which never had the task.

Ruled out: an order under way. Both tests assert that none was sent; their first version, which killed the host when the log had the record, didn't, and the orders had gone out in that instant.

Conclusion: the first is a choice that can be left out; the second lies in the record itself, which names a worker before anything is ordered.

--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -1,3 +1,4 @@
+#include "figwinch/cell/record_codec.h"
 #include "tests/cell/cell_world.h"
 
 #include <cppunit/TestFixture.h>
@@ -22,6 +23,8 @@
 class lasting_recovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(lasting_recovery_test);
     CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_never_had_it);
+    CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_was_silent_before_its_start);
+    CPPUNIT_TEST(a_task_doesnt_wait_for_a_worker_that_was_only_recorded);
     CPPUNIT_TEST(a_task_runs_again_before_new_work_takes_the_room);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +51,41 @@
         CPPUNIT_FAIL("no task of " + job + " on " + name);
         return "";
     }
+    std::string record(record_kind kind, const std::string& id) {
+        const auto& newest = world_.store().of(cell_stream::progress).newest;
+        const auto row = newest.find(record_key(kind, id));
+        return row == newest.end() ? "" : row->second.value.value_or("");
+    }
+    /// Goes on until the log has what is looked for, and no further.
+    template <class Check>
+    void run_until(const Check& check) {
+        constexpr duration step = milliseconds(2);
+        constexpr int most_steps = 1000;
+        for (int steps = 0; steps < most_steps && !check(); ++steps)
+            world_.time().run_for(step);
+        CPPUNIT_ASSERT(check());
+    }
+    /// A lasting job comes. The log takes the workers of its tasks and its answer is lost, so that
+    /// no order goes out, and the coordinator's process ends and starts again. Then all tasks have
+    /// to run on the workers that are well.
+    void restart_before_the_first_order() {
+        constexpr std::uint32_t tasks = 8;
+        std::size_t orders = 0;
+        world_.fleet().on_start_sent = [&orders](const auto&, const auto&) { ++orders; };
+        const auto told = world_.submit(0, "a", lasting(tasks));
+        run_until([&told] { return told->has_value(); });
+        const std::size_t first = *world_.coordinator();
+        world_.host(first)->way_to_log().lost_answers = 1;
+        run_until([this] { return !record(record_kind::progress, "a").empty(); });
+        world_.kill_host(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, orders);
+        world_.fleet().on_start_sent = nullptr;
+        world_.start_host(first);
+        world_.time().run_for(longest_down);
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            CPPUNIT_ASSERT_MESSAGE(task("a", index), world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
     void kept_the_rules() {
         if (!world_.watch().broken.empty())
             CPPUNIT_FAIL(world_.watch().broken.front());
@@ -79,6 +117,26 @@
             CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
         kept_the_rules();
     }
+    /// Story: a worker goes dark, and the coordinator finds it silent. A lasting job comes, and the
+    /// process of the coordinator ends and starts again when the workers of the job's tasks are in
+    /// the log, before any order. Tasks that were recorded for the dark worker, which was known to
+    /// be silent, had no run until its lease was over.
+    void a_task_doesnt_wait_for_a_worker_that_was_silent_before_its_start() {
+        begin();
+        world_.fleet().workers.at("w1").cut = true;
+        run_until([this] {
+            const auto row = decode_worker(record(record_kind::worker, "w1"));
+            return row && row->silent;
+        });
+        restart_before_the_first_order();
+    }
+    /// Story: the same, but the worker went dark a moment ago and the coordinator doesn't know yet.
+    /// A record without an order looks to the successor like one whose order went out.
+    void a_task_doesnt_wait_for_a_worker_that_was_only_recorded() {
+        begin();
+        world_.fleet().workers.at("w1").cut = true;
+        restart_before_the_first_order();
+    }
     /// Story: the workers are full and more jobs come than they can serve. A lasting task fails,
     /// and each time a short task ends another short one, whose caller can still have it in time,
     /// takes the room. Tasks were started in the order of their jobs' objectives, and that of a
