--- a/tests/cell/sim_orders.h
+++ b/tests/cell/sim_orders.h
@@ -24,6 +24,8 @@
     /// The same for orders to pace, where it is more.
     double late_paces = 0;
     double lost_pace_answers = 0;
+    /// Sees every order to start as it is sent; whether it arrives is open.
+    std::function<void(const std::string& worker, const std::string& task)> on_start_sent;
 };
 
 /// One host's way to the workers.
@@ -38,6 +40,8 @@
 
     void start(const worker_listing& where, const start_order& order,
                answer_handler done) override {
+        if (fleet_.on_start_sent)
+            fleet_.on_start_sent(where.id.str(), order.task);
         send(where, draw(where), done,
              [order, &fleet = fleet_, &time = time_, id = where.id.str()](sim_worker& worker,
                                                                           bool late) {
@@ -81,6 +85,10 @@
             });
     }
     void forget(const worker_id&) override {}
+    /// Whether this host doesn't reach a worker.
+    bool is_cut(const std::string& worker) const {
+        return cut || cut_from.contains(worker) || fleet_.workers.at(worker).cut;
+    }
     void kill() { alive_.reset(); }
 
 private:
@@ -94,9 +102,6 @@
         duration delay = way;
     };
 
-    bool is_cut(const std::string& worker) const {
-        return cut || cut_from.contains(worker) || fleet_.workers.at(worker).cut;
-    }
     std::uint64_t born_of(const worker_listing& where) const {
         return fleet_.workers.at(where.id.str()).worker->born_ms();
     }
