Keep a worker recorded that comes back when its lease is over

A worker is dark for seconds and answers again while the log takes no progress: its return waits to be written, then its lease is over and its removal is queued behind. The coordinator uses the worker again, the log has it removed, and the next reign neither asks nor waits for it and starts its tasks a second time.

Change: a worker whose return is being recorded isn't removed at the end of its lease.

--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -61,6 +61,10 @@
         worker.over_since = instant{};
         return;
     }
+    // It answers again and is being recorded: its removal would come behind that, and the log would
+    // not know a worker that is in use.
+    if (worker.registering)
+        return;
     // A successor needn't ask it, nor wait for it.
     if (std::exchange(worker.registered, false))
         with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -97,6 +97,8 @@
         : time_(time), store_(store), random_(std::move(random)) {}
 
     way state = way::open;
+    /// A stream whose appends get no answer and aren't done.
+    std::optional<cell_stream> stuck;
     /// Share of the appends that are done and not answered.
     double lost_answers = 0;
     duration delay = std::chrono::milliseconds(4);
@@ -106,6 +108,8 @@
     void append(cell_stream stream, const std::vector<stored_record>& records,
                 const append_guard& guard, std::function<void(append_result)> done) override {
         append_result fault;
+        if (stuck == stream)
+            return answer_silent(fault, done);
         if (blocked(fault, done))
             return;
         const bool lost = random_() < lost_answers;
@@ -164,6 +168,13 @@
             done(result);
     }
     template <class Result, class Done>
+    void answer_silent(Result& result, const Done& done) {
+        result.fault = log_fault::silent;
+        time_.after(std::chrono::milliseconds(800), [alive = std::weak_ptr(alive_), result, done] {
+            deliver(alive, done, result);
+        });
+    }
+    template <class Result, class Done>
     bool blocked(Result& result, const Done& done) {
         if (state == way::open)
             return false;
