Start nothing on a worker that the log says is silent

Found by the rule on lasting tasks in histories. A worker counted as usable for 2.2 s after its last report, though two holds in a row had got no answer and the log said so: tasks were recorded for it, and when the coordinator ended before it ordered them, its successor waited for that worker's lease.

Change: silent workers aren't usable until the log has their return.

--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -158,7 +158,7 @@
 bool cell_coordinator::usable(const worker_work& worker, const job_work& job) const {
     const instant now = with_.time.now();
     return worker.listed && !worker.listing.leaving && worker.heard && worker.registered &&
-           worker.listing.service == job.service && now >= worker.rest_until &&
+           !worker.silent && worker.listing.service == job.service && now >= worker.rest_until &&
            now - worker.reported_at < reported_within &&
            !evacuated_.contains(worker.listing.data_centre);
 }
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -112,7 +112,7 @@
         return worker_standing::data_centre_out;
     if (!worker.heard)
         return worker_standing::not_heard;
-    if (now - worker.reported_at >= reported_within)
+    if (worker.silent || now - worker.reported_at >= reported_within)
         return worker_standing::silent;
     if (now < worker.rest_until || !worker.registered)
         return worker_standing::resting;
