Let lasting tasks that fill run without processors left over

Filling tasks are placed where processors are left over; lasting ones that fill and had them never end, so that one more waited for good, although what fills doesn't count against a worker's capacity.

Change: lasting tasks that fill are placed by memory alone; the score still prefers workers with processors left.

--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -223,6 +223,10 @@
 }
 
 bool cell_coordinator::may_fill(const worker_work& worker, const task_work& task) const {
+    // A task that lasts has to run all the time, if slowly: others of its kind that have taken the
+    // processors never end, and it would wait for ever.
+    if (task.step->spec->lasting)
+        return true;
     if (left_to_fill(worker) < task.step->spec->size.cpu_millis)
         return false;
     const double more = share(task.step->spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
--- a/tests/cell/lasting_recovery_test.cpp
+++ b/tests/cell/lasting_recovery_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_within_its_lease);
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator);
     CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
+    CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
     CPPUNIT_TEST_SUITE_END();
 
@@ -254,6 +255,18 @@
         CPPUNIT_ASSERT(world_.watch().runs(failing));
         kept_the_rules();
     }
+    /// Story: lasting tasks that fill have all processors that others leave, for good. One more had
+    /// no run for ever, though what fills doesn't count against a worker's processors.
+    void lasting_tasks_that_fill_dont_wait_for_processors() {
+        begin();
+        job_spec filling = lasting(5);
+        filling.steps.front().filling = true;
+        filling.steps.front().size.cpu_millis = 3500;
+        world_.submit(0, "a", filling);
+        world_.time().run_for(longest_down);
+        all_run("a", 5);
+        kept_the_rules();
+    }
     /// Takes the workers out of all progress records, as a version that didn't record them wrote.
     void forget_recorded_workers() {
         sim_store::stream& progress = world_.store().of(cell_stream::progress);
