Split the coordinator's records and the tests of lost workers

What concerns records of progress and of where starts go is in coordinator_records.cpp; tests of a lost worker in worker_loss_test.cpp, what both suites use in recovery_fixture.h.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -12,8 +12,8 @@
 /// A worker that hasn't reported for longer gets nothing new.
 inline constexpr duration reported_within = std::chrono::milliseconds(2200);
 
-/// The coordinator's rules. Spread over files by what they are about: jobs, workers and their
-/// reports, leases, sharing, runs, stops, placement and advice.
+/// The coordinator's rules. Spread over files by what they are about: jobs, their records, workers and
+/// their reports, leases, sharing, runs, stops, placement and advice.
 class cell_coordinator final : public coordinator {
 public:
     cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
@@ -44,13 +44,20 @@
     void end_step(job_work& job, step_work& step);
     void end_job(job_work& job, job_phase phase);
     void drop_ended_jobs();
+    void sort_jobs();
+    task_work* find_task(const task_name& name);
+    static task_name name_of(const task_work& task);
+
+    // coordinator_records.cpp
     void mark_dirty(job_work& job);
     void mark_widened(job_work& job, const worker_work& worker);
     void write_dirty();
     void write_progress(const job_work& job);
-    void sort_jobs();
-    task_work* find_task(const task_name& name);
-    static task_name name_of(const task_work& task);
+    static bool has_own_record(const step_spec& step);
+    static bool is_recorded_at(const task_work& task, const worker_work& worker);
+    void note_place(task_work& task, const worker_work& worker);
+    void order_when_recorded();
+    void order_recorded(const task_name& name, run_number run);
 
     // coordinator_workers.cpp
     void hold_due();
@@ -114,11 +121,6 @@
 
     // coordinator_runs.cpp
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
-    static bool has_own_record(const step_spec& step);
-    static bool is_recorded_at(const task_work& task, const worker_work& worker);
-    void note_place(task_work& task, const worker_work& worker);
-    void order_when_recorded();
-    void order_recorded(const task_name& name, run_number run);
     void order_start(task_work& task);
     void take_start_answer(const task_name& name, run_number run, const worker_id& worker,
                            const order_answer& answer);
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -35,24 +35,6 @@
     return ends.empty() ? duration::zero() : *std::ranges::max_element(ends);
 }
 
-job_progress progress_of(const job_work& job) {
-    job_progress progress;
-    progress.begun = job.begun;
-    progress.phase = job.phase;
-    progress.occurrences_ended = job.occurrences_ended;
-    if (job.phase != job_phase::open)
-        return progress;
-    for (const auto& [number, occurrence] : job.occurrences) {
-        occurrence_progress& kept = progress.occurrences[number];
-        for (const step_work& step : occurrence->steps) {
-            std::vector<task_progress>& tasks = kept.steps.emplace_back();
-            for (const task_work& task : step.tasks)
-                tasks.push_back(task.progress);
-        }
-    }
-    return progress;
-}
-
 /// Whether progress names a worker for a task of its own.
 bool names_a_worker(const job_progress& progress) {
     return std::ranges::any_of(progress.occurrences, [](const auto& occurrence) {
@@ -269,33 +251,4 @@
     }
 }
 
-void cell_coordinator::mark_dirty(job_work& job) {
-    if (std::exchange(job.dirty, true))
-        return;
-    dirty_.push_back(&job);
-}
-
-void cell_coordinator::mark_widened(job_work& job, const worker_work& worker) {
-    job.ordered_to.add(worker.listing.id);
-    if (!std::exchange(job.widened, true))
-        widened_.push_back(&job);
-}
-
-void cell_coordinator::write_dirty() {
-    for (job_work* const job : std::exchange(widened_, {})) {
-        job->widened = false;
-        with_.journal.write(
-            {record_key(record_kind::ordered_to, job->id.str()), job->ordered_to.encode(), 0});
-    }
-    for (job_work* const job : std::exchange(dirty_, {})) {
-        job->dirty = false;
-        write_progress(*job);
-    }
-}
-
-void cell_coordinator::write_progress(const job_work& job) {
-    with_.journal.write(
-        {record_key(record_kind::progress, job.id.str()), encode_progress(progress_of(job)), 0});
-}
-
 } // namespace figwinch
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -42,59 +42,6 @@
     recording_.emplace_back(name_of(task), run);
 }
 
-/// Lasting tasks must run again soon when a reign ends, and are few: a worker is recorded for each.
-/// Of others the job records all workers that it uses. Members of a gang start and go together.
-bool cell_coordinator::has_own_record(const step_spec& step) {
-    return step.lasting && !step.gang;
-}
-
-/// Whether the log has it that the task's runs may be on the worker.
-bool cell_coordinator::is_recorded_at(const task_work& task, const worker_work& worker) {
-    if (!has_own_record(*task.step->spec))
-        return task.job->recorded_to.may_have(worker.listing.id);
-    return task.recorded && task.progress.ordered_to == worker.listing.id;
-}
-
-/// Has it written that the task's runs may be on the worker.
-void cell_coordinator::note_place(task_work& task, const worker_work& worker) {
-    if (!has_own_record(*task.step->spec))
-        return mark_widened(*task.job, worker);
-    task.progress.ordered_to = worker.listing.id;
-    task.recorded = false;
-    mark_dirty(*task.job);
-}
-
-/// Orders the starts of this round that wait for the log, in one batch.
-void cell_coordinator::order_when_recorded() {
-    if (recording_.empty())
-        return;
-    write_dirty();
-    with_.journal.barrier(
-        [this, weak = std::weak_ptr(alive_), starts = std::exchange(recording_, {})] {
-            if (weak.expired() || deposed_)
-                return;
-            for (const auto& [name, run] : starts)
-                order_recorded(name, run);
-        });
-}
-
-void cell_coordinator::order_recorded(const task_name& name, run_number run) {
-    task_work* const task = find_task(name);
-    if (task == nullptr || task->where == nullptr || task->run.number != run)
-        return;
-    worker_work& worker = *task->where;
-    if (has_own_record(*task->step->spec))
-        task->recorded = true;
-    else
-        task->job->recorded_to.add(worker.listing.id);
-    if (task->run.now != task_run::phase::starting)
-        return;
-    // The log may have been silent for seconds: by now the worker may be leaving.
-    if (!usable(worker, *task->job))
-        return give_back(*task, worker, duration::zero());
-    order_start(*task);
-}
-
 void cell_coordinator::order_start(task_work& task) {
     const instant now = with_.time.now();
     worker_work& worker = *task.where;
--- /dev/null
+++ b/tests/cell/worker_loss_test.cpp
@@ -0,0 +1,123 @@
+#include "tests/cell/recovery_fixture.h"
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How soon tasks run again whose own worker is lost, and what records say of workers.
+class worker_loss_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(worker_loss_test);
+    CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_within_its_lease);
+    CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator);
+    CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
+    CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
+    CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Takes the workers out of all progress records, as a version that didn't record them wrote.
+    void forget_recorded_workers() {
+        sim_store::stream& progress = world_.store().of(cell_stream::progress);
+        for (auto& [key, kept] : progress.newest) {
+            auto job = key.front() == static_cast<char>(record_kind::progress) && kept.value
+                           ? decode_progress(*kept.value)
+                           : std::nullopt;
+            if (!job)
+                continue;
+            for (auto& [number, occurrence] : job->occurrences)
+                for (std::vector<task_progress>& tasks : occurrence.steps)
+                    for (task_progress& of : tasks)
+                        of.ordered_to = worker_id();
+            kept.value = encode_progress(*job);
+        }
+        world_.store().compact();
+    }
+
+public:
+    /// Story: a worker that grants leases of 10 s is lost for good. Its lasting tasks had no run
+    /// for 10 s, though the others had room.
+    void tasks_of_a_dark_worker_run_again_within_its_lease() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        lose("w1");
+        world_.time().run_for(longest_after_loss);
+        all_run("a", 8);
+        kept_the_rules();
+    }
+    /// Story: as before, and the coordinator's process ends a second later and starts again. The
+    /// new reign waited for a whole lease from its own begin, 11 s from the loss.
+    void tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        lose("w1");
+        world_.time().run_for(seconds(1));
+        const std::size_t first = *world_.coordinator();
+        world_.kill_host(first);
+        world_.start_host(first);
+        world_.time().run_for(longest_after_loss - seconds(1));
+        all_run("a", 8);
+        kept_the_rules();
+    }
+    /// Story: a worker is lost, and a moment later a lasting task fails on another. It was started
+    /// again on the lost one, which had the most room and wasn't known to be silent, and had no run
+    /// until that start could have no effect any more, 10 s later: among workers that look usable
+    /// nothing preferred one that had just answered.
+    void a_task_isnt_started_again_on_a_worker_that_has_just_gone() {
+        begin();
+        world_.submit(0, "a", lasting(7));
+        world_.time().run_for(seconds(3));
+        std::string least;
+        for (const auto& [name, entry] : world_.fleet().workers)
+            if (least.empty() || entry.worker->running() < worker(least).running())
+                least = name;
+        lose(least);
+        world_.time().run_for(milliseconds(1200));
+        const std::string failing = task_on(least == "w0" ? "w2" : "w0", "a", 7);
+        for (auto& [name, entry] : world_.fleet().workers)
+            if (entry.worker->has(failing))
+                entry.worker->fail_run(failing);
+        world_.time().run_for(longest_down);
+        CPPUNIT_ASSERT(world_.watch().runs(failing));
+        kept_the_rules();
+    }
+    /// Story: lasting tasks that fill have all processors that others leave, for good. One more had
+    /// no run for ever, though what fills doesn't count against a worker's processors.
+    void lasting_tasks_that_fill_dont_wait_for_processors() {
+        begin();
+        job_spec filling = lasting(5);
+        filling.steps.front().filling = true;
+        filling.steps.front().size.cpu_millis = 3500;
+        world_.submit(0, "a", filling);
+        world_.time().run_for(longest_down);
+        all_run("a", 5);
+        kept_the_rules();
+    }
+    /// Story: all hosts are replaced by a newer version while a worker is dark. The version before
+    /// didn't record workers, and none recorded was taken for none used: the dark worker's tasks
+    /// were started elsewhere while they ran there.
+    void records_without_workers_leave_every_worker_in_doubt() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        world_.fleet().workers.at("w1").cut = true;
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.kill_host(host);
+        forget_recorded_workers();
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.start_host(host);
+        world_.time().run_for(seconds(8));
+        kept_the_rules();
+        world_.time().run_for(seconds(12));
+        for (std::uint32_t index = 0; index < 8; ++index)
+            CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
+        kept_the_rules();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_loss_test);
+
+} // namespace
+} // namespace figwinch::sim
