--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -12,8 +12,8 @@
 /// A worker that hasn't reported for longer gets nothing new.
 inline constexpr duration reported_within = std::chrono::milliseconds(2200);
 
-/// The coordinator's rules. Spread over files by what they are about: jobs, their records, workers and
-/// their reports, leases, sharing, runs, stops, placement and advice.
+/// The coordinator's rules. Spread over files by what they are about: jobs, their records, workers
+/// and their reports, leases, sharing, runs, stops, placement and advice.
 class cell_coordinator final : public coordinator {
 public:
     cell_coordinator(parts with, const cell_settings& settings, lease_epoch epoch,
