Ignore a second SIGTERM while a process ends

Cause: the test, like an impatient operator, sends SIGTERM again; libevent restores the default disposition when the handle goes, and the signal that comes between that and the exit kills the process. Ruled out: a cut request (the answers are checked before).

Change: what the handle leaves behind is "ignored". It holds for every program that waits for signals through event_loop.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -114,6 +114,9 @@
 }
 
 std::unique_ptr<event_handle> event_loop::on_signal(int signal, std::function<void()> call) {
+    // libevent restores what was in force before when the handle goes. By default a second SIGTERM
+    // would kill a process that has finished its work and is about to end.
+    std::signal(signal, SIG_IGN);
     auto handle =
         std::make_unique<libevent_handle>(base_, signal, EV_SIGNAL | EV_PERSIST, std::move(call));
     handle->start(nullptr);
--- a/tests/net/event_loop_test.cpp
+++ b/tests/net/event_loop_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(a_posted_call_that_never_ran_is_destroyed);
     CPPUNIT_TEST(a_signal_arrives_as_a_call);
     CPPUNIT_TEST(endpoints_are_parsed_strictly);
+    CPPUNIT_TEST(a_signal_is_ignored_once_nobody_waits_for_it);
     CPPUNIT_TEST_SUITE_END();
 
     void timers_fire_in_order_of_their_delay() {
@@ -93,6 +94,17 @@
                                 "10.0.0.1:8a", "10.0.0.1:", "10.0.0:80", "10.0.0.1:-1"})
             CPPUNIT_ASSERT_MESSAGE(bad, !parse_endpoint(bad));
     }
+    /// Story: an operator asks a process to stop twice. The second SIGTERM comes when all requests
+    /// are answered and the process is about to end: it was killed by it, and its exit code said
+    /// that the stop had failed.
+    void a_signal_is_ignored_once_nobody_waits_for_it() {
+        event_loop loop;
+        loop.on_signal(SIGTERM, [] {}).reset();
+        struct sigaction now {};
+        sigaction(SIGTERM, nullptr, &now);
+        CPPUNIT_ASSERT(now.sa_handler == SIG_IGN);
+        std::signal(SIGTERM, SIG_DFL);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(event_loop_test);
