Keep room for lasting tasks that have no run

Cause: lasting_tasks_wait says no_room on every line. Lasting tasks go first in each round, but while they may not start yet, or when only small holes get free, short tasks take all of them.

Change: each lasting task without a run has room kept on one worker, where nothing else is started until it fits; chosen anew every 100 ms.

--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -90,6 +90,7 @@
         expire_leases();
         resolve_expired();
         leave_leaving_workers();
+        keep_room();
         forget_gone_workers();
         drop_ended_jobs();
         for (job_work* const job : order_)
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -151,6 +151,10 @@
     std::int64_t left_to_fill(const worker_work& worker) const;
     void leave_leaving_workers();
 
+    // coordinator_room.cpp
+    void keep_room();
+    void keep_room_for(const step_work& step);
+
     // coordinator_advice.cpp
     bool is_advised(const worker_work& worker, const task_work& task) const;
     std::string ticket_for(task_work& task, const worker_work& worker) const;
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -172,7 +172,12 @@
         size.cpu_millis = 0;
     }
     // Every dimension counts, on workers that refuse by themselves too.
-    if (!worker.strays || !fits(size, worker.listing.capacity - worker.taken - *worker.strays))
+    if (!worker.strays)
+        return false;
+    resources room = worker.listing.capacity - worker.taken - *worker.strays;
+    if (!spec.lasting)
+        room -= worker.kept;
+    if (!fits(size, room))
         return false;
     if (!spec.label.empty() && std::ranges::count(worker.listing.labels, spec.label) == 0)
         return false;
--- a/src/cell/worker_work.h
+++ b/src/cell/worker_work.h
@@ -43,6 +43,8 @@
     /// What runs here take that aren't wanted and haven't gone yet, by the last report; nothing
     /// when that isn't known.
     std::optional<resources> strays = resources{};
+    /// Room that is left to lasting tasks which have no run, here or anywhere.
+    resources kept;
     /// Processors that filling tasks here would use, thousandths.
     std::int64_t filling_cpu = 0;
     /// Processors of lasting tasks here, thousandths; part of `taken`.
--- a/tests/cell/worker_loss_test.cpp
+++ b/tests/cell/worker_loss_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
     CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
+    CPPUNIT_TEST(room_is_kept_for_lasting_tasks_that_are_down);
     CPPUNIT_TEST_SUITE_END();
 
     /// Takes the workers out of all progress records, as a version that didn't record them wrote.
@@ -115,6 +116,30 @@
             CPPUNIT_ASSERT(world_.watch().runs(task("a", index)));
         kept_the_rules();
     }
+    /// Story: a worker is lost, and while its lasting tasks wait for its lease, short ones take all
+    /// other room. Later each room that got free was as small as the short task that had ended, and
+    /// the lasting tasks had no run for as long as short ones kept coming.
+    void room_is_kept_for_lasting_tasks_that_are_down() {
+        begin();
+        job_spec large = lasting(2);
+        large.steps.front().size.cpu_millis = 3000;
+        world_.submit(0, "a", large);
+        world_.time().run_for(seconds(2));
+        for (int index = 0; index < 60; ++index) {
+            step_spec step = cell_world::make_step(10, 500);
+            step.estimate = seconds(60);
+            world_.submit(0, "b" + std::to_string(index), cell_world::make_job({step}));
+        }
+        world_.time().run_for(milliseconds(500));
+        for (const auto& [name, entry] : world_.fleet().workers)
+            if (entry.worker->has(task("a", 0))) {
+                lose(name);
+                break;
+            }
+        world_.time().run_for(longest_after_loss);
+        all_run("a", 2);
+        kept_the_rules();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_loss_test);
