--- a/src/cell/coordinator_room.cpp
+++ b/src/cell/coordinator_room.cpp
@@ -2,10 +2,10 @@
 
 namespace figwinch {
 
-/// Leaves room to lasting tasks that have no run. Many short tasks make many small holes, each of
-/// which the next short task takes: a lasting task that needs more would wait as long as they keep
-/// coming, also one that may not start yet because its worker is in doubt. Where room is kept short
-/// tasks run out, and within seconds it is there.
+/// Leaves room to lasting tasks that ran and have no run. Many short tasks make many small holes,
+/// each of which the next short task takes: a lasting task that needs more would wait as long as
+/// they keep coming, also one that may not start yet because its worker is in doubt. Where room is
+/// kept short tasks run out, and within seconds it is there.
 void cell_coordinator::keep_room() {
     for (const auto& [id, worker] : workers_)
         worker->kept = {};
@@ -22,7 +22,7 @@
 void cell_coordinator::keep_room_for(const step_work& step) {
     const resources& size = step.spec->size;
     for (const task_work& task : step.tasks) {
-        if (task.where != nullptr || task.progress.done)
+        if (task.where != nullptr || task.progress.done || task.progress.ordered_to.empty())
             continue;
         worker_work* best = nullptr;
         std::int64_t best_room = 0;
