Bound a read of the log by its silence, not by its length

Cause, one for both, from a log line at each read of a scratch copy: a read had 500 ms for its whole answer. A page of 500 jobs is up to 1 MB, which a link of 10 Mbit/s that carries two streams takes longer for, and a load began again at its first page: all 29 hosts loaded operators and progress, 8 of 29 intake. A read of what is new grows with the time since the last one: from 29.36 s on each read of the stream of workers timed out, and the next one asked for more.

Ruled out: lines of the log dropped or unreadable (the reads ended silent), the processor (0.18 of a core at most), a reign on an old copy.

Followers know up to when they are current.

--- a/include/figwinch/cell/keyed_follower.h
+++ b/include/figwinch/cell/keyed_follower.h
@@ -35,13 +35,16 @@
     /// Whether every key has been read once.
     bool is_loaded() const { return loaded_; }
     std::uint64_t next() const { return next_; }
+    /// Up to when all that was in the stream is known: the begin of the newest read that reached
+    /// its end.
+    instant current_at() const { return current_at_; }
     /// When the log last answered.
     instant answered_at() const { return answered_at_; }
     /// Whether the newest call went without an answer or was refused.
     bool is_failing() const { return failing_; }
 
 private:
-    void load(const std::string& after_key);
+    void load();
     void take_page(const newest_result& page);
     void finish_load();
     void read(duration wait);
@@ -60,11 +63,16 @@
     bool loaded_ = false;
     std::uint64_t next_ = 0;
     std::uint64_t load_end_ = 0;
+    /// The last key of the pages that have been read of a load in progress.
+    std::string loaded_to_;
     bool first_page_ = true;
     absl::flat_hash_set<std::string> keys_;
     absl::flat_hash_set<std::string> loading_keys_;
     instant next_read_{};
     instant answered_at_{};
+    instant asked_at_{};
+    instant current_at_{};
+    instant load_began_{};
     bool failing_ = false;
     /// Syncs that the next read to begin will answer, and those that the present one will.
     std::vector<std::function<void(bool)>> asked_;
--- a/include/figwinch/net/http_client.h
+++ b/include/figwinch/net/http_client.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace figwinch {
 
@@ -42,6 +43,14 @@
     std::string reason;
 };
 
+/// How long a call may take.
+struct call_bounds {
+    /// From its begin to the first byte of the answer, and between bytes from then on.
+    duration silence{};
+    /// From its begin to the whole answer.
+    duration whole{};
+};
+
 /// Calls one server over a bounded set of kept-alive connections. Each connection carries one
 /// request at a time, so that a late answer can't be taken for another request's. A connection
 /// whose call timed out is closed and never used again. The client never resends by itself.
@@ -54,9 +63,13 @@
                                                std::size_t max_connections);
     virtual ~http_client() = default;
 
-    /// Calls back exactly once, within `timeout`. Destroying the client ends open calls as
+    /// Calls back exactly once, within `bounds.whole`. Destroying the client ends open calls as
     /// `unknown` without calling back.
-    virtual void call(http_request request, duration timeout, callback done) = 0;
+    virtual void call(http_request request, const call_bounds& bounds, callback done) = 0;
+    /// The same with one bound on the whole call.
+    void call(http_request request, duration timeout, callback done) {
+        call(std::move(request), call_bounds{timeout, timeout}, std::move(done));
+    }
     virtual std::size_t open_connections() const = 0;
     /// Closes connections that have been idle for at least `age`, so that one which has silently
     /// died is not used for the next call.
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -22,12 +22,14 @@
         return read(duration::zero());
     if (time_.now() < next_read_)
         return;
-    if (!loaded_) {
+    if (loaded_)
+        return read(pace_.wait);
+    if (loaded_to_.empty()) {
         first_page_ = true;
         loading_keys_.clear();
-        return load("");
+        load_began_ = time_.now();
     }
-    read(pace_.wait);
+    load();
 }
 
 void keyed_follower::sync(std::function<void(bool)> done) {
@@ -47,9 +49,11 @@
         keys_.erase(record.key);
 }
 
-void keyed_follower::load(const std::string& after_key) {
+/// Reads the next page. A page that fails is read again by itself: a host on a slow link may never
+/// get all pages of a large stream in a row.
+void keyed_follower::load() {
     busy_ = true;
-    log_.newest(stream_, after_key,
+    log_.newest(stream_, loaded_to_,
                 [this, weak = std::weak_ptr(alive_)](const newest_result& page) {
                     if (weak.expired())
                         return;
@@ -70,8 +74,9 @@
         loading_keys_.insert(record.key);
         apply_(record);
     }
+    loaded_to_ = page.next_key;
     if (!page.next_key.empty())
-        return load(page.next_key);
+        return load();
     finish_load();
 }
 
@@ -79,7 +84,8 @@
     log_event(log_level::info, "stream_loaded",
               {{"stream", std::string(to_string(stream_))},
                {"keys", static_cast<std::int64_t>(loading_keys_.size())},
-               {"next", static_cast<std::int64_t>(load_end_)}});
+               {"next", static_cast<std::int64_t>(load_end_)},
+               {"after_ms", static_cast<std::int64_t>((time_.now() - load_began_).count() / 1000)}});
     for (const std::string& key : keys_)
         if (!loading_keys_.contains(key) && load_end_ > 0)
             apply_({key, std::nullopt, load_end_ - 1});
@@ -91,7 +97,8 @@
 
 void keyed_follower::read(duration wait) {
     busy_ = true;
-    next_read_ = time_.now() + pace_.period;
+    asked_at_ = time_.now();
+    next_read_ = asked_at_ + pace_.period;
     being_answered_ = std::exchange(asked_, {});
     log_.read(stream_, next_, wait, [this, weak = std::weak_ptr(alive_)](const read_result& read) {
         if (weak.expired())
@@ -119,10 +126,14 @@
     failing_ = false;
     for (const stored_record& record : read.records)
         take_record(record);
-    if (!read.records.empty() && next_ < read.end)
+    const bool behind = !read.records.empty() && next_ < read.end;
+    if (behind) {
+        next_read_ = time_.now();
         sync_again();
-    else
+    } else {
+        current_at_ = asked_at_;
         finish_syncs(true);
+    }
     if (!asked_.empty())
         tick();
 }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -100,6 +100,7 @@
     evhttp_connection_set_closecb(evcon_, &client_connection::on_close, this);
     bufferevent* const stream = evhttp_connection_get_bufferevent(evcon_);
     evbuffer_add_cb(bufferevent_get_output(stream), &client_connection::on_written, this);
+    evbuffer_add_cb(bufferevent_get_input(stream), &client_connection::on_received, this);
 }
 
 client_connection::~client_connection() {
@@ -116,7 +117,8 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void client_connection::start(const http_request& request, duration timeout, finished done) {
+void client_connection::start(const http_request& request, const call_bounds& bounds,
+                              finished done) {
     done_ = std::move(done);
     error_.clear();
     bytes_left_ = false;
@@ -141,14 +143,31 @@
     }
     evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(),
                  request.body.size());
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeout).count();
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(bounds.whole).count();
     const timeval evhttp_timeout{seconds + extra_timeout_seconds, 0};
     evhttp_connection_set_timeout_tv(evcon_, &evhttp_timeout);
-    timer_ = loop_.after(timeout, [this] { finish_later(failed("timeout"), false); });
+    bounds_ = bounds;
+    started_at_ = system_clock().now();
+    heard_at_ = started_at_;
+    watch_bounds();
     if (evhttp_make_request(evcon_, message, *command, target.c_str()) != 0)
         finish_later(failed("connection failed"), false);
 }
 
+/// Waits for the nearer bound; bytes that came meanwhile have moved the one on silence.
+void client_connection::watch_bounds() {
+    const instant now = system_clock().now();
+    const instant end = std::min(heard_at_ + bounds_.silence, started_at_ + bounds_.whole);
+    if (now >= end)
+        return finish_later(failed("timeout"), false);
+    timer_ = loop_.after(end - now, [this] { watch_bounds(); });
+}
+
+void client_connection::on_received(evbuffer*, const evbuffer_cb_info* change, void* self) {
+    if (change->n_added > 0)
+        static_cast<client_connection*>(self)->heard_at_ = system_clock().now();
+}
+
 void client_connection::on_written(evbuffer*, const evbuffer_cb_info* change, void* self) {
     if (change->n_deleted > 0)
         static_cast<client_connection*>(self)->bytes_left_ = true;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -24,7 +24,7 @@
     client_connection& operator=(const client_connection&) = delete;
 
     /// Sends `request`; calls `done` once.
-    void start(const http_request& request, duration timeout, finished done);
+    void start(const http_request& request, const call_bounds& bounds, finished done);
     /// Calls whenever the server closes the connection while no call is on it.
     void on_idle_close(std::function<void()> call) { idle_closed_ = std::move(call); }
 
@@ -36,10 +36,12 @@
 
 private:
     static void on_written(evbuffer*, const evbuffer_cb_info* change, void* self);
+    static void on_received(evbuffer*, const evbuffer_cb_info* change, void* self);
     static void on_response(evhttp_request* response, void* self);
     static void on_error(evhttp_request_error error, void* self);
     static void on_close(evhttp_connection*, void* self);
 
+    void watch_bounds();
     void finish(call_result result, bool reusable);
     void finish_later(call_result result, bool reusable);
     call_result judge(evhttp_request* response) const;
@@ -53,6 +55,9 @@
     // The call in progress:
     finished done_;
     std::unique_ptr<event_handle> timer_;
+    call_bounds bounds_;
+    instant started_at_;
+    instant heard_at_;
     std::string error_;
     /// A byte of the request may have left this process.
     bool bytes_left_ = false;
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -14,7 +14,7 @@
                                        std::size_t max_connections)
     : loop_(loop), server_(std::move(server)), max_connections_(max_connections) {}
 
-void pooled_http_client::call(http_request request, duration timeout, callback done) {
+void pooled_http_client::call(http_request request, const call_bounds& bounds, callback done) {
     connection_ptr connection = idle_connection();
     if (!connection)
         connection = new_connection();
@@ -26,7 +26,7 @@
         return;
     }
     const client_connection* const key = connection.get();
-    connection->start(request, timeout,
+    connection->start(request, bounds,
                       [this, key, done = std::move(done)](call_result result, bool reusable) {
                           if (!reusable)
                               drop(key);
--- a/src/net/pooled_http_client.h
+++ b/src/net/pooled_http_client.h
@@ -13,7 +13,8 @@
 public:
     pooled_http_client(event_loop& loop, endpoint server, std::size_t max_connections);
 
-    void call(http_request request, duration timeout, callback done) override;
+    using http_client::call;
+    void call(http_request request, const call_bounds& bounds, callback done) override;
     std::size_t open_connections() const override { return connections_.size(); }
     void close_idle(duration age) override;
 
--- a/tests/cell/keyed_follower_test.cpp
+++ b/tests/cell/keyed_follower_test.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace figwinch::sim {
 namespace {
 
@@ -13,12 +15,22 @@
 class keyed_follower_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(keyed_follower_test);
     CPPUNIT_TEST(a_sync_reads_to_the_end_however_many_pages_that_takes);
+    CPPUNIT_TEST(a_load_goes_on_at_the_page_that_failed);
+    CPPUNIT_TEST(the_age_of_a_copy_counts_from_the_last_whole_read);
     CPPUNIT_TEST_SUITE_END();
 
     sim_time time_;
     sim_store store_;
     sim_log log_{time_, store_, [] { return 1.0; }};
 
+    void run(keyed_follower& follower, duration span) {
+        const instant end = time_.now() + span;
+        while (time_.now() < end) {
+            follower.tick();
+            time_.run_for(milliseconds(10));
+        }
+    }
+
 public:
     /// Story: a host's copy is more than one page behind when it becomes coordinator. Its sync
     /// ended with the first page, so that it began its reign without knowing what its predecessor
@@ -39,6 +51,33 @@
         time_.run_for(milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(behind, known);
     }
+
+    /// Guards against a load that never ends where some page of each try fails.
+    void a_load_goes_on_at_the_page_that_failed() {
+        constexpr std::size_t keys = 90;
+        for (std::size_t index = 0; index < keys; ++index)
+            store_.append(cell_stream::intake, {{"k" + std::to_string(index), "v", 0}}, {});
+        log_.lost_page_of = 2;
+        std::set<std::string> known;
+        keyed_follower follower(time_.clock(), log_, cell_stream::intake, {},
+                                [&known](const stored_record& row) { known.insert(row.key); });
+        run(follower, seconds(8));
+        CPPUNIT_ASSERT(follower.is_loaded());
+        CPPUNIT_ASSERT_EQUAL(keys, known.size());
+    }
+    /// Guards against decisions on a copy that a failing read has left behind.
+    void the_age_of_a_copy_counts_from_the_last_whole_read() {
+        keyed_follower follower(time_.clock(), log_, cell_stream::workers, {},
+                                [](const stored_record&) {});
+        run(follower, seconds(2));
+        CPPUNIT_ASSERT(time_.now() - follower.current_at() < milliseconds(300));
+        log_.unreadable = cell_stream::workers;
+        run(follower, seconds(2));
+        CPPUNIT_ASSERT(time_.now() - follower.current_at() >= seconds(2));
+        log_.unreadable = std::nullopt;
+        run(follower, seconds(2));
+        CPPUNIT_ASSERT(time_.now() - follower.current_at() < milliseconds(300));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(keyed_follower_test);
--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -99,6 +99,10 @@
     way state = way::open;
     /// A stream whose appends get no answer and aren't done.
     std::optional<cell_stream> stuck;
+    /// A stream of which reads get no answer.
+    std::optional<cell_stream> unreadable;
+    /// Of so many pages of newest records one gets no answer; 0: all do.
+    int lost_page_of = 0;
     /// Share of the appends that are done and not answered.
     double lost_answers = 0;
     duration delay = std::chrono::milliseconds(4);
@@ -127,6 +131,8 @@
     void read(cell_stream stream, std::uint64_t from, duration wait,
               std::function<void(read_result)> done) override {
         read_result fault;
+        if (unreadable == stream)
+            return answer_silent(fault, done);
         if (blocked(fault, done))
             return;
         time_.after(delay, [this, alive = std::weak_ptr(alive_), stream, from,
@@ -138,6 +144,8 @@
     void newest(cell_stream stream, const std::string& after_key,
                 std::function<void(newest_result)> done) override {
         newest_result fault;
+        if (unreadable == stream || (lost_page_of > 0 && ++pages_asked_ % lost_page_of == 0))
+            return answer_silent(fault, done);
         if (blocked(fault, done))
             return;
         time_.after(delay, [this, alive = std::weak_ptr(alive_), stream, after_key,
@@ -213,6 +221,7 @@
     sim_time& time_;
     sim_store& store_;
     std::function<double()> random_;
+    int pages_asked_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/log/fake_http_client.h
+++ b/tests/log/fake_http_client.h
@@ -14,7 +14,8 @@
     call_result next;
     std::vector<http_request> requests;
 
-    void call(http_request request, duration /*timeout*/, callback done) override {
+    using http_client::call;
+    void call(http_request request, const call_bounds& /*bounds*/, callback done) override {
         requests.push_back(std::move(request));
         done(next);
     }
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(a_truncated_chunked_body_is_no_answer);
     CPPUNIT_TEST(a_body_without_a_length_is_no_answer);
     CPPUNIT_TEST(a_timed_out_call_closes_its_connection);
+    CPPUNIT_TEST(an_answer_is_waited_for_as_long_as_it_comes);
+    CPPUNIT_TEST(an_answer_that_stops_coming_is_given_up);
     CPPUNIT_TEST(calls_beyond_the_connections_are_not_sent);
     CPPUNIT_TEST(a_target_with_a_line_end_is_not_sent);
     CPPUNIT_TEST(the_client_may_be_destroyed_in_a_callback);
@@ -101,6 +103,38 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->requests());
     }
 
+    call_result call(const call_bounds& bounds) {
+        std::optional<call_result> result;
+        client_->call(ticket(), bounds, [&](call_result ended) { result = std::move(ended); });
+        run_until(loop_, [&] { return result.has_value(); });
+        return *result;
+    }
+
+    /// Guards against long answers over slow links that are cut off and asked for again for ever.
+    void an_answer_is_waited_for_as_long_as_it_comes() {
+        constexpr int parts = 8;
+        const std::string part(10, 'x');
+        serve_text("HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n", false);
+        int sent = 0;
+        const auto sending = loop_.every(std::chrono::milliseconds(30), [&] {
+            if (server_->requests() > 0 && sent++ < parts)
+                server_->send_to_all(part);
+        });
+        const call_result result = call({std::chrono::milliseconds(150), long_timeout});
+        CPPUNIT_ASSERT(result.outcome == call_outcome::answered);
+        CPPUNIT_ASSERT_EQUAL(part.size() * parts, result.response.body.size());
+    }
+
+    /// Guards against a call that is held up for its whole time by an answer that has stopped.
+    void an_answer_that_stops_coming_is_given_up() {
+        serve_text("HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\nhalf", false);
+        const instant begun = system_clock().now();
+        const call_result result = call({short_timeout, long_timeout});
+        CPPUNIT_ASSERT(result.outcome == call_outcome::unknown);
+        CPPUNIT_ASSERT_EQUAL(std::string("timeout"), result.reason);
+        CPPUNIT_ASSERT(system_clock().now() - begun < long_timeout / 2);
+    }
+
     // A weighbridge ticket is sent and the executor dies after reading it. The ticket may have been
     // issued, so the call must end as unknown. A client that reconnects and sends again by itself
     // would issue it twice.
--- a/tests/net/raw_server.cpp
+++ b/tests/net/raw_server.cpp
@@ -54,6 +54,12 @@
     react(from);
 }
 
+void raw_server::send_to_all(const std::string& text) {
+    for (const auto& one : peers_)
+        if (one->socket >= 0)
+            send(one->socket, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
 void raw_server::react(peer& from) {
     const auto end = from.received.find("\r\n\r\n");
     if (end == std::string::npos)
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -34,6 +34,8 @@
     /// Connections whose other side has closed.
     std::size_t closed_by_peer() const { return closed_by_peer_; }
     void close_all();
+    /// Sends more to everybody who is connected.
+    void send_to_all(const std::string& text);
 
 private:
     struct peer {
