Start nothing on a view of workers and operators that is too old

Cause: a coordinator whose reads of the stream of workers failed went on starting tasks on the last copy that it had, for as long as the log confirmed its reign; nothing told how old that copy was.

It is asked again when a start that waited for its record goes out. While the log doesn't answer nothing changes: then nobody's notices get through. Ages are metrics (figwinch_cell_workers_age_ms, ..._operators_age_ms), crossing the bound is one line each way (view_old, view_current).

--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -22,6 +22,10 @@
     duration gang_wait = std::chrono::seconds(3);
     /// How much longer a task takes away from its data.
     double far_factor = 2;
+    /// From a worker's notice that it leaves until nothing may be started there.
+    duration leave_notice = std::chrono::seconds(2);
+    /// From an operator's word that a data centre is taken out until nothing may be started there.
+    duration evacuation_notice = std::chrono::seconds(5);
 
     /// What holds ask for.
     duration lease() const { return std::min(max_hold, longest_lease); }
@@ -38,6 +42,9 @@
 /// a successor knows which jobs its predecessor can't have started.
 inline constexpr duration fresh_reign = std::chrono::seconds(1);
 
+/// Left of a notice for an order's way to its worker.
+inline constexpr duration order_way = std::chrono::milliseconds(700);
+
 /// Lasting tasks serve their own users and use about this part of what they ask for. Filling tasks
 /// got 0.86 of what they asked for whether 0.1 of a worker was free by that or -0.4.
 inline constexpr double lasting_use = 0.45;
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -39,7 +39,14 @@
 /// Lasting tasks go first. They have to run all the time, so that one that is down has been late
 /// for as long; in the order of their jobs' objectives, which are long past, they would wait behind
 /// every short task that can still be in time. They are few: the room that they take was theirs.
+///
+/// While the log answers, nothing is started on a view of workers and operators that is so old that
+/// notices may have run out unseen. While it doesn't, nobody's notices get through.
 void cell_coordinator::place_all() {
+    if (log_confirms() && !with_.sees_notices()) {
+        placement_due_ = true;
+        return;
+    }
     mark_unresolved();
     const std::uint64_t most = counts_.starts + most_starts_at_once;
     if (!place_jobs(true, most) || !place_jobs(false, most))
--- a/src/cell_host/cell_host_settings.cpp
+++ b/src/cell_host/cell_host_settings.cpp
@@ -17,6 +17,8 @@
 ABSL_FLAG(int, stop_ms, 900, "longest time that a stop takes on a worker, ms");
 ABSL_FLAG(int, status_s, 120, "how long the state of ended jobs is kept, s");
 ABSL_FLAG(int, gang_ms, 3000, "how long members of a gang wait for one another, ms");
+ABSL_FLAG(int, leave_ms, 2000, "from a worker's notice that it leaves to its last start, ms");
+ABSL_FLAG(int, evacuate_ms, 5000, "from taking a data centre out to the last start there, ms");
 ABSL_FLAG(double, far_factor, 2, "how much longer a task takes away from its data");
 ABSL_FLAG(bool, log_debug, false, "write debug lines too");
 
@@ -50,6 +52,8 @@
     reader.require_range("stop_ms", absl::GetFlag(FLAGS_stop_ms), 1, 60'000, "ms");
     reader.require_range("status_s", absl::GetFlag(FLAGS_status_s), 1, 86'400, "s");
     reader.require_range("gang_ms", absl::GetFlag(FLAGS_gang_ms), 1, 600'000, "ms");
+    reader.require_range("leave_ms", absl::GetFlag(FLAGS_leave_ms), 1000, 600'000, "ms");
+    reader.require_range("evacuate_ms", absl::GetFlag(FLAGS_evacuate_ms), 1000, 600'000, "ms");
     const double far = absl::GetFlag(FLAGS_far_factor);
     reader.require(far >= 1 && far <= 100, "far_factor", std::to_string(far), "1 to 100");
 }
@@ -70,6 +74,8 @@
     with.cell.stop_bound = read_ms(FLAGS_stop_ms);
     with.cell.status_kept = std::chrono::seconds(absl::GetFlag(FLAGS_status_s));
     with.cell.gang_wait = read_ms(FLAGS_gang_ms);
+    with.cell.leave_notice = read_ms(FLAGS_leave_ms);
+    with.cell.evacuation_notice = read_ms(FLAGS_evacuate_ms);
     with.cell.far_factor = absl::GetFlag(FLAGS_far_factor);
     with.level = absl::GetFlag(FLAGS_log_debug) ? log_level::debug : log_level::info;
     return with;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -92,10 +92,25 @@
     // New jobs wait while the log doesn't confirm the reign (see `fresh_reign`).
     intake_.set_pace(reign_.is_fresh() ? leading_intake : following_pace);
     pass_intake();
+    note_view();
     coordinator_->tick();
     journal_->tick();
 }
 
+bool cell_member::sees_notices() const {
+    return workers_age() < settings_.leave_notice - order_way &&
+           operators_age() < settings_.evacuation_notice - order_way;
+}
+
+void cell_member::note_view() {
+    const bool old = !sees_notices();
+    if (old == std::exchange(view_is_old_, old))
+        return;
+    log_event(old ? log_level::warn : log_level::info, old ? "view_old" : "view_current",
+              {{"workers_age_ms", static_cast<std::int64_t>(workers_age().count() / 1000)},
+               {"operators_age_ms", static_cast<std::int64_t>(operators_age().count() / 1000)}});
+}
+
 /// New jobs wait while the log doesn't confirm the reign. A coordinator that was parted from the
 /// log reads what came meanwhile before it learns that it has been followed; its successor starts
 /// those jobs without asking the workers that it can't reach.
@@ -135,7 +150,8 @@
     }
     coordinator_ = coordinator::create(
         {time_, platform_.orders(), platform_.advisor(), *journal_,
-         [this] { return reign_.confirmed_at(); }, [this] { deposed_ = true; },
+         [this] { return reign_.confirmed_at(); }, [this] { return sees_notices(); },
+         [this] { deposed_ = true; },
          [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
         settings_, prepared_, {reign_.follows_resignation(), reign_.predecessors_acted_until()},
         state_);
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -34,6 +34,10 @@
     bool is_loaded() const { return config_ && intake_.is_loaded(); }
     /// Whether the log has answered this host lately.
     bool log_answers() const;
+    /// How long ago the newest moment is up to which all notices of workers, or of operators, are
+    /// known. Workers are followed by the coordinator alone.
+    duration workers_age() const { return time_.now() - workers_.current_at(); }
+    duration operators_age() const { return time_.now() - operators_.current_at(); }
     /// Reads the intake stream to its present end; tells whether it could.
     void sync_intake(const std::function<void(bool)>& done);
 
@@ -45,6 +49,8 @@
     void take_operators(const stored_record& record);
     void take_worker(const stored_record& record);
     void pass_listing();
+    bool sees_notices() const;
+    void note_view();
     void pass_intake();
     void forget_job(const job_id& id, const std::function<void()>& done);
 
@@ -67,6 +73,8 @@
     /// The reign that `journal_` is for; a reign is prepared once.
     lease_epoch prepared_;
     bool deposed_ = false;
+    /// Told in the log: the view of workers or operators is too old to start anything.
+    bool view_is_old_ = false;
     /// Jobs that came in and that the coordinator hasn't been told of.
     std::vector<job_id> held_back_;
 };
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -3,6 +3,8 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
+#include <algorithm>
+
 namespace figwinch {
 namespace {
 
@@ -24,6 +26,10 @@
     registry_.gauge(name, help).Set(static_cast<double>(value));
 }
 
+void cell_metrics::set_ms(const std::string& name, duration span, const std::string& help) {
+    set(name, static_cast<std::uint64_t>(std::max(span, duration::zero()).count() / 1000), help);
+}
+
 std::string cell_metrics::expose(const cell_member& member, const job_front_counts& front,
                                  const cell_platform& platform) {
     set("figwinch_cell_jobs_accepted", front.accepted, "jobs accepted here since the start");
@@ -39,6 +45,11 @@
         "records of the log that were passed over");
     set("figwinch_cell_jobs_known", member.state().jobs().size(), "jobs that the log keeps");
     set("figwinch_cell_log_lines_lost", log_lines_lost(), "log lines that no reader took in time");
+    const bool coordinates = member.coordinating() != nullptr;
+    set_ms("figwinch_cell_workers_age_ms", coordinates ? member.workers_age() : duration::zero(),
+           "age of what the coordinator knows of workers' notices");
+    set_ms("figwinch_cell_operators_age_ms", member.operators_age(),
+           "age of what this host knows of operators' changes");
     set_coordinator(member.coordinating() == nullptr ? coordinator_counts{}
                                                      : member.coordinating()->counts());
     return registry_.expose();
--- a/src/cell_host/cell_metrics.h
+++ b/src/cell_host/cell_metrics.h
@@ -28,6 +28,7 @@
 
 private:
     void set(const std::string& name, std::uint64_t value, const std::string& help);
+    void set_ms(const std::string& name, duration span, const std::string& help);
     void set_coordinator(const coordinator_counts& counts);
 
     metrics registry_;
--- /dev/null
+++ b/tests/cell/worker_notice_test.cpp
@@ -0,0 +1,68 @@
+#include "tests/cell/recovery_fixture.h"
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What a coordinator may start on workers and data centres that have given notice.
+class worker_notice_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(worker_notice_test);
+    CPPUNIT_TEST(nothing_starts_on_a_worker_whose_notice_cant_be_read);
+    CPPUNIT_TEST(nothing_starts_in_a_data_centre_whose_evacuation_cant_be_read);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::map<std::string, instant> last_start_;
+
+    void begin_with_load() {
+        begin();
+        world_.fleet().on_start_sent = [this](const std::string& worker, const std::string&) {
+            last_start_[worker] = world_.time().now();
+        };
+        submit_later(0);
+    }
+    void submit_later(int number) {
+        const std::size_t host = world_.host(0) != nullptr ? 0 : 1;
+        world_.submit(host, "n" + std::to_string(number),
+                      cell_world::make_job({cell_world::make_step(4, 500)}));
+        world_.time().after(milliseconds(100), [this, number] { submit_later(number + 1); });
+    }
+    sim_log& coordinators_log() { return world_.host(*world_.coordinator())->way_to_log(); }
+
+public:
+    /// Guards against starts on a worker that left seconds ago, by a coordinator whose copy of the
+    /// list of workers has stopped while the log confirms its reign.
+    void nothing_starts_on_a_worker_whose_notice_cant_be_read() {
+        begin_with_load();
+        coordinators_log().unreadable = cell_stream::workers;
+        world_.time().run_for(seconds(1));
+        world_.list_worker("w1", "leaving");
+        const instant notice = world_.time().now();
+        world_.time().run_for(seconds(6));
+        CPPUNIT_ASSERT(last_start_["w1"] < notice + cell_settings().leave_notice);
+        coordinators_log().unreadable = std::nullopt;
+        const instant readable = world_.time().now();
+        world_.time().run_for(seconds(3));
+        CPPUNIT_ASSERT(last_start_["w1"] < readable);
+        CPPUNIT_ASSERT(last_start_["w2"] > readable);
+        kept_the_rules();
+    }
+    /// Guards against the same for operators' notices.
+    void nothing_starts_in_a_data_centre_whose_evacuation_cant_be_read() {
+        begin_with_load();
+        coordinators_log().unreadable = cell_stream::operators;
+        world_.time().run_for(seconds(1));
+        const std::string out = world_.fleet().workers.at("w1").listing.data_centre.str();
+        world_.store().append(cell_stream::operators, {{"out/" + out, "1", 0}}, {});
+        const instant notice = world_.time().now();
+        world_.time().run_for(seconds(9));
+        CPPUNIT_ASSERT(last_start_["w1"] < notice + cell_settings().evacuation_notice);
+        kept_the_rules();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_notice_test);
+
+} // namespace
+} // namespace figwinch::sim
