Serve jobs by whether they can be in time, then by least work left

The order was: before or after the objective, the nearest objective first.

Change: within a priority, jobs that can be in time by the chain that is left go first, then those that can still be of use (three times the objective), then the others; in each class the one with least work left. Times are learned for each queue and image from tasks that ended well (duration_table: the guess, corrected, and the usual time, each by how far it was off), kept in the log for successors. A job's age counts from its acceptance, which the record now holds, not from the begin of the present reign.

Short tasks also go before first starts of lasting tasks: they give their room back in seconds, a lasting task keeps it. Lasting tasks that ran before still go first.

--- a/include/figwinch/cell/job_spec.h
+++ b/include/figwinch/cell/job_spec.h
@@ -27,6 +27,8 @@
     /// The objective: this many times the longest chain of work, and `target` more.
     double stretch = 1;
     duration target{};
+    /// When it came, by the wall clock of the host that took it; the epoch: not known.
+    wall_time accepted_at{};
 };
 
 /// Says what is wrong with the steps: `invalid_value` naming step and field, or nothing.
--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -18,7 +18,8 @@
     progress = 'p',
     ordered_to = 'o',
     worker = 'w',
-    slowdowns = 'h'
+    slowdowns = 'h',
+    durations = 'd'
 };
 
 std::string record_key(record_kind kind, std::string_view id);
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "cell/duration_table.h"
 #include "cell/job_work.h"
 #include "cell/straggler.h"
 #include "cell/worker_work.h"
 #include "figwinch/cell/coordinator.h"
+#include "figwinch/cell/record_codec.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -31,7 +33,8 @@
     void log_waiting() const;
     void log_lasting_waits();
     std::int64_t count_down(const step_work& step, const task_work*& longest) const;
-    void record_slowdowns();
+    void record_learned();
+    void record_when_changed(record_kind kind, std::string record, std::string& recorded);
 
     // coordinator_jobs.cpp
     void add_job(const job_entry& entry, bool may_run_elsewhere);
@@ -44,6 +47,7 @@
     void end_step(job_work& job, step_work& step);
     void end_job(job_work& job, job_phase phase);
     void drop_ended_jobs();
+    void look_ahead(job_work& job) const;
     void sort_jobs();
     task_work* find_task(const task_name& name);
     static task_name name_of(const task_work& task);
@@ -136,9 +140,10 @@
     void be_deposed();
 
     // coordinator_placement.cpp
+    enum class task_turn { lasting_again, short_task, lasting_first };
     void place_all();
-    bool place_jobs(bool lasting, std::uint64_t most);
-    bool place_step(job_work& job, step_work& step);
+    bool place_jobs(task_turn turn, std::uint64_t most);
+    bool place_step(job_work& job, step_work& step, task_turn turn);
     bool place_gang(job_work& job, step_work& step);
     worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
     bool is_surely_there(const worker_work& worker, const task_work& task) const;
@@ -202,8 +207,10 @@
     instant next_advice_{};
     coordinator_counts counts_;
     slowdown_model slowdowns_;
+    duration_table durations_;
     std::string recorded_slowdowns_;
-    instant next_slowdowns_{};
+    std::string recorded_durations_;
+    instant next_learned_{};
     /// Expires with this object: answers that come later are dropped.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -1,9 +1,9 @@
 #include "cell/cell_coordinator.h"
+#include "cell/job_outlook.h"
 #include "figwinch/cell/record_codec.h"
 #include "figwinch/observe.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace figwinch {
 namespace {
@@ -35,6 +35,14 @@
     return ends.empty() ? duration::zero() : *std::ranges::max_element(ends);
 }
 
+/// How long ago a job came. Wall clocks differ and may jump: never before now, and never longer ago
+/// than its state is kept.
+duration age_of(const job_spec& spec, wall_time now, duration longest) {
+    if (spec.accepted_at == wall_time{})
+        return duration::zero();
+    return std::clamp<duration>(now - spec.accepted_at, duration::zero(), longest);
+}
+
 /// Whether progress names a worker for a task of its own.
 bool names_a_worker(const job_progress& progress) {
     return std::ranges::any_of(progress.occurrences, [](const auto& occurrence) {
@@ -55,9 +63,10 @@
     job.id = entry.id;
     job.spec = entry.spec;
     job.intake_offset = entry.intake_offset;
-    job.known_at = with_.time.now();
+    job.came_at = with_.time.now() -
+                  age_of(*entry.spec, with_.time.wall_now(), settings_.status_kept);
     const duration chain = longest_chain(*entry.spec);
-    job.objective_at = job.known_at + job.spec->target +
+    job.objective_at = job.came_at + job.spec->target +
                        std::chrono::duration_cast<duration>(chain * job.spec->stretch);
     job.may_run_elsewhere = may_run_elsewhere;
     job.phase = entry.phase;
@@ -67,7 +76,7 @@
     apply_queue(job);
     jobs_.emplace(entry.id, std::move(made));
     if (job.phase != job_phase::open) {
-        job.ended_at = job.known_at;
+        job.ended_at = with_.time.now();
         return;
     }
     order_.push_back(&job);
@@ -76,6 +85,7 @@
     if (entry.cancel_wanted)
         return end_job(job, job_phase::cancelled);
     make_due_occurrences(job);
+    look_ahead(job);
     placement_due_ = true;
 }
 
@@ -160,14 +170,15 @@
         job.advice = queue->advice;
 }
 
-/// Serves the most urgent queue first. Within it a job that can still make its objective goes
-/// before one that can't, the earliest objective first: under overload an order of arrival makes
-/// everybody late.
+void cell_coordinator::look_ahead(job_work& job) const {
+    const job_outlook outlook = outlook_of(job, durations_, with_.time.now());
+    job.prospect = outlook.prospect;
+    job.work_left = outlook.work_left;
+}
+
 void cell_coordinator::sort_jobs() {
-    const instant now = with_.time.now();
-    std::ranges::sort(order_, {}, [now](const job_work* job) {
-        return std::tuple(job->priority, now > job->objective_at, job->objective_at,
-                          job->intake_offset);
+    std::ranges::sort(order_, [](const job_work* one, const job_work* other) {
+        return is_served_before(*one, *other);
     });
 }
 
@@ -224,12 +235,12 @@
             for (task_work& task : step.tasks)
                 if (task.where != nullptr)
                     request_stop(task);
-    const duration known = job.ended_at - job.known_at;
+    const duration taken = job.ended_at - job.came_at;
     log_event(log_level::info, "job_ended",
               {{"job", job.id.str()},
                {"queue", job.spec->queue.str()},
                {"phase", std::string(to_string(phase))},
-               {"after_ms", static_cast<std::int64_t>(known.count() / 1000)}});
+               {"after_ms", static_cast<std::int64_t>(taken.count() / 1000)}});
 }
 
 void cell_coordinator::drop_ended_jobs() {
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -36,9 +36,9 @@
 
 } // namespace
 
-/// Lasting tasks go first. They have to run all the time, so that one that is down has been late
-/// for as long; in the order of their jobs' objectives, which are long past, they would wait behind
-/// every short task that can still be in time. They are few: the room that they take was theirs.
+/// Lasting tasks that ran before go first. They have to run all the time, so that one that is down
+/// has been late for as long, and the room that they take was theirs. New ones go last: a short
+/// task gives its room back in seconds, a lasting one keeps it.
 ///
 /// While the log answers, nothing is started on a view of workers and operators that is so old that
 /// notices may have run out unseen. While it doesn't, nobody's notices get through.
@@ -49,13 +49,18 @@
     }
     mark_unresolved();
     const std::uint64_t most = counts_.starts + most_starts_at_once;
-    if (!place_jobs(true, most) || !place_jobs(false, most))
-        placement_due_ = true;
+    for (const task_turn turn : {task_turn::lasting_again, task_turn::short_task,
+                                 task_turn::lasting_first})
+        if (!place_jobs(turn, most)) {
+            placement_due_ = true;
+            return;
+        }
 }
 
-/// Starts tasks of steps that last, or of the others, job by job. Returns whether all that can be
-/// started is, within `most` starts in all.
-bool cell_coordinator::place_jobs(bool lasting, std::uint64_t most) {
+/// Starts tasks whose turn it is, job by job. Returns whether all that can be started is, within
+/// `most` starts in all.
+bool cell_coordinator::place_jobs(task_turn turn, std::uint64_t most) {
+    const bool lasting = turn != task_turn::short_task;
     // A copy: starting can end jobs only by later answers, but the order may be rebuilt.
     for (job_work* const job : std::vector<job_work*>(order_)) {
         for (const auto& [number, occurrence] : job->occurrences) {
@@ -65,7 +70,7 @@
                 if (step.spec->gang && may_start(step.tasks.front()))
                     place_gang(*job, step);
                 else if (!step.spec->gang)
-                    place_step(*job, step);
+                    place_step(*job, step, turn);
             }
         }
         if (counts_.starts + recording_.size() >= most)
@@ -74,15 +79,16 @@
     return true;
 }
 
-bool cell_coordinator::place_step(job_work& job, step_work& step) {
+bool cell_coordinator::place_step(job_work& job, step_work& step, task_turn turn) {
     const instant now = with_.time.now();
     // Of other steps all tasks are in the same doubt.
     const bool each = has_own_record(*step.spec);
+    const bool again = turn == task_turn::lasting_again;
     if (!each && !may_start(step.tasks.front()))
         return false;
     for (task_work& task : step.tasks) {
         if (task.progress.done || task.where != nullptr || now < task.not_before ||
-            (each && !may_start(task)))
+            (each && !may_start(task)) || (again && task.progress.ordered_to.empty()))
             continue;
         worker_work* const worker = choose(job, task, rack_id());
         if (worker == nullptr) {
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -46,7 +46,7 @@
         row.id = job->id;
         row.queue = job->spec->queue;
         row.priority = job->priority;
-        row.known_for = now - job->known_at;
+        row.known_for = now - job->came_at;
         count_tasks(*job, row);
         row.waits_for = row.waiting == 0 ? job_wait::none : wait_of(*job);
     }
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -39,6 +39,14 @@
     std::uint32_t steps_left = 0;
 };
 
+/// Whether callers can still have a job when they want it.
+enum class job_prospect {
+    in_time,
+    /// Later, and still of use.
+    late,
+    lost,
+};
+
 /// A job in the coordinator's hands.
 struct job_work {
     job_id id;
@@ -68,10 +76,13 @@
     bool forgetting = false;
     /// Where the log has it: jobs of one priority are served in the order of acceptance.
     std::uint64_t intake_offset = 0;
-    /// When this coordinator came to know the job.
-    instant known_at{};
+    /// When it was handed in; when this coordinator came to know it, if the job doesn't tell.
+    instant came_at{};
     /// When its callers want it done, by the submitter's guesses of run times.
     instant objective_at{};
+    /// As last looked at (`outlook_of`): core-seconds.
+    job_prospect prospect = job_prospect::in_time;
+    double work_left = 0;
     instant ended_at{};
     /// An earlier coordinator may have started its tasks.
     bool may_run_elsewhere = false;
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -127,6 +127,7 @@
     record.set_attempts(job.attempts);
     record.set_stretch(job.stretch);
     record.set_target_ms(in_ms(job.target));
+    record.set_accepted_ms(job.accepted_at.time_since_epoch().count());
     return record.SerializeAsString();
 }
 
@@ -147,6 +148,7 @@
     job.attempts = std::max(1U, record->attempts());
     job.stretch = record->stretch();
     job.target = milliseconds(record->target_ms());
+    job.accepted_at = wall_time(milliseconds(record->accepted_ms()));
     if (!check_job(job).ok())
         return std::nullopt;
     return job;
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -75,6 +75,7 @@
     job->attempts = queue.attempts;
     job->stretch = queue.stretch;
     job->target = queue.target;
+    job->accepted_at = with_.time.wall_now();
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::job, id.str()), encode_job(*job), 0});
     with_.writer.write(std::move(records), deadline_of(request),
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -48,6 +48,7 @@
         job.attempts = 4;
         job.stretch = 1.5;
         job.target = std::chrono::milliseconds(250);
+        job.accepted_at = wall_time(std::chrono::milliseconds(1'700'000'000'000));
         return job;
     }
 
