Build and install figwinch-cell with the other programs

Cause: two lists of programs, in neither of which figwinch-cell stood, so that `tools/run_demo cell` ended with a traceback in a fresh clone and an installed prefix lacked the program that the platform runs. Now one list serves the target, the installation and the demo; the check of the installed prefix starts the program from there.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -10,20 +10,22 @@
 install(DIRECTORY include/figwinch DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
 install(DIRECTORY src/pb/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/figwinch/pb
   FILES_MATCHING PATTERN "*.pb.h")
-foreach(program figwinch-entry figwinch-scheduler figwinchctl figwinch-load)
-  if(TARGET ${program})
-    install(TARGETS ${program} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
-  endif()
-endforeach()
+set(figwinch_programs figwinch-cell figwinch-entry figwinch-scheduler figwinchctl figwinch-load)
+set(figwinch_standins
+  figwinch-standin-platform figwinch-standin-executor figwinch-standin-worker)
 
 # `ninja programs` builds all that tools/run_demo starts.
 add_custom_target(programs)
-foreach(program figwinch-entry figwinch-scheduler figwinchctl figwinch-load
-    figwinch-standin-platform figwinch-standin-executor figwinch-standin-worker)
+foreach(program ${figwinch_programs} ${figwinch_standins})
   if(TARGET ${program})
     add_dependencies(programs ${program})
   endif()
 endforeach()
+foreach(program ${figwinch_programs})
+  if(TARGET ${program})
+    install(TARGETS ${program} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+  endif()
+endforeach()
 
 install(EXPORT figwinch-targets NAMESPACE figwinch:: DESTINATION ${figwinch_package_dir})
 configure_package_config_file(cmake/figwinch-config.cmake.in
--- a/tests/system/test_install.py
+++ b/tests/system/test_install.py
@@ -21,6 +21,7 @@
             prefix = pathlib.Path(folder) / "prefix"
             build = pathlib.Path(folder) / "build"
             run("cmake", "--install", BUILD, "--prefix", prefix)
+            self.assertIn("--cpu_share", run(prefix / "bin/figwinch-cell", "--help"))
             # The build is RelWithDebInfo; an example needs no optimizer.
             run("cmake", "-S", SOURCE / "examples/installed", "-B", build, "-G", "Ninja",
                 f"-DCMAKE_PREFIX_PATH={prefix}")
