Take out the learned run times again

The expected time of a step is the middle of what its own tasks took, or the submitter's guess, as before.

--- a/include/figwinch/cell/cell_state.h
+++ b/include/figwinch/cell/cell_state.h
@@ -24,8 +24,6 @@
     const absl::flat_hash_map<worker_id, worker_entry>& workers() const { return workers_; }
     /// What coordinators have learned of images that share workers, as recorded.
     const std::string& slowdowns() const { return slowdowns_; }
-    /// What a coordinator has learned of run times, as its record.
-    const std::string& durations() const { return durations_; }
     /// Accepted jobs of a queue of which no task has started.
     std::size_t waiting(const queue_name& queue) const;
     std::uint64_t unreadable() const { return unreadable_; }
@@ -49,7 +47,6 @@
     /// Offset of the newest record of each key, so that an older page can't undo a newer one.
     absl::flat_hash_map<std::string, std::uint64_t> newest_;
     std::string slowdowns_;
-    std::string durations_;
     std::uint64_t unreadable_ = 0;
     std::function<void(const job_entry&)> intake_changed_;
 };
--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -47,8 +47,8 @@
         /// When the newest renewal was asked for that the log has confirmed: nobody else had
         /// claimed the reign by then.
         std::function<instant()> confirmed_at;
-        /// Whether notices of workers and operators are known up to so short a time ago that a start
-        /// which is ordered now keeps them.
+        /// Whether notices of workers and operators are known up to so short a time ago that a
+        /// start which is ordered now keeps them.
         std::function<bool()> sees_notices;
         /// Called when a worker shows that a higher epoch exists.
         std::function<void()> deposed;
--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -18,8 +18,7 @@
     progress = 'p',
     ordered_to = 'o',
     worker = 'w',
-    slowdowns = 'h',
-    durations = 'd'
+    slowdowns = 'h'
 };
 
 std::string record_key(record_kind kind, std::string_view id);
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -12,7 +12,7 @@
 constexpr duration placement_period = std::chrono::milliseconds(100);
 // Leases, leaving workers and ended jobs are looked through this often.
 // What is learned changes slowly; a successor that starts from two seconds ago loses nothing.
-constexpr duration learned_period = std::chrono::seconds(2);
+constexpr duration slowdowns_period = std::chrono::seconds(2);
 // Reports are up to a second apart.
 constexpr duration stragglers_period = std::chrono::milliseconds(300);
 constexpr duration sweep_period = std::chrono::milliseconds(100);
@@ -42,7 +42,6 @@
     }
     mark_unresolved();
     slowdowns_.restore(known.slowdowns());
-    durations_.restore(known.durations());
     for (const auto& [id, entry] : known.jobs())
         add_job(entry, true);
     sort_jobs();
@@ -99,7 +98,7 @@
         for (job_work* const job : order_)
             look_ahead(*job);
         sort_jobs();
-        record_learned();
+        record_slowdowns();
         if (now >= next_stragglers_) {
             next_stragglers_ = now + stragglers_period;
             move_stragglers();
@@ -150,21 +149,16 @@
 }
 
 /// Written when something was learned, in batches that go out anyway.
-void cell_coordinator::record_learned() {
+void cell_coordinator::record_slowdowns() {
     const instant now = with_.time.now();
-    if (now < next_learned_)
+    if (now < next_slowdowns_)
         return;
-    next_learned_ = now + learned_period;
-    record_when_changed(record_kind::slowdowns, slowdowns_.encode(), recorded_slowdowns_);
-    record_when_changed(record_kind::durations, durations_.encode(), recorded_durations_);
-}
-
-void cell_coordinator::record_when_changed(record_kind kind, std::string record,
-                                           std::string& recorded) {
-    if (record == recorded)
+    next_slowdowns_ = now + slowdowns_period;
+    std::string record = slowdowns_.encode();
+    if (record == recorded_slowdowns_)
         return;
-    recorded = std::move(record);
-    with_.journal.write({record_key(kind, "table"), recorded, 0});
+    recorded_slowdowns_ = std::move(record);
+    with_.journal.write({record_key(record_kind::slowdowns, "table"), recorded_slowdowns_, 0});
 }
 
 run_number cell_coordinator::next_run() {
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "cell/duration_table.h"
 #include "cell/job_work.h"
 #include "cell/straggler.h"
 #include "cell/worker_work.h"
 #include "figwinch/cell/coordinator.h"
-#include "figwinch/cell/record_codec.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -33,8 +31,7 @@
     void log_waiting() const;
     void log_lasting_waits();
     std::int64_t count_down(const step_work& step, const task_work*& longest) const;
-    void record_learned();
-    void record_when_changed(record_kind kind, std::string record, std::string& recorded);
+    void record_slowdowns();
 
     // coordinator_jobs.cpp
     void add_job(const job_entry& entry, bool may_run_elsewhere);
@@ -207,10 +204,8 @@
     instant next_advice_{};
     coordinator_counts counts_;
     slowdown_model slowdowns_;
-    duration_table durations_;
     std::string recorded_slowdowns_;
-    std::string recorded_durations_;
-    instant next_learned_{};
+    instant next_slowdowns_{};
     /// Expires with this object: answers that come later are dropped.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -41,10 +41,6 @@
         slowdowns_ = record.value.value_or("");
         return;
     }
-    if (stream == cell_stream::progress && kind == record_kind::durations) {
-        durations_ = record.value.value_or("");
-        return;
-    }
     ++unreadable_;
 }
 
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -63,8 +63,8 @@
     job.id = entry.id;
     job.spec = entry.spec;
     job.intake_offset = entry.intake_offset;
-    job.came_at = with_.time.now() -
-                  age_of(*entry.spec, with_.time.wall_now(), settings_.status_kept);
+    job.came_at =
+        with_.time.now() - age_of(*entry.spec, with_.time.wall_now(), settings_.status_kept);
     const duration chain = longest_chain(*entry.spec);
     job.objective_at = job.came_at + job.spec->target +
                        std::chrono::duration_cast<duration>(chain * job.spec->stretch);
@@ -171,7 +171,7 @@
 }
 
 void cell_coordinator::look_ahead(job_work& job) const {
-    const job_outlook outlook = outlook_of(job, durations_, with_.time.now());
+    const job_outlook outlook = outlook_of(job, with_.time.now());
     job.prospect = outlook.prospect;
     job.work_left = outlook.work_left;
 }
--- a/src/cell/coordinator_stragglers.cpp
+++ b/src/cell/coordinator_stragglers.cpp
@@ -42,11 +42,9 @@
 }
 
 void cell_coordinator::note_whole_time(task_work& task) {
-    const duration whole_time = task.run.worked + (with_.time.now() - task.run.seen_at);
-    durations_.learn(task.job->spec->queue, *task.step->spec, whole_time);
     std::vector<duration>& times = task.step->whole_times;
     if (times.size() < most_samples)
-        times.push_back(whole_time);
+        times.push_back(task.run.worked + (with_.time.now() - task.run.seen_at));
 }
 
 /// Moves runs that stand still, or that lag so far behind others of their step that a new one
--- a/src/cell/job_outlook.cpp
+++ b/src/cell/job_outlook.cpp
@@ -11,10 +11,10 @@
 constexpr int whole = 100;
 constexpr std::size_t least_samples = 3;
 
-duration expected_time(const step_work& step, const duration_table& durations,
-                       const queue_name& queue) {
+/// The middle of what its own tasks took, or the submitter's guess.
+duration expected_time(const step_work& step) {
     if (step.whole_times.size() < least_samples)
-        return durations.expected(queue, *step.spec);
+        return step.spec->estimate;
     std::vector<duration> times = step.whole_times;
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::ranges::nth_element(times, middle);
@@ -41,13 +41,13 @@
 
 } // namespace
 
-job_outlook outlook_of(const job_work& job, const duration_table& durations, instant now) {
+job_outlook outlook_of(const job_work& job, instant now) {
     job_outlook outlook;
     duration chain{};
     for (const auto& [number, occurrence] : job.occurrences) {
         std::vector<duration> ends;
         for (const step_work& step : occurrence->steps) {
-            const duration expected = expected_time(step, durations, job.spec->queue);
+            const duration expected = expected_time(step);
             outlook.work_left += core_seconds_left(step, expected);
             duration begin{};
             for (const std::uint32_t earlier : step.spec->after)
--- a/src/cell/job_outlook.h
+++ b/src/cell/job_outlook.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "cell/duration_table.h"
 #include "cell/job_work.h"
 
 namespace figwinch {
@@ -12,7 +11,7 @@
     double work_left = 0;
 };
 
-job_outlook outlook_of(const job_work& job, const duration_table& durations, instant now);
+job_outlook outlook_of(const job_work& job, instant now);
 
 /// Whether `one` is served before `other`: by priority, then by whether they can be in time, then
 /// the one with less work left. Under overload an order of arrival makes everybody late, and the
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -81,11 +81,12 @@
 }
 
 void keyed_follower::finish_load() {
-    log_event(log_level::info, "stream_loaded",
-              {{"stream", std::string(to_string(stream_))},
-               {"keys", static_cast<std::int64_t>(loading_keys_.size())},
-               {"next", static_cast<std::int64_t>(load_end_)},
-               {"after_ms", static_cast<std::int64_t>((time_.now() - load_began_).count() / 1000)}});
+    log_event(
+        log_level::info, "stream_loaded",
+        {{"stream", std::string(to_string(stream_))},
+         {"keys", static_cast<std::int64_t>(loading_keys_.size())},
+         {"next", static_cast<std::int64_t>(load_end_)},
+         {"after_ms", static_cast<std::int64_t>((time_.now() - load_began_).count() / 1000)}});
     for (const std::string& key : keys_)
         if (!loading_keys_.contains(key) && load_end_ > 0)
             apply_({key, std::nullopt, load_end_ - 1});
--- a/tests/cell/job_outlook_test.cpp
+++ b/tests/cell/job_outlook_test.cpp
@@ -22,7 +22,6 @@
 
     static constexpr std::uint32_t tasks = 4;
     const instant begin_{seconds(1000)};
-    duration_table durations_;
 
     /// Two steps, one after the other, of four tasks of 2 s on one core; wanted within 10 s.
     job_work make_job() const {
@@ -51,14 +50,14 @@
         return job.occurrences[0]->steps[number];
     }
     job_prospect prospect_after(const job_work& job, duration waited) const {
-        return outlook_of(job, durations_, begin_ + waited).prospect;
+        return outlook_of(job, begin_ + waited).prospect;
     }
 
 public:
     void a_job_that_its_longest_chain_fits_is_in_time() {
         const job_work job = make_job();
         CPPUNIT_ASSERT(prospect_after(job, seconds(6)) == job_prospect::in_time);
-        CPPUNIT_ASSERT_DOUBLES_EQUAL(16, outlook_of(job, durations_, begin_).work_left, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(16, outlook_of(job, begin_).work_left, 1e-9);
     }
     void a_job_that_its_chain_no_longer_fits_is_late() {
         CPPUNIT_ASSERT(prospect_after(make_job(), seconds(7)) == job_prospect::late);
@@ -71,7 +70,7 @@
         job_work job = make_job();
         step_of(job, 0).left = 0;
         CPPUNIT_ASSERT(prospect_after(job, seconds(8)) == job_prospect::in_time);
-        CPPUNIT_ASSERT_DOUBLES_EQUAL(8, outlook_of(job, durations_, begin_).work_left, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(8, outlook_of(job, begin_).work_left, 1e-9);
     }
     void running_tasks_take_what_their_progress_leaves() {
         job_work job = make_job();
