Start nothing that fills beside a task that is over its target

Cause: placement asked for the usual load of the serving images only. A new filling task works at full speed until the next report, and where tasks are short one follows the other faster than reports come.

Change: a worker admits filling work only while none of its serving tasks was over target in the last report and no neighbour stands still for one. The test in pace_test fails without it.

--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -49,8 +49,8 @@
     }
     mark_unresolved();
     const std::uint64_t most = counts_.starts + most_starts_at_once;
-    for (const task_turn turn : {task_turn::lasting_again, task_turn::short_task,
-                                 task_turn::lasting_first})
+    for (const task_turn turn :
+         {task_turn::lasting_again, task_turn::short_task, task_turn::lasting_first})
         if (!place_jobs(turn, most)) {
             placement_due_ = true;
             return;
@@ -247,6 +247,8 @@
         return true;
     if (left_to_fill(worker) < task.step->spec->size.cpu_millis)
         return false;
+    if (!worker.sharing.admits_filling(with_.time.now()))
+        return false;
     const double more = share(task.step->spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
     return std::ranges::all_of(worker.serving, [&](const auto& group) {
         const image_number served = group.first;
--- a/src/cell/sharing_control.h
+++ b/src/cell/sharing_control.h
@@ -43,6 +43,13 @@
     void decide(const slowdown_model& model, const std::vector<serving_view>& serving,
                 std::vector<filling_view>& filling, instant now);
 
+    /// Whether one more filling task may start beside the serving tasks: none of them was over its
+    /// target in the last report, and no neighbour stands still for one. A new task works at full
+    /// speed until its first report.
+    bool admits_filling(instant now) const {
+        return !is_over_ && now >= suspects_stopped_until_ && now >= all_stopped_until_;
+    }
+
 private:
     duration time_over(const std::vector<serving_view>& serving, instant now);
 
--- a/tests/cell/pace_test.cpp
+++ b/tests/cell/pace_test.cpp
@@ -50,6 +50,17 @@
         world_.time().run_for(seconds(30));
     }
 
+    /// Hands in another job that fills.
+    void submit_filling(const std::string& job, const std::string& image) {
+        step_spec filling = cell_world::make_step(1, 400);
+        filling.filling = true;
+        filling.image = image;
+        filling.estimate = seconds(120);
+        world_.submit(0, job, cell_world::make_job({filling}));
+    }
+    void run_for(duration span) { world_.time().run_for(span); }
+    bool begun(const std::string& task) { return world_.watch().begun(task); }
+
     sim_worker& worker() { return *world_.fleet().workers.at("w0").worker; }
     sim_fleet& fleet() { return world_.fleet(); }
     int pace() { return worker().pace_of("f.0.0.0").value_or(-1); }
@@ -105,6 +116,7 @@
     CPPUNIT_TEST(orders_lost_and_late_harm_no_task);
     CPPUNIT_TEST(a_lost_answer_leaves_no_task_standing_still);
     CPPUNIT_TEST(a_pace_is_ordered_again_in_doubt_only);
+    CPPUNIT_TEST(nothing_that_fills_starts_beside_a_task_over_its_target);
     CPPUNIT_TEST_SUITE_END();
 
     /// Plays a story with many seeds: none may come to harm.
@@ -184,6 +196,21 @@
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seeds with a task that stands", std::string(), still);
     }
+    /// Guards against harm that goes on for as long as filling tasks follow each other: a new one
+    /// works at full speed until the next report.
+    void nothing_that_fills_starts_beside_a_task_over_its_target() {
+        constexpr double harmless = 0.05;
+        constexpr double over_target = 0.9;
+        shared_cell cell(1, harmless);
+        cell.worker().serving_load = over_target;
+        cell.run_for(seconds(2));
+        cell.submit_filling("g", "filling");
+        cell.run_for(seconds(3));
+        CPPUNIT_ASSERT(!cell.begun("g.0.0.0"));
+        cell.worker().serving_load = low_load;
+        cell.run_for(seconds(4));
+        CPPUNIT_ASSERT(cell.begun("g.0.0.0"));
+    }
     /// Each order is a call to a worker: without a lost answer none is the same as the one before,
     /// and a lost one is made up for once no late order can come any more.
     void a_pace_is_ordered_again_in_doubt_only() {
--- a/tests/cell/sharing_harm_test.cpp
+++ b/tests/cell/sharing_harm_test.cpp
@@ -24,7 +24,16 @@
 /// that sees reports and orders paces.
 class shared_worker {
 public:
-    explicit shared_worker(std::uint64_t seed) : random_(seed) {
+    struct load {
+        int neighbours;
+        double shortest_s;
+        double longest_s;
+        /// New filling tasks wait until the control admits them.
+        bool admitted_only;
+    };
+
+    /// Another filling task follows each.
+    shared_worker(std::uint64_t seed, const load& with) : random_(seed), load_(with) {
         for (int index = 0; index < images; ++index) {
             serving_.push_back(model_.number("serving" + std::to_string(index)));
             filling_.push_back(model_.number("filling" + std::to_string(index)));
@@ -35,7 +44,7 @@
         const image_number image = random_() % images;
         for (int index = 0; index < count; ++index)
             tasks_.push_back({image, sim_serving(draw(0, 1))});
-        for (int index = 0; index < 3; ++index)
+        for (int index = 0; index < load_.neighbours; ++index)
             beside_.push_back(new_neighbour());
     }
 
@@ -66,14 +75,20 @@
         double harmed_s = 0;
     };
 
+    static instant at(double s) {
+        return instant{std::chrono::milliseconds(10'000 + static_cast<int>(s * 1000))};
+    }
     double draw(double low, double high) {
         return std::uniform_real_distribution<double>(low, high)(random_);
     }
-    neighbour new_neighbour() { return {random_() % images, draw(0.05, 0.2), draw(2, 20)}; }
+    neighbour new_neighbour() {
+        return {random_() % images, draw(0.05, 0.2), draw(load_.shortest_s, load_.longest_s)};
+    }
     double slowdown(const served& task) const {
         double sum = 0;
         for (const neighbour& other : beside_)
-            sum += truth_[task.image][other.image] * other.share * other.pace / 100;
+            if (other.left_s > 0)
+                sum += truth_[task.image][other.image] * other.share * other.pace / 100;
         return sum;
     }
     void advance(double s) {
@@ -81,7 +96,7 @@
             if (s >= other.next_pace_at_s)
                 other.pace = other.next_pace;
             other.left_s -= step_s * other.pace / 100;
-            if (other.left_s <= 0)
+            if (other.left_s <= 0 && (!load_.admitted_only || control_.admits_filling(at(s))))
                 other = new_neighbour();
         }
         for (served& task : tasks_) {
@@ -93,10 +108,11 @@
     }
     void report(double s) {
         next_report_s_ = s + report_period_s;
-        const instant now{std::chrono::milliseconds(10'000 + static_cast<int>(s * 1000))};
+        const instant now = at(s);
         std::vector<image_share> used;
         for (const neighbour& other : beside_)
-            used.push_back({filling_[other.image], other.share * other.pace / 100});
+            if (other.left_s > 0)
+                used.push_back({filling_[other.image], other.share * other.pace / 100});
         std::normal_distribution<double> rough(0, roughness);
         std::vector<serving_view> serving;
         for (served& task : tasks_) {
@@ -105,16 +121,22 @@
             serving.push_back({serving_[task.image], tail, &task.queue.estimate, &task.queue.tail});
         }
         std::vector<filling_view> filling;
-        for (const neighbour& other : beside_)
+        std::vector<neighbour*> working;
+        for (neighbour& other : beside_) {
+            if (other.left_s <= 0)
+                continue;
+            working.push_back(&other);
             filling.push_back({filling_[other.image], other.share});
+        }
         control_.decide(model_, serving, filling, now);
         for (std::size_t index = 0; index < filling.size(); ++index) {
-            beside_[index].next_pace = filling[index].percent;
-            beside_[index].next_pace_at_s = s + pace_delay_s;
+            working[index]->next_pace = filling[index].percent;
+            working[index]->next_pace_at_s = s + pace_delay_s;
         }
     }
 
     std::mt19937_64 random_;
+    load load_;
     double longest_harm_s_ = 0;
     double next_report_s_ = 0;
     double truth_[images][images] = {};
@@ -130,24 +152,31 @@
 class sharing_harm_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(sharing_harm_test);
     CPPUNIT_TEST(no_task_stays_over_its_target_for_seconds);
+    CPPUNIT_TEST(short_tasks_that_follow_each_other_harm_none);
     CPPUNIT_TEST_SUITE_END();
 
-public:
-    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on
-    /// some days and not on a replay. Tails are steered to the target, and reports are off by an
-    /// eighth: one report that seemed under it began the count anew after which neighbours stand
-    /// still. With exact reports none of 20,000 such workers breaks the promise, with rough ones 27
-    /// did.
-    void no_task_stays_over_its_target_for_seconds() {
+    static void play(const shared_worker::load& with) {
+        constexpr std::uint64_t seeds = 2000;
         std::vector<std::uint64_t> broken;
-        for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
-            shared_worker worker(seed);
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            shared_worker worker(seed, with);
             if (worker.longest_harm_s(played_s) >= longest_allowed_s)
                 broken.push_back(seed);
         }
         const std::string first = broken.empty() ? "" : std::to_string(broken.front());
         CPPUNIT_ASSERT_EQUAL_MESSAGE("first seed " + first, std::size_t{0}, broken.size());
     }
+
+public:
+    /// Story: a serving task stayed over its target for 4 s on end by what filled beside it, on
+    /// some days and not on a replay. Tails are steered to the target, and reports are off by an
+    /// eighth: one report that seemed under it began the count anew after which neighbours stand
+    /// still. With exact reports none of 20,000 such workers breaks the promise, with rough ones 27
+    /// did.
+    void no_task_stays_over_its_target_for_seconds() { play({3, 2, 20, false}); }
+    /// Guards against new filling tasks, which work at full speed until the next report, that are
+    /// started beside a serving task which is over its target.
+    void short_tasks_that_follow_each_other_harm_none() { play({5, 0.8, 4, true}); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(sharing_harm_test);
