Count a loaded stream as current from the begin of its load

Seen in an incident's log: a host that started again and took over at once started nothing for 0.7 s (view_old with an age of 5,734 s at 42.35 s, view_current at 43.08 s).

Cause: a stream counted as current only from its first whole read, and the first read of operators' changes waits for 0.8 s. A load that has ended has all that was there when it began.

The test in keyed_follower_test failed before.

--- a/include/figwinch/cell/keyed_follower.h
+++ b/include/figwinch/cell/keyed_follower.h
@@ -35,8 +35,8 @@
     /// Whether every key has been read once.
     bool is_loaded() const { return loaded_; }
     std::uint64_t next() const { return next_; }
-    /// Up to when all that was in the stream is known: the begin of the newest read that reached
-    /// its end.
+    /// Up to when all that was in the stream is known: the begin of the newest load, or of
+    /// the newest read that reached its end.
     instant current_at() const { return current_at_; }
     /// When the log last answered.
     instant answered_at() const { return answered_at_; }
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "figwinch/observe.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figwinch {
@@ -93,6 +94,7 @@
     keys_ = std::exchange(loading_keys_, {});
     next_ = load_end_;
     loaded_ = true;
+    current_at_ = std::max(current_at_, load_began_);
     tick();
 }
 
--- a/tests/cell/keyed_follower_test.cpp
+++ b/tests/cell/keyed_follower_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(keyed_follower_test);
     CPPUNIT_TEST(a_sync_reads_to_the_end_however_many_pages_that_takes);
     CPPUNIT_TEST(a_load_goes_on_at_the_page_that_failed);
+    CPPUNIT_TEST(a_load_tells_up_to_when_a_copy_is_current);
     CPPUNIT_TEST(the_age_of_a_copy_counts_from_the_last_whole_read);
     CPPUNIT_TEST_SUITE_END();
 
@@ -65,6 +66,14 @@
         CPPUNIT_ASSERT(follower.is_loaded());
         CPPUNIT_ASSERT_EQUAL(keys, known.size());
     }
+    /// Guards against a new coordinator that starts nothing until its first long read has ended.
+    void a_load_tells_up_to_when_a_copy_is_current() {
+        const follow_pace long_reads{seconds(5), milliseconds(10)};
+        keyed_follower follower(time_.clock(), log_, cell_stream::operators, long_reads,
+                                [](const stored_record&) {});
+        run(follower, milliseconds(100));
+        CPPUNIT_ASSERT(time_.now() - follower.current_at() <= milliseconds(100));
+    }
     /// Guards against decisions on a copy that a failing read has left behind.
     void the_age_of_a_copy_counts_from_the_last_whole_read() {
         keyed_follower follower(time_.clock(), log_, cell_stream::workers, {},
