Read new jobs once a second on hosts that follow

A caller who asks for a job that the host doesn't know has it read at once, and counts of waiting jobs may be 2 s old. Whether the log answers is judged by the newest answer of either stream.

--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -19,8 +19,11 @@
 // The coordinator takes up jobs as they come.
 constexpr follow_pace leading_intake{std::chrono::milliseconds(1000),
                                      std::chrono::milliseconds(20)};
-// Others need them to answer callers.
-constexpr follow_pace following_pace{duration::zero(), std::chrono::milliseconds(250)};
+// Others read them at once when a caller asks for a job that they don't know. What is left are
+// counts of jobs that wait, which may be 2 s old.
+constexpr follow_pace following_intake{duration::zero(), std::chrono::milliseconds(1000)};
+// How far jobs are, for callers who ask.
+constexpr follow_pace following_progress{duration::zero(), std::chrono::milliseconds(250)};
 // A host that the log hasn't answered for so long can't accept jobs.
 constexpr duration log_silence = std::chrono::milliseconds(1700);
 constexpr duration forget_patience = std::chrono::seconds(30);
@@ -40,10 +43,10 @@
                  [this](const stored_record& record) { take_operators(record); }),
       workers_(time, platform.log(), cell_stream::workers, workers_pace,
                [this](const stored_record& record) { take_worker(record); }),
-      intake_(time, platform.log(), cell_stream::intake, following_pace,
+      intake_(time, platform.log(), cell_stream::intake, following_intake,
               [this](const stored_record& record) { state_.apply(cell_stream::intake, record); }),
       progress_(
-          time, platform.log(), cell_stream::progress, following_pace,
+          time, platform.log(), cell_stream::progress, following_progress,
           [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
       writer_(time, platform.log(),
               [this](const stored_record& record) {
@@ -90,7 +93,7 @@
         return;
     pass_listing();
     // New jobs wait while the log doesn't confirm the reign (see `fresh_reign`).
-    intake_.set_pace(reign_.is_fresh() ? leading_intake : following_pace);
+    intake_.set_pace(reign_.is_fresh() ? leading_intake : following_intake);
     pass_intake();
     note_view();
     coordinator_->tick();
@@ -169,7 +172,7 @@
     coordinator_.reset();
     held_back_.clear();
     journal_.reset();
-    intake_.set_pace(following_pace);
+    intake_.set_pace(following_intake);
 }
 
 void cell_member::take_operators(const stored_record& record) {
@@ -224,7 +227,9 @@
 }
 
 bool cell_member::log_answers() const {
-    return !intake_.is_failing() && time_.now() - intake_.answered_at() < log_silence;
+    const keyed_follower& newest =
+        progress_.answered_at() > intake_.answered_at() ? progress_ : intake_;
+    return !newest.is_failing() && time_.now() - newest.answered_at() < log_silence;
 }
 
 void cell_member::sync_intake(const std::function<void(bool)>& done) {
