--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -111,7 +111,6 @@
     void note_whole_time(task_work& task);
     void move_stragglers();
     void move_stragglers_of(step_work& step);
-    bool is_starved(const task_work& task) const;
     void move_straggler(task_work& task, bool still);
 
     // coordinator_view.cpp
--- a/src/cell/coordinator_stops.cpp
+++ b/src/cell/coordinator_stops.cpp
@@ -123,8 +123,6 @@
         return;
     if (run.pace_doubted_until && run.pace_sent_at >= *run.pace_doubted_until)
         run.pace_doubted_until.reset();
-    if (run.pace_set != percent)
-        run.pace_set_at = with_.time.now();
     run.pace_set = percent;
 }
 
--- a/src/cell/coordinator_stragglers.cpp
+++ b/src/cell/coordinator_stragglers.cpp
@@ -13,10 +13,6 @@
 constexpr std::size_t most_resting_share = 4;
 // A task that lags wherever it runs is left alone after so many moves.
 constexpr std::uint32_t most_moves = 3;
-// The swing of a serving task's load has passed its height by then; a target that is missed for
-// other reasons keeps neighbours at rest as long as it is.
-constexpr duration longest_starved = std::chrono::milliseconds(3500);
-constexpr int little_done = 20;
 constexpr std::size_t most_samples = 64;
 constexpr int full_pace = 100;
 // A run taken over from another coordinator has a pace that nobody tells, and so has one whose
@@ -69,20 +65,12 @@
             task.moves >= most_moves)
             continue;
         const run_progress run = progress_of(task);
-        const bool still = stands_still(run) || is_starved(task);
+        const bool still = stands_still(run);
         if (still || (usual && is_straggler(run, *usual, step.spec->checkpoints)))
             move_straggler(task, still);
     }
 }
 
-/// A filling task that its neighbours' targets leave no processor for seconds is better off on
-/// another worker, if it takes its progress along.
-bool cell_coordinator::is_starved(const task_work& task) const {
-    const task_run& run = task.run;
-    const bool cheap = task.step->spec->checkpoints || run.percent < little_done;
-    return run.pace_set == 0 && cheap && with_.time.now() - run.pace_set_at > longest_starved;
-}
-
 void cell_coordinator::move_straggler(task_work& task, bool still) {
     worker_work& worker = *task.where;
     const instant now = with_.time.now();
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -47,7 +47,6 @@
     static constexpr int pace_unknown = -1;
     /// What it works at, per cent, or `pace_unknown`.
     int pace_set = 100;
-    instant pace_set_at{};
     instant pace_sent_at{};
     bool pace_in_flight = false;
     /// Until when an order to pace that got no answer may still be carried out; nothing when there
