Say in one place whether notices are seen, and name both lines of it

The rule stood twice, in placement and where recorded starts go out. The two log lines are written out, since the page for operators is checked against the names in the sources (test_operations_page was red).

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -95,6 +95,7 @@
     void log_resolved() const;
     bool is_settled(instant& since) const;
     bool log_confirms() const;
+    bool sees_notices() const;
     bool may_start(const task_work& task) const;
 
     // coordinator_stops.cpp
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -39,6 +39,12 @@
     return with_.time.now() - with_.confirmed_at() < fresh_reign;
 }
 
+/// Whether a start may go by what is known of workers and operators. While the log answers, that
+/// may not be so old that notices have run out unseen. While it doesn't, no notice gets through.
+bool cell_coordinator::sees_notices() const {
+    return !log_confirms() || with_.sees_notices();
+}
+
 /// Its lease is over by any clock: nothing runs there but what a start that no report has shown may
 /// have brought about, under a lease of its own.
 void cell_coordinator::end_lease(worker_work& worker) {
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -39,11 +39,8 @@
 /// Lasting tasks that ran before go first. They have to run all the time, so that one that is down
 /// has been late for as long, and the room that they take was theirs. New ones go last: a short
 /// task gives its room back in seconds, a lasting one keeps it.
-///
-/// While the log answers, nothing is started on a view of workers and operators that is so old that
-/// notices may have run out unseen. While it doesn't, nobody's notices get through.
 void cell_coordinator::place_all() {
-    if (log_confirms() && !with_.sees_notices()) {
+    if (!sees_notices()) {
         placement_due_ = true;
         return;
     }
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -103,8 +103,7 @@
     if (task->run.now != task_run::phase::starting)
         return;
     // The log may have been silent for seconds: by now the worker may be leaving.
-    const bool sees_notices = with_.sees_notices() || !log_confirms();
-    if (!sees_notices || !usable(worker, *task->job))
+    if (!sees_notices() || !usable(worker, *task->job))
         return give_back(*task, worker, duration::zero());
     order_start(*task);
 }
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -109,9 +109,14 @@
     const bool old = !sees_notices();
     if (old == std::exchange(view_is_old_, old))
         return;
-    log_event(old ? log_level::warn : log_level::info, old ? "view_old" : "view_current",
-              {{"workers_age_ms", static_cast<std::int64_t>(workers_age().count() / 1000)},
-               {"operators_age_ms", static_cast<std::int64_t>(operators_age().count() / 1000)}});
+    const std::int64_t workers_ms = workers_age() / std::chrono::milliseconds(1);
+    const std::int64_t operators_ms = operators_age() / std::chrono::milliseconds(1);
+    if (old)
+        log_event(log_level::warn, "view_old",
+                  {{"workers_age_ms", workers_ms}, {"operators_age_ms", operators_ms}});
+    else
+        log_event(log_level::info, "view_current",
+                  {{"workers_age_ms", workers_ms}, {"operators_age_ms", operators_ms}});
 }
 
 /// New jobs wait while the log doesn't confirm the reign. A coordinator that was parted from the
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <cstdlib>
 #include <iostream>
 
@@ -67,7 +68,8 @@
     /// Guards against leases so long that a task which was recorded on a lost worker is down for
     /// more than its bound.
     void lasting_tasks_that_were_recorded_without_an_order_run_in_time() {
-        for (const std::uint64_t seed : {7'001'533, 7'001'942, 12'001'586})
+        constexpr std::array<std::uint64_t, 3> noted = {7'001'533, 7'001'942, 12'001'586};
+        for (const std::uint64_t seed : noted)
             CPPUNIT_ASSERT_EQUAL(std::string(), play_history(seed, 6).fault);
     }
 };
