--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -16,8 +16,7 @@
 constexpr double other_image_penalty = 1;
 constexpr double same_image_bonus = 1;
 // Filling work goes where the worst served neighbour is expected to stay within its target at this
-// much (a logarithm) above its mean load: half the way up its swing. Tried: 0 and 0.4 get less
-// done, 0.1 to 0.2 on mean worth of ten days.
+// much (a logarithm) above its mean load: half the way up its swing.
 constexpr double usual_aim = 0.95;
 constexpr double usual_load_margin = 0.25;
 // One point of expected slowdown of a neighbour weighs as much as this share of a worker less to
--- a/src/cell/sharing_control.cpp
+++ b/src/cell/sharing_control.cpp
@@ -16,9 +16,7 @@
 constexpr double tail_memory_s = 0.6;
 // What is left of it: a tail that seems this little (a logarithm) under its target may be over.
 constexpr double doubtful_log_ratio = -0.03;
-// The share of the target that tails are steered to. Lower aims keep filling work waiting for
-// more than the serving tasks gain: 0.95, and 0.08 for the growth until the next report, cost 0.03
-// to 0.1 of mean worth over ten days.
+// The share of the target that tails are steered to.
 constexpr double aim = 1.0;
 // Beside a serving task that stays over its target, whose slowdown is at least this stands still.
 constexpr double suspicious_slowdown = 0.3;
