--- a/tests/cell/pace_test.cpp
+++ b/tests/cell/pace_test.cpp
@@ -41,20 +41,16 @@
         serving.tail_target = milliseconds(100);
         world_.submit(0, "s", cell_world::make_job({serving}));
         world_.time().run_for(seconds(2));
-        step_spec filling = cell_world::make_step(1, 800);
-        filling.filling = true;
-        filling.image = "filling";
-        filling.estimate = seconds(120);
-        world_.submit(0, "f", cell_world::make_job({filling}));
+        submit_filling("f", 800);
         // A fifth of its work and more: it isn't moved for a wait of some seconds.
         world_.time().run_for(seconds(30));
     }
 
-    /// Hands in another job that fills.
-    void submit_filling(const std::string& job, const std::string& image) {
-        step_spec filling = cell_world::make_step(1, 400);
+    /// Hands in a job that fills, by one task.
+    void submit_filling(const std::string& job, int cpu_millis) {
+        step_spec filling = cell_world::make_step(1, cpu_millis);
         filling.filling = true;
-        filling.image = image;
+        filling.image = "filling";
         filling.estimate = seconds(120);
         world_.submit(0, job, cell_world::make_job({filling}));
     }
@@ -204,7 +200,7 @@
         shared_cell cell(1, harmless);
         cell.worker().serving_load = over_target;
         cell.run_for(seconds(2));
-        cell.submit_filling("g", "filling");
+        cell.submit_filling("g", 400);
         cell.run_for(seconds(3));
         CPPUNIT_ASSERT(!cell.begun("g.0.0.0"));
         cell.worker().serving_load = low_load;
