Show waits that a slow load or link makes longer than their callers'

The class of the incident, on the code as it is: a bound on the whole of a call whose length grows with the cell, and waits on behalf of callers that don't know the caller's deadline.

--- /dev/null
+++ b/tests/net/slow_link.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "figwinch/net/event_loop.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace figwinch {
+
+/// Passes bytes between TCP clients and one server of the test's loop at a bounded rate, like a
+/// host's narrow link. All connections share each direction.
+class slow_link {
+public:
+    /// `bytes_per_s` in each direction.
+    slow_link(event_loop& loop, std::uint16_t server_port, std::size_t bytes_per_s);
+    ~slow_link();
+    slow_link(const slow_link&) = delete;
+    slow_link& operator=(const slow_link&) = delete;
+
+    std::uint16_t port() const { return port_; }
+
+private:
+    struct pair {
+        int client = -1;
+        int server = -1;
+    };
+
+    void accept_one();
+    void pass_on();
+    static std::size_t pass(int from, int to, std::size_t most);
+
+    event_loop& loop_;
+    std::uint16_t server_port_;
+    std::size_t bytes_a_turn_;
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::unique_ptr<event_handle> accepting_;
+    std::unique_ptr<event_handle> passing_;
+    std::vector<pair> pairs_;
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/tests/platform/store_log_test.cpp
@@ -0,0 +1,109 @@
+#include "platform/store_log.h"
+
+#include "tests/net/slow_link.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+namespace figwinch::platform {
+namespace {
+
+constexpr std::size_t kilobyte = 1000;
+// 1 Mbit/s.
+constexpr std::size_t narrow = 125 * kilobyte;
+// 10 Mbit/s.
+constexpr std::size_t usual = 1250 * kilobyte;
+
+/// The store's calls over links that are slow, not silent.
+class store_log_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(store_log_test);
+    CPPUNIT_TEST(a_large_configuration_arrives_beside_two_other_loads);
+    CPPUNIT_TEST(a_whole_page_arrives_over_a_narrow_link);
+    CPPUNIT_TEST(an_append_of_many_records_gets_its_answer_over_a_narrow_link);
+    CPPUNIT_TEST_SUITE_END();
+
+    event_loop loop_;
+    std::unique_ptr<http_server> store_;
+    std::unique_ptr<slow_link> link_;
+    std::unique_ptr<store_log> log_;
+    std::size_t value_bytes_ = 0;
+
+    void start(std::size_t value_bytes, std::size_t bytes_per_s) {
+        value_bytes_ = value_bytes;
+        http_server_limits limits;
+        limits.max_body_bytes = 2000 * kilobyte;
+        auto listening = http_server::listen(
+            loop_, "127.0.0.1", 0, limits,
+            [this](const http_request& request, const std::shared_ptr<http_responder>& to) {
+                to->respond(request.method == http_method::get ? page() : stored());
+            });
+        CPPUNIT_ASSERT(listening.ok());
+        store_ = std::move(*listening);
+        link_ = std::make_unique<slow_link>(loop_, store_->port(), bytes_per_s);
+        log_ = std::make_unique<store_log>(loop_, endpoint{"127.0.0.1", link_->port()});
+    }
+    http_response page() const {
+        http_response answer;
+        const std::string value = absl::Base64Escape(std::string(value_bytes_, 'v'));
+        answer.body = absl::StrCat(R"({"items":[{"key":"k","value":")", value,
+                                   R"(","offset":3}],"hasMore":false,"end":4})");
+        return answer;
+    }
+    static http_response stored() {
+        http_response answer;
+        answer.body = R"({"offset":0,"end":1})";
+        return answer;
+    }
+    /// Loads the streams side by side; the faults that their pages came with.
+    std::vector<log_fault> load(const std::vector<cell_stream>& streams) {
+        std::vector<log_fault> faults;
+        for (const cell_stream stream : streams) {
+            log_->newest(stream, "", [&](const newest_result& read) {
+                faults.push_back(read.fault);
+                if (faults.size() == streams.size())
+                    loop_.stop();
+            });
+        }
+        loop_.run();
+        return faults;
+    }
+    static void assert_none(const std::vector<log_fault>& faults) {
+        for (const log_fault fault : faults)
+            CPPUNIT_ASSERT(fault == log_fault::none);
+    }
+
+public:
+    /// Guards against a host that never gets its configuration after a loss of all: 400 KB beside
+    /// the pages of two other streams take over a second of a link of 10 Mbit/s.
+    void a_large_configuration_arrives_beside_two_other_loads() {
+        start(400 * kilobyte, usual);
+        assert_none(load({cell_stream::operators, cell_stream::progress, cell_stream::intake}));
+    }
+    /// Guards against a host on a narrow link that asks for the same page for ever: the largest
+    /// page, 1 MB, takes 8 s of a link of 1 Mbit/s.
+    void a_whole_page_arrives_over_a_narrow_link() {
+        start(600 * kilobyte, narrow);
+        assert_none(load({cell_stream::intake}));
+    }
+    /// Guards against an append that is given up while it is still being sent, and then sent again.
+    void an_append_of_many_records_gets_its_answer_over_a_narrow_link() {
+        start(0, narrow);
+        const std::vector<stored_record> records(40, {"k", std::string(4 * kilobyte, 'v'), 0});
+        std::optional<append_result> result;
+        log_->append(cell_stream::intake, records, {}, [&](const append_result& ended) {
+            result = ended;
+            loop_.stop();
+        });
+        loop_.run();
+        CPPUNIT_ASSERT(result->fault == log_fault::none);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_log_test);
+
+} // namespace
+} // namespace figwinch::platform
