Tell when a stream of the log stops answering and answers again

The lines of the incident's host couldn't tell a host that can't read its configuration from one that hasn't been given any: both say 'no configuration yet' for each request, and nothing says that reads fail. Now stream_unanswered names the stream, the fault and whether it had been loaded, once at the first call that fails, and stream_answers how long it took. No logic changes.

--- a/include/figwinch/cell/durable_log.h
+++ b/include/figwinch/cell/durable_log.h
@@ -52,6 +52,9 @@
     expired,
 };
 
+/// "silent" and so on, for logs.
+const char* to_string(log_fault fault);
+
 /// How an append is guarded. At most one of the two is used.
 struct append_guard {
     /// Only if the stream ends here.
--- a/include/figwinch/cell/keyed_follower.h
+++ b/include/figwinch/cell/keyed_follower.h
@@ -51,7 +51,8 @@
     void take(const read_result& read);
     void sync_again();
     void take_record(const stored_record& record);
-    void retry_later();
+    void retry_later(log_fault fault);
+    void note_answer();
     void finish_syncs(bool good);
 
     const clock& time_;
@@ -74,6 +75,8 @@
     instant current_at_{};
     instant load_began_{};
     bool failing_ = false;
+    /// Since when the log hasn't answered for this stream.
+    instant failing_since_{};
     /// Syncs that the next read to begin will answer, and those that the present one will.
     std::vector<std::function<void(bool)>> asked_;
     std::vector<std::function<void(bool)>> being_answered_;
--- a/src/cell/durable_log.cpp
+++ b/src/cell/durable_log.cpp
@@ -9,4 +9,10 @@
     return names[static_cast<std::size_t>(stream)];
 }
 
+const char* to_string(log_fault fault) {
+    static constexpr std::array names = {"none",   "unavailable",     "silent", "moved",
+                                         "fenced", "out_of_sequence", "expired"};
+    return names[static_cast<std::size_t>(fault)];
+}
+
 } // namespace figwinch
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -65,9 +65,8 @@
 
 void keyed_follower::take_page(const newest_result& page) {
     if (page.fault != log_fault::none)
-        return retry_later();
-    answered_at_ = time_.now();
-    failing_ = false;
+        return retry_later(page.fault);
+    note_answer();
     // Pages are no snapshot: what changes while they are read stands after the first page's end.
     if (std::exchange(first_page_, false))
         load_end_ = page.end;
@@ -122,11 +121,10 @@
         return sync_again();
     }
     if (read.fault != log_fault::none) {
-        retry_later();
+        retry_later(read.fault);
         return finish_syncs(false);
     }
-    answered_at_ = time_.now();
-    failing_ = false;
+    note_answer();
     for (const stored_record& record : read.records)
         take_record(record);
     const bool behind = !read.records.empty() && next_ < read.end;
@@ -160,8 +158,24 @@
     apply_(record);
 }
 
-void keyed_follower::retry_later() {
-    failing_ = true;
+void keyed_follower::note_answer() {
+    answered_at_ = time_.now();
+    if (!std::exchange(failing_, false))
+        return;
+    const std::int64_t after_ms = (answered_at_ - failing_since_) / std::chrono::milliseconds(1);
+    log_event(log_level::info, "stream_answers",
+              {{"stream", std::string(to_string(stream_))}, {"after_ms", after_ms}});
+}
+
+void keyed_follower::retry_later(log_fault fault) {
+    if (!std::exchange(failing_, true)) {
+        failing_since_ = time_.now();
+        log_event(log_level::warn, "stream_unanswered",
+                  {{"stream", std::string(to_string(stream_))},
+                   {"fault", std::string(to_string(fault))},
+                   {"loaded", loaded_},
+                   {"next", static_cast<std::int64_t>(next_)}});
+    }
     next_read_ = time_.now() + retry_period;
     if (!loaded_)
         finish_syncs(false);
