Refuse a question that waits too long for a read of the log

Callers saw no answer in time about a job, although the host that they asked was up: a question about a job that a host doesn't know waited for the read that was on its way, or for a whole load, without the caller's deadline. A cancellation that had waited so began its own deadline anew.

--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -68,6 +68,7 @@
 
 void cell_host::tick() {
     const duration next = member_.tick();
+    front_.tick();
     ticking_ = loop_.after(next, [this] { tick(); });
 }
 
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace figwinch {
 namespace {
@@ -13,6 +14,8 @@
 constexpr duration default_patience = std::chrono::seconds(3);
 // Before the caller gives up, so that the answer still reaches it.
 constexpr duration answer_margin = std::chrono::milliseconds(300);
+// A question waits for the log for this part of its caller's patience; another host may know.
+constexpr int question_part = 2;
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_gateway_timeout = 504;
@@ -48,7 +51,7 @@
     case http_method::post:
         return submit(*queue, id, request, answer);
     case http_method::get:
-        return show(id, answer);
+        return show(id, request, answer);
     case http_method::del:
         return cancel(id, request, answer);
     default:
@@ -102,42 +105,57 @@
     }
 }
 
-void job_front::find(const job_id& id, const responder& answer,
+void job_front::find(const job_id& id, const http_request& request, const responder& answer,
                      std::function<void(const job_entry&)> found) {
     const job_entry* const known = with_.state.find(id);
     if (known != nullptr && known->spec)
         return found(*known);
-    with_.sync([this, id, answer, found = std::move(found)](bool current) {
-        const job_entry* const job = with_.state.find(id);
-        if (job != nullptr && job->spec)
-            return found(*job);
-        if (!current)
-            return refuse(answer, result_code::log_unavailable, "can't tell", id.str());
-        log_event(log_level::info, "job_unknown", {{"job", id.str()}});
-        answer->respond(json_response(status_gone, "{}"));
-    });
+    const instant end = with_.time.now() + patience_of(request) / question_part;
+    const auto asked = std::make_shared<question>(question{id, answer, std::move(found), end});
+    questions_.push_back(asked);
+    with_.sync([this, asked](bool current) { settle(*asked, current ? "" : "can't tell"); });
+}
+
+void job_front::settle(question& asked, std::string_view doubt) {
+    if (std::exchange(asked.settled, true))
+        return;
+    const job_entry* const job = with_.state.find(asked.id);
+    if (job != nullptr && job->spec)
+        return asked.found(*job);
+    if (!doubt.empty())
+        return refuse(asked.answer, result_code::log_unavailable, doubt, asked.id.str());
+    log_event(log_level::info, "job_unknown", {{"job", asked.id.str()}});
+    asked.answer->respond(json_response(status_gone, "{}"));
 }
 
-void job_front::show(const job_id& id, const responder& answer) {
+void job_front::tick() {
+    const instant now = with_.time.now();
+    for (const auto& asked : questions_)
+        if (now >= asked->end)
+            settle(*asked, "can't tell in time");
+    std::erase_if(questions_, [](const auto& asked) { return asked->settled; });
+}
+
+void job_front::show(const job_id& id, const http_request& request, const responder& answer) {
     ++counts_.asked;
-    find(id, answer, [this, answer](const job_entry& job) {
+    find(id, request, answer, [this, answer](const job_entry& job) {
         answer->respond(json_response(status_ok, with_.dialect.encode_state(job)));
     });
 }
 
 void job_front::cancel(const job_id& id, const http_request& request, const responder& answer) {
-    find(id, answer, [this, id, request, answer](const job_entry& job) {
+    const instant deadline = deadline_of(request);
+    find(id, request, answer, [this, id, deadline, answer](const job_entry& job) {
         if (job.cancel_wanted || job.phase != job_phase::open)
             return answer->respond(json_response(status_ok, "{}"));
-        write_cancellation(id, request, answer);
+        write_cancellation(id, deadline, answer);
     });
 }
 
-void job_front::write_cancellation(const job_id& id, const http_request& request,
-                                   const responder& answer) {
+void job_front::write_cancellation(const job_id& id, instant deadline, const responder& answer) {
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::cancellation, id.str()), "1", 0});
-    with_.writer.write(std::move(records), deadline_of(request), [this, id, answer](auto outcome) {
+    with_.writer.write(std::move(records), deadline, [this, id, answer](auto outcome) {
         if (outcome != intake_outcome::stored)
             return refuse(answer, result_code::log_unavailable, "cancellation not stored",
                           id.str());
@@ -169,9 +187,12 @@
     answer->respond(std::move(response));
 }
 
+duration job_front::patience_of(const http_request& request) const {
+    return with_.dialect.patience(request).value_or(default_patience);
+}
+
 instant job_front::deadline_of(const http_request& request) const {
-    const duration patience = with_.dialect.patience(request).value_or(default_patience);
-    return with_.time.now() + std::max(patience - answer_margin, answer_margin);
+    return with_.time.now() + std::max(patience_of(request) - answer_margin, answer_margin);
 }
 
 } // namespace figwinch
--- a/src/cell_host/job_front.h
+++ b/src/cell_host/job_front.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <memory>
+#include <vector>
 
 namespace figwinch {
 
@@ -32,7 +33,8 @@
 
 /// Callers' way in: submits, shows and cancels jobs. Any host can answer, from its own copy of the
 /// log. A submission is accepted when the log has it; a job is called unknown only after the log
-/// was read to its end. Owned by the host's daemon.
+/// was read to its end. No request is held longer than its caller waits, whatever the log does.
+/// Driven by `tick`. Owned by the host's daemon.
 class job_front {
 public:
     /// What it works with; all outlive it. `config` may be empty: no configuration yet.
@@ -53,28 +55,44 @@
     explicit job_front(parts with) : with_(std::move(with)) {}
 
     void handle(const http_request& request, const std::shared_ptr<http_responder>& answer);
+    /// Refuses questions that have waited too long for a read of the log.
+    void tick();
     const job_front_counts& counts() const { return counts_; }
 
 private:
     using responder = std::shared_ptr<http_responder>;
 
+    /// A request about a job that this host doesn't know yet.
+    struct question {
+        job_id id;
+        responder answer;
+        std::function<void(const job_entry&)> found;
+        /// When it is refused at the latest.
+        instant end{};
+        bool settled = false;
+    };
+
     void submit(const queue_config& queue, const job_id& id, const http_request& request,
                 const responder& answer);
     void answer_submission(const job_id& id, const responder& answer, intake_outcome outcome,
                            instant begun);
-    void show(const job_id& id, const responder& answer);
+    void show(const job_id& id, const http_request& request, const responder& answer);
     void cancel(const job_id& id, const http_request& request, const responder& answer);
-    void write_cancellation(const job_id& id, const http_request& request, const responder& answer);
+    void write_cancellation(const job_id& id, instant deadline, const responder& answer);
     void show_queue(const queue_config& queue, const responder& answer);
     /// Calls `found` with the job, after reading on where it isn't known yet; answers itself when
-    /// there is none.
-    void find(const job_id& id, const responder& answer,
+    /// there is none, or when that can't be told by then.
+    void find(const job_id& id, const http_request& request, const responder& answer,
               std::function<void(const job_entry&)> found);
+    /// `doubt`: why the host's copy may lack the job; empty when it has all that the log had.
+    void settle(question& asked, std::string_view doubt);
     void refuse(const responder& answer, result_code code, std::string_view why,
                 const std::string& job);
+    duration patience_of(const http_request& request) const;
     instant deadline_of(const http_request& request) const;
 
     parts with_;
+    std::vector<std::shared_ptr<question>> questions_;
     job_front_counts counts_;
 };
 
