Tell callers in time of an append that is on its way

Callers saw no answer in time to a submission whose append the log was still working on: deadlines were looked at only between appends, so that an append and its repeat, 1 s together, could outlast a short patience, and any longer bound on an append would outlast every one.

Change: an entry whose deadline passes while its append is on its way is told that its outcome isn't known (504); its records are applied when the log has them.

--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -7,9 +7,22 @@
 
 constexpr duration retry_period = std::chrono::milliseconds(100);
 constexpr std::size_t most_entries = 200;
+constexpr std::size_t most_bytes = std::size_t{64} * 1024;
+
+std::size_t size_of(const std::vector<stored_record>& records) {
+    std::size_t bytes = 0;
+    for (const stored_record& record : records)
+        bytes += record.key.size() + (record.value ? record.value->size() : 0);
+    return bytes;
+}
 
 } // namespace
 
+void intake_writer::entry::end(intake_outcome outcome) {
+    if (const handler call = std::exchange(done, nullptr))
+        call(outcome);
+}
+
 intake_writer::intake_writer(const clock& time, durable_log& log,
                              std::function<void(const stored_record&)> applied)
     : time_(time), log_(log), applied_(std::move(applied)) {}
@@ -22,7 +35,9 @@
 
 void intake_writer::tick() {
     end_overdue(waiting_);
-    if (!in_flight_) {
+    if (in_flight_) {
+        end_overdue_in_flight();
+    } else {
         end_overdue(batch_);
         if (time_.now() >= next_send_ && (!batch_.empty() || !waiting_.empty()))
             send();
@@ -36,14 +51,28 @@
         if (now < waiting.deadline)
             keep.push_back(std::move(waiting));
         else
-            waiting.done(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
+            waiting.end(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
     }
     entries.insert(entries.begin(), std::make_move_iterator(keep.begin()),
                    std::make_move_iterator(keep.end()));
 }
 
+/// The append goes on: its records are applied when the log has them.
+void intake_writer::end_overdue_in_flight() {
+    const instant now = time_.now();
+    for (entry& sent : batch_)
+        if (now >= sent.deadline)
+            sent.end(intake_outcome::unknown);
+}
+
 void intake_writer::send() {
+    std::size_t bytes = 0;
+    for (const entry& waiting : batch_)
+        bytes += size_of(waiting.records);
     while (!waiting_.empty() && batch_.size() < most_entries) {
+        bytes += size_of(waiting_.front().records);
+        if (!batch_.empty() && bytes > most_bytes)
+            break;
         batch_.push_back(std::move(waiting_.front()));
         waiting_.pop_front();
     }
@@ -74,7 +103,7 @@
     std::deque<entry> keep;
     for (entry& waiting : std::exchange(batch_, {})) {
         if (std::exchange(waiting.doubtful, true))
-            waiting.done(intake_outcome::unknown);
+            waiting.end(intake_outcome::unknown);
         else
             keep.push_back(std::move(waiting));
     }
@@ -92,8 +121,8 @@
             applied_(record);
         }
     }
-    for (const entry& stored : batch)
-        stored.done(intake_outcome::stored);
+    for (entry& stored : batch)
+        stored.end(intake_outcome::stored);
     if (!in_flight_ && !waiting_.empty())
         send();
 }
@@ -101,8 +130,8 @@
 /// The log itself refused: callers get their final answer now, so that they can go elsewhere. What
 /// an earlier append left in doubt stays so: that one may be stored yet.
 void intake_writer::refuse_batch() {
-    for (const entry& waiting : std::exchange(batch_, {}))
-        waiting.done(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
+    for (entry& waiting : std::exchange(batch_, {}))
+        waiting.end(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
 }
 
 } // namespace figwinch
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -20,6 +20,7 @@
 
 /// Appends jobs and cancellations to the intake stream, gathered in batches. An append without an
 /// answer is sent once more, since the same record twice is the same job; then callers are told.
+/// An append is bounded in records and bytes, so that it passes a narrow link in time.
 /// Owned by the host's daemon.
 class intake_writer {
 public:
@@ -42,6 +43,9 @@
         handler done;
         /// An append that held it went unanswered: it may be in the log.
         bool doubtful = false;
+
+        /// Tells the caller once.
+        void end(intake_outcome outcome);
     };
 
     void send();
@@ -50,6 +54,7 @@
     void commit(std::uint64_t offset);
     void refuse_batch();
     void end_overdue(std::deque<entry>& entries);
+    void end_overdue_in_flight();
 
     const clock& time_;
     durable_log& log_;
