--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -11,8 +11,8 @@
 constexpr duration batch_period = std::chrono::milliseconds(25);
 constexpr duration retry_period = std::chrono::milliseconds(150);
 constexpr std::size_t most_records = 500;
-// Below the 2 MB that one call may carry.
-constexpr std::size_t most_bytes = 1'000'000;
+// Passes a link of 1 Mbit/s in a second: what follows waits for it.
+constexpr std::size_t most_bytes = std::size_t{128} * 1024;
 
 std::size_t size_of(const stored_record& record) {
     return record.key.size() + (record.value ? record.value->size() : 0);
