--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -14,8 +14,6 @@
 constexpr duration default_patience = std::chrono::seconds(3);
 // Before the caller gives up, so that the answer still reaches it.
 constexpr duration answer_margin = std::chrono::milliseconds(300);
-// A question waits for the log for this part of its caller's patience; another host may know.
-constexpr int question_part = 2;
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_gateway_timeout = 504;
@@ -110,7 +108,7 @@
     const job_entry* const known = with_.state.find(id);
     if (known != nullptr && known->spec)
         return found(*known);
-    const instant end = with_.time.now() + patience_of(request) / question_part;
+    const instant end = deadline_of(request);
     const auto asked = std::make_shared<question>(question{id, answer, std::move(found), end});
     questions_.push_back(asked);
     with_.sync([this, asked](bool current) { settle(*asked, current ? "" : "can't tell"); });
@@ -187,12 +185,9 @@
     answer->respond(std::move(response));
 }
 
-duration job_front::patience_of(const http_request& request) const {
-    return with_.dialect.patience(request).value_or(default_patience);
-}
-
 instant job_front::deadline_of(const http_request& request) const {
-    return with_.time.now() + std::max(patience_of(request) - answer_margin, answer_margin);
+    const duration patience = with_.dialect.patience(request).value_or(default_patience);
+    return with_.time.now() + std::max(patience - answer_margin, answer_margin);
 }
 
 } // namespace figwinch
--- a/src/cell_host/job_front.h
+++ b/src/cell_host/job_front.h
@@ -88,7 +88,6 @@
     void settle(question& asked, std::string_view doubt);
     void refuse(const responder& answer, result_code code, std::string_view why,
                 const std::string& job);
-    duration patience_of(const http_request& request) const;
     instant deadline_of(const http_request& request) const;
 
     parts with_;
