--- a/include/figwinch/cell/worker_orders.h
+++ b/include/figwinch/cell/worker_orders.h
@@ -30,6 +30,9 @@
     unknown,
 };
 
+/// "no_room" and so on, for logs.
+const char* to_string(order_outcome outcome);
+
 /// An answer to an order that carries no report.
 struct order_answer {
     order_outcome outcome = order_outcome::unknown;
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -125,7 +125,7 @@
     void order_start(task_work& task);
     void take_start_answer(const task_name& name, run_number run, const worker_id& worker,
                            const order_answer& answer);
-    void give_back(task_work& task, worker_work& worker, duration rest);
+    void give_back(task_work& task, worker_work& worker, std::string_view why, duration rest);
     void take_end(worker_work& worker, const ended_row& row);
     void take_good_end(task_work& task);
     void take_failure(task_work& task, worker_work& worker, run_number run);
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -103,8 +103,10 @@
     if (task->run.now != task_run::phase::starting)
         return;
     // The log may have been silent for seconds: by now the worker may be leaving.
-    if (!sees_notices() || !usable(worker, *task->job))
-        return give_back(*task, worker, duration::zero());
+    if (!sees_notices())
+        return give_back(*task, worker, "view_old", duration::zero());
+    if (!usable(worker, *task->job))
+        return give_back(*task, worker, "unusable", duration::zero());
     order_start(*task);
 }
 
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -100,13 +100,13 @@
         return;
     case order_outcome::not_advised:
         task->step->advice.drop_ticket(id);
-        return give_back(*task, *worker, duration::zero());
+        return give_back(*task, *worker, to_string(answer.outcome), duration::zero());
     case order_outcome::no_room:
-        return give_back(*task, *worker, rest_without_room);
+        return give_back(*task, *worker, to_string(answer.outcome), rest_without_room);
     case order_outcome::too_late:
-        return give_back(*task, *worker, duration::zero());
+        return give_back(*task, *worker, to_string(answer.outcome), duration::zero());
     default:
-        return give_back(*task, *worker, rest_after_refusal);
+        return give_back(*task, *worker, to_string(answer.outcome), rest_after_refusal);
     }
 }
 
@@ -126,9 +126,12 @@
 }
 
 /// A start that was refused: nothing of it is on the worker.
-void cell_coordinator::give_back(task_work& task, worker_work& worker, duration rest) {
+void cell_coordinator::give_back(task_work& task, worker_work& worker, std::string_view why,
+                                 duration rest) {
     log_event(log_level::warn, "start_refused",
-              {{"task", to_string(name_of(task))}, {"worker", worker.listing.id.str()}});
+              {{"task", to_string(name_of(task))},
+               {"worker", worker.listing.id.str()},
+               {"why", std::string(why)}});
     worker.rest_until = std::max(worker.rest_until, with_.time.now() + rest);
     release(task);
     if (task.step->spec->gang)
