Show copies of a stream that never catch up

Cause: what comes behind the first page's end is read only after the last page. And a read that brings no record although the stream goes on counts as current, so that a record over the 320 KiB that a read asks for would never be taken, if the store answers such a read with none (its page doesn't say).

--- /dev/null
+++ b/tests/cell/follower_progress_test.cpp
@@ -0,0 +1,96 @@
+#include "tests/cell/sim_store.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// How long the store keeps records that are no key's newest.
+constexpr duration kept = seconds(20);
+// A page of 1 MB on a link of 1 Mbit/s, or one that others use too.
+constexpr duration page_time = seconds(8);
+
+/// Whether a host's copy of a stream gets anywhere.
+class follower_progress_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(follower_progress_test);
+    CPPUNIT_TEST(a_load_that_takes_longer_than_the_history_is_kept_ends);
+    CPPUNIT_TEST(a_read_that_brings_nothing_of_what_is_there_isnt_current);
+    CPPUNIT_TEST_SUITE_END();
+
+    sim_time time_;
+    sim_store store_;
+    sim_log log_{time_, store_, [] { return 1.0; }};
+    std::deque<std::pair<instant, std::uint64_t>> ends_;
+
+    /// Appends a record each 100 ms and forgets those that are older than `kept`.
+    void write_and_forget() {
+        store_.append(cell_stream::intake, {{"n", "v", 0}}, {});
+        sim_store::stream& stream = store_.of(cell_stream::intake);
+        ends_.emplace_back(time_.now(), stream.end());
+        while (ends_.front().first + kept < time_.now()) {
+            const std::uint64_t first = ends_.front().second;
+            ends_.pop_front();
+            while (stream.first < first) {
+                stream.records.erase(stream.records.begin());
+                ++stream.first;
+            }
+        }
+        time_.after(milliseconds(100), [this] { write_and_forget(); });
+    }
+    void run(keyed_follower& follower, duration span) {
+        const instant end = time_.now() + span;
+        while (time_.now() < end) {
+            follower.tick();
+            // Reads of what is new are small.
+            log_.delay = follower.is_loaded() ? duration(milliseconds(4)) : page_time;
+            time_.run_for(milliseconds(10));
+        }
+    }
+
+public:
+    /// Guards against a load that begins again at its first page whenever it has ended, because the
+    /// store no longer has what was appended since it began.
+    void a_load_that_takes_longer_than_the_history_is_kept_ends() {
+        constexpr std::size_t keys = 60;
+        for (std::size_t index = 0; index < keys; ++index)
+            store_.append(cell_stream::intake, {{"k" + std::to_string(index), "v", 0}}, {});
+        write_and_forget();
+        log_.delay = page_time;
+        keyed_follower follower(time_.clock(), log_, cell_stream::intake, {},
+                                [](const stored_record&) {});
+        run(follower, seconds(120));
+        CPPUNIT_ASSERT(follower.is_loaded());
+        CPPUNIT_ASSERT(time_.now() - follower.current_at() < seconds(1));
+    }
+    /// Guards against a copy that calls itself current and never gets a record that is larger than
+    /// a read may bring.
+    void a_read_that_brings_nothing_of_what_is_there_isnt_current() {
+        keyed_follower follower(time_.clock(), log_, cell_stream::operators, {},
+                                [](const stored_record&) {});
+        log_.delay = milliseconds(4);
+        for (int step = 0; step < 100; ++step) {
+            follower.tick();
+            time_.run_for(milliseconds(10));
+        }
+        CPPUNIT_ASSERT(follower.is_loaded());
+        log_.most_read = 0;
+        store_.append(cell_stream::operators, {{"config", "2", 0}}, {});
+        const instant appended = time_.now();
+        for (int step = 0; step < 300; ++step) {
+            follower.tick();
+            time_.run_for(milliseconds(10));
+        }
+        CPPUNIT_ASSERT(follower.current_at() <= appended);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(follower_progress_test);
+
+} // namespace
+} // namespace figwinch::sim
