Leave the reign to hosts that can use it

Callers would see nothing start: a host claimed the reign before it had loaded, renewed it with appends that pass where loads don't, and kept it from hosts that had; and a coordinator whose view of workers stayed old kept the reign although it may order nothing.

Change: a host claims once its intake and progress are loaded; one that holds a reign which the log confirms and can order nothing for 4 s (not begun, or a view that is too old) leaves it to others for 3 s, below the lease of its workers, and says so ('reign_unused').

--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -54,6 +54,8 @@
     void abandon_resignation();
     /// Gives up the reign after another sign of a higher epoch; may claim again later.
     void yield();
+    /// Whether this host claims when its turn comes; it does unless told otherwise.
+    void stand(bool standing) { standing_ = standing; }
 
     bool leads() const { return leads_; }
     lease_epoch epoch() const { return epoch_; }
@@ -94,6 +96,7 @@
     bool busy_ = false;
     bool end_known_ = false;
     bool resigned_ = false;
+    bool standing_ = true;
     bool leads_ = false;
     bool log_answers_ = false;
     bool claim_now_ = false;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -26,6 +26,10 @@
 constexpr follow_pace following_progress{duration::zero(), std::chrono::milliseconds(250)};
 // A host that the log hasn't answered for so long can't accept jobs.
 constexpr duration log_silence = std::chrono::milliseconds(1700);
+// A coordinator that the log confirms and that may order nothing makes way for another. Together
+// with the time for which it leaves the reign to others this is well below a worker's lease.
+constexpr duration longest_unused = std::chrono::milliseconds(4000);
+constexpr duration time_aside = std::chrono::milliseconds(3000);
 constexpr duration forget_patience = std::chrono::seconds(30);
 
 reign_times times_of(double cpu_share) {
@@ -68,7 +72,12 @@
     if (!coordinator_)
         progress_.tick();
     writer_.tick();
+    reign_.stand(can_coordinate());
     reign_.tick();
+    if (!reign_.leads() || is_useful())
+        useful_at_ = time_.now();
+    else if (reign_.is_fresh() && time_.now() - useful_at_ > longest_unused)
+        step_aside();
     if (journal_ && (deposed_ || !reign_.leads() || reign_.epoch() != prepared_))
         end_reign();
     if (reign_.leads())
@@ -82,6 +91,26 @@
         end_reign();
 }
 
+/// Renewals are small and pass where loads don't: a host that claimed before it has loaded would
+/// keep the reign from those that have.
+bool cell_member::can_coordinate() const {
+    return intake_.is_loaded() && progress_.is_loaded() && time_.now() >= aside_until_;
+}
+
+bool cell_member::is_useful() const {
+    return coordinator_ && sees_notices();
+}
+
+void cell_member::step_aside() {
+    log_event(log_level::warn, "reign_unused",
+              {{"epoch", static_cast<std::int64_t>(reign_.epoch().value())},
+               {"begun", coordinator_ != nullptr},
+               {"workers_age_ms", workers_age() / std::chrono::milliseconds(1)},
+               {"operators_age_ms", operators_age() / std::chrono::milliseconds(1)}});
+    aside_until_ = time_.now() + time_aside;
+    reign_.yield();
+}
+
 void cell_member::lead() {
     workers_.tick();
     if (!journal_ && intake_.is_loaded() && progress_.is_loaded())
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -42,7 +42,11 @@
     void sync_intake(const std::function<void(bool)>& done);
 
 private:
+    /// Whether this host could coordinate if it were elected.
+    bool can_coordinate() const;
     void lead();
+    bool is_useful() const;
+    void step_aside();
     void begin_reign();
     void start_coordinator(bool state_read);
     void end_reign();
@@ -73,6 +77,10 @@
     /// The reign that `journal_` is for; a reign is prepared once.
     lease_epoch prepared_;
     bool deposed_ = false;
+    /// When this host last could coordinate or didn't lead.
+    instant useful_at_{};
+    /// Leaves the reign to others until then.
+    instant aside_until_{};
     /// Told in the log: the view of workers or operators is too old to start anything.
     bool view_is_old_ = false;
     /// Jobs that came in and that the coordinator hasn't been told of.
