Read an answer that has come in one turn of the loop

Callers saw starts stop again and again on a large cell: its coordinator's view of workers grew older than their notice (view_old, 22 times after a restart of all hosts).

Cause: libevent takes 4 KB off a socket in a turn of the loop, whatever it is told, and a coordinator's turn takes 30 to 60 ms there. A second of workers' entries (510 records, 147 KB) took 1.1 to 1.2 s to read; meanwhile as much came again, so that the age settled at twice that.

Ruled out: the link (200 Mbit/s on that host), decoding, the pace of 200 ms, the bound on a read. Priorities of libevent's events weren't tried: it forgets them at each connect.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -20,6 +20,10 @@
 constexpr ev_ssize_t max_response_body_bytes = ev_ssize_t{64} * 1024 * 1024;
 // evhttp's own timeout only has to come after ours.
 constexpr std::int64_t extra_timeout_seconds = 5;
+// libevent takes no more off a socket at a time, whatever it is told.
+constexpr std::size_t library_read_bytes = 4096;
+// What one connection may take in a turn of the loop.
+constexpr std::size_t turn_read_bytes = std::size_t{512} * 1024;
 
 std::optional<evhttp_cmd_type> to_command(http_method method) {
     switch (method) {
@@ -164,8 +168,30 @@
 }
 
 void client_connection::on_received(evbuffer*, const evbuffer_cb_info* change, void* self) {
-    if (change->n_added > 0)
-        static_cast<client_connection*>(self)->heard_at_ = system_clock().now();
+    if (change->n_added == 0)
+        return;
+    auto* const connection = static_cast<client_connection*>(self);
+    connection->heard_at_ = system_clock().now();
+    if (change->n_added >= library_read_bytes)
+        connection->read_on();
+}
+
+/// Takes what else has come. Left to libevent, a turn of the loop takes a few kilobytes, so that a
+/// long answer waits for as many rounds of all other work. An end or error of the connection that
+/// is met here is met again by the library's next read.
+void client_connection::read_on() {
+    if (std::exchange(reading_on_, true))
+        return;
+    bufferevent* const stream = evhttp_connection_get_bufferevent(evcon_);
+    std::size_t taken = 0;
+    while (taken < turn_read_bytes) {
+        const int count = evbuffer_read(bufferevent_get_input(stream), bufferevent_getfd(stream),
+                                        library_read_bytes);
+        if (count <= 0)
+            break;
+        taken += static_cast<std::size_t>(count);
+    }
+    reading_on_ = false;
 }
 
 void client_connection::on_written(evbuffer*, const evbuffer_cb_info* change, void* self) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -41,6 +41,7 @@
     static void on_error(evhttp_request_error error, void* self);
     static void on_close(evhttp_connection*, void* self);
 
+    void read_on();
     void watch_bounds();
     void finish(call_result result, bool reusable);
     void finish_later(call_result result, bool reusable);
@@ -62,6 +63,7 @@
     /// A byte of the request may have left this process.
     bool bytes_left_ = false;
     bool result_posted_ = false;
+    bool reading_on_ = false;
 };
 
 } // namespace figwinch
