Pass over workers' entries that say nothing new

Each worker writes its entry about once a second, and as a rule nothing but its sequence changes. A coordinator decoded each of them, copied its whole list with every read that brought a record, and began a round of placement for it.

Change: worker_list folds the stream. An entry whose digest is known isn't decoded; one that is decoded to the same changes nothing; the list is passed on only when it changed. What take_listing does with unchanged rows was looked through: the lives and leases that it compares with are fixed for a reign, so that passing the same rows again added nothing but placement, which runs on its own period too.

worker_list_test; codec_test: entries_of_equal_digests_are_read_alike with damaged entries, only_a_sequence_leaves_an_entry_the_same.

--- a/include/figwinch/cell/worker_listing.h
+++ b/include/figwinch/cell/worker_listing.h
@@ -23,6 +23,8 @@
     bool leaving = false;
     /// How much longer the worker is slow after its start.
     duration cold_left{};
+
+    friend bool operator==(const worker_listing&, const worker_listing&) = default;
 };
 
 } // namespace figwinch
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -38,11 +38,11 @@
 
 cell_member::cell_member(const clock& time, cell_platform& platform, const cell_settings& settings,
                          incarnation_id self, std::string bus_address, double cpu_share)
-    : time_(time), platform_(platform), settings_(settings),
+    : time_(time), platform_(platform), settings_(settings), listing_(platform),
       operators_(time, platform.log(), cell_stream::operators, operators_pace,
                  [this](const stored_record& record) { take_operators(record); }),
       workers_(time, platform.log(), cell_stream::workers, workers_pace,
-               [this](const stored_record& record) { take_worker(record); }),
+               [this](const stored_record& record) { listing_.take(record); }),
       intake_(time, platform.log(), cell_stream::intake, following_intake,
               [this](const stored_record& record) { state_.apply(cell_stream::intake, record); }),
       progress_(
@@ -166,7 +166,8 @@
     if (config_)
         coordinator_->take_config(*config_);
     coordinator_->take_evacuated(evacuated_);
-    listing_changed_ = true;
+    listing_.take_changed();
+    coordinator_->take_listing(listing_.rows());
 }
 
 void cell_member::end_reign() {
@@ -210,25 +211,9 @@
         coordinator_->take_config(*config_);
 }
 
-void cell_member::take_worker(const stored_record& record) {
-    const worker_id id(record.key);
-    listing_changed_ = true;
-    auto read = record.value ? platform_.decode_listing(record.key, *record.value) : std::nullopt;
-    if (read)
-        listing_[id] = std::move(*read);
-    else
-        listing_.erase(id);
-}
-
 void cell_member::pass_listing() {
-    if (!listing_changed_)
-        return;
-    listing_changed_ = false;
-    std::vector<worker_listing> rows;
-    rows.reserve(listing_.size());
-    for (const auto& [id, worker] : listing_)
-        rows.push_back(worker);
-    coordinator_->take_listing(rows);
+    if (listing_.take_changed())
+        coordinator_->take_listing(listing_.rows());
 }
 
 bool cell_member::log_answers() const {
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -2,9 +2,9 @@
 
 #include "cell_host/cell_platform.h"
 #include "cell_host/intake_writer.h"
+#include "cell_host/worker_list.h"
 #include "figwinch/cell.h"
 
-#include <map>
 #include <optional>
 
 namespace figwinch {
@@ -47,7 +47,6 @@
     void start_coordinator(bool state_read);
     void end_reign();
     void take_operators(const stored_record& record);
-    void take_worker(const stored_record& record);
     void pass_listing();
     bool sees_notices() const;
     void note_view();
@@ -59,8 +58,7 @@
     cell_settings settings_;
     std::optional<cell_config> config_;
     absl::flat_hash_set<data_centre_id> evacuated_;
-    std::map<worker_id, worker_listing> listing_;
-    bool listing_changed_ = false;
+    worker_list listing_;
     cell_state state_;
     keyed_follower operators_;
     keyed_follower workers_;
--- a/src/cell_host/cell_platform.h
+++ b/src/cell_host/cell_platform.h
@@ -25,6 +25,9 @@
     virtual std::optional<data_centre_id> evacuated_by(std::string_view key) const = 0;
     virtual std::optional<worker_listing> decode_listing(std::string_view id,
                                                          std::string_view bytes) const = 0;
+    /// The same for entries of a worker that say the same, whatever counts on in them. Nothing: the
+    /// platform can't tell.
+    virtual std::optional<std::uint64_t> listing_digest(std::string_view) const { return {}; }
 
     /// Calls that were made, for metrics.
     virtual std::uint64_t log_calls() const = 0;
--- a/tests/cell_host/fake_platform.h
+++ b/tests/cell_host/fake_platform.h
@@ -85,7 +85,7 @@
 };
 
 /// A platform without workers, on a log that a test holds.
-class fake_platform final : public cell_platform, public worker_orders, public worker_advisor {
+class fake_platform : public cell_platform, public worker_orders, public worker_advisor {
 public:
     explicit fake_platform(event_loop& loop) : log_(loop) {}
 
--- /dev/null
+++ b/tests/cell_host/worker_list_test.cpp
@@ -0,0 +1,109 @@
+#include "cell_host/worker_list.h"
+
+#include "tests/cell_host/fake_platform.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch {
+namespace {
+
+/// Entries are "STATE SEQUENCE"; the state "unreadable" can't be decoded.
+class counting_platform final : public fake_platform {
+public:
+    using fake_platform::fake_platform;
+
+    mutable int decoded = 0;
+    bool tells_digests = true;
+
+    std::optional<worker_listing> decode_listing(std::string_view id,
+                                                 std::string_view bytes) const override {
+        ++decoded;
+        const std::string_view state = bytes.substr(0, bytes.find(' '));
+        if (state == "unreadable")
+            return std::nullopt;
+        worker_listing listing;
+        listing.id = worker_id(id);
+        listing.leaving = state == "leaving";
+        return listing;
+    }
+    std::optional<std::uint64_t> listing_digest(std::string_view bytes) const override {
+        if (!tells_digests)
+            return std::nullopt;
+        return stable_hash(bytes.substr(0, bytes.find(' ')));
+    }
+};
+
+/// What of a stream of entries reaches the coordinator.
+class worker_list_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_list_test);
+    CPPUNIT_TEST(an_entry_that_says_nothing_new_costs_no_decoding);
+    CPPUNIT_TEST(an_entry_that_is_decoded_to_the_same_changes_nothing);
+    CPPUNIT_TEST(a_notice_changes_the_list);
+    CPPUNIT_TEST(an_entry_that_cant_be_read_names_no_worker);
+    CPPUNIT_TEST(a_worker_that_comes_back_is_listed);
+    CPPUNIT_TEST_SUITE_END();
+
+    event_loop loop_;
+    counting_platform platform_{loop_};
+    worker_list list_{platform_};
+
+    void write(const std::string& id, const std::string& entry) { list_.take({id, entry, 0}); }
+    void drop(const std::string& id) { list_.take({id, std::nullopt, 0}); }
+
+public:
+    void setUp() override {
+        write("w1", "ready 1");
+        write("w2", "ready 1");
+        CPPUNIT_ASSERT(list_.take_changed());
+        platform_.decoded = 0;
+    }
+    /// Guards against a coordinator that spends its time on entries that repeat what it knows.
+    void an_entry_that_says_nothing_new_costs_no_decoding() {
+        for (int sequence = 2; sequence < 10; ++sequence)
+            write("w1", "ready " + std::to_string(sequence));
+        CPPUNIT_ASSERT_EQUAL(0, platform_.decoded);
+        CPPUNIT_ASSERT(!list_.take_changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list_.rows().size());
+    }
+    /// Guards against a new round of placement for each read of the stream.
+    void an_entry_that_is_decoded_to_the_same_changes_nothing() {
+        platform_.tells_digests = false;
+        write("w1", "ready 2");
+        CPPUNIT_ASSERT_EQUAL(1, platform_.decoded);
+        CPPUNIT_ASSERT(!list_.take_changed());
+    }
+    /// Guards against starts on a worker whose notice was passed over.
+    void a_notice_changes_the_list() {
+        write("w1", "leaving 2");
+        CPPUNIT_ASSERT(list_.take_changed());
+        CPPUNIT_ASSERT(list_.rows().front().leaving);
+        write("w1", "ready 3");
+        CPPUNIT_ASSERT(list_.take_changed());
+        CPPUNIT_ASSERT(!list_.rows().front().leaving);
+    }
+    /// Guards against starts on a worker of which nobody knows what it says.
+    void an_entry_that_cant_be_read_names_no_worker() {
+        write("w1", "unreadable 2");
+        CPPUNIT_ASSERT(list_.take_changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list_.rows().size());
+        write("w1", "ready 3");
+        CPPUNIT_ASSERT(list_.take_changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list_.rows().size());
+    }
+    /// Guards against a worker that stays away because its entry is the one from before.
+    void a_worker_that_comes_back_is_listed() {
+        drop("w1");
+        CPPUNIT_ASSERT(list_.take_changed());
+        drop("w1");
+        CPPUNIT_ASSERT(!list_.take_changed());
+        write("w1", "ready 1");
+        CPPUNIT_ASSERT(list_.take_changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list_.rows().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_list_test);
+
+} // namespace
+} // namespace figwinch
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <random>
 
 namespace figwinch::platform {
@@ -24,6 +25,8 @@
     CPPUNIT_TEST(the_longest_prefix_selects_the_queue);
     CPPUNIT_TEST(a_worker_is_read);
     CPPUNIT_TEST(entries_of_other_writers_name_no_worker);
+    CPPUNIT_TEST(only_a_sequence_leaves_an_entry_the_same);
+    CPPUNIT_TEST(entries_of_equal_digests_are_read_alike);
     CPPUNIT_TEST(a_report_is_read);
     CPPUNIT_TEST(orders_carry_what_workers_check);
     CPPUNIT_TEST(records_are_read_back);
@@ -135,6 +138,41 @@
               R"({"service":"s","address":"10.9.8.7:80","state":"ready","capacity":3})"})
             CPPUNIT_ASSERT_MESSAGE(bytes, !decode_listing("w1", bytes).has_value());
     }
+    void only_a_sequence_leaves_an_entry_the_same() {
+        const auto changed = [](const std::string& from, const std::string& to) {
+            std::string entry = worker;
+            return listing_digest(entry.replace(entry.find(from), from.size(), to));
+        };
+        const std::uint64_t same = listing_digest(worker);
+        CPPUNIT_ASSERT_EQUAL(same, changed(R"("sequence":3)", R"("sequence":41)"));
+        CPPUNIT_ASSERT(same != changed("ready", "draining"));
+        CPPUNIT_ASSERT(same != changed("1700000000000", "1700000000001"));
+        CPPUNIT_ASSERT(same != changed("rack-9", "rack-8"));
+        CPPUNIT_ASSERT(same != changed(R"("zone")", R"("coldRemainingMs":5,"zone")"));
+        for (const char* const number : {"", "03", "-3", "3.5", "x", "3 4", R"("3")"})
+            CPPUNIT_ASSERT(same !=
+                           changed(R"("sequence":3)", R"("sequence":)" + std::string(number)));
+    }
+    /// Guards against an entry that is passed over because it was taken for one that was read
+    /// before: entries are damaged at random, and sometimes only in their sequence.
+    void entries_of_equal_digests_are_read_alike() {
+        std::mt19937 random(11);
+        const std::string_view bytes = R"("{}[]:,\ 0123456789sequencready)";
+        std::map<std::uint64_t, std::optional<worker_listing>> read;
+        std::size_t again = 0;
+        for (int round = 0; round < 20'000; ++round) {
+            std::string entry = worker;
+            const std::size_t from = round % 2 == 0 ? entry.find("sequence") : 0;
+            const std::size_t span = round % 2 == 0 ? 14 : entry.size();
+            for (std::size_t change = random() % 3; change-- > 0;)
+                entry[from + random() % span] = bytes[random() % bytes.size()];
+            const auto listing = decode_listing("w1", entry);
+            const auto [known, first] = read.try_emplace(listing_digest(entry), listing);
+            again += first ? 0 : 1;
+            CPPUNIT_ASSERT(known->second == listing);
+        }
+        CPPUNIT_ASSERT(again > 1000);
+    }
     void a_report_is_read() {
         const auto read = decode_report(report);
         CPPUNIT_ASSERT(read.has_value());
