Make a library of the cell's simulated surroundings

Cause: an experiment program needs the store, workers and ways of the tests, and a second copy would drift from the first. Contents unchanged but for includes.

--- a/bench/cell_sharing.cpp
+++ b/bench/cell_sharing.cpp
@@ -1,5 +1,5 @@
 #include "bench/bench_report.h"
-#include "tests/cell/sim_serving.h"
+#include "simulation/sim_serving.h"
 
 #include <array>
 #include <string>
--- a/tests/cell/sim_advisor.h
+++ b/include/figwinch/simulation/sim_advisor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "figwinch/cell/worker_advisor.h"
-#include "tests/cell/sim_time.h"
+#include "figwinch/simulation/sim_time.h"
 
 #include <map>
 #include <set>
--- a/tests/cell/sim_candidate.h
+++ b/include/figwinch/simulation/sim_candidate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "figwinch/cell.h"
-#include "tests/cell/sim_store.h"
+#include "figwinch/simulation/sim_store.h"
 
 #include <memory>
 
--- a/tests/cell/sim_orders.h
+++ b/include/figwinch/simulation/sim_orders.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "tests/cell/sim_advisor.h"
-#include "tests/cell/sim_worker.h"
+#include "figwinch/simulation/sim_advisor.h"
+#include "figwinch/simulation/sim_worker.h"
 
 #include <algorithm>
 #include <set>
--- a/tests/cell/sim_store.h
+++ b/include/figwinch/simulation/sim_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "figwinch/cell.h"
-#include "tests/cell/sim_time.h"
+#include "figwinch/simulation/sim_time.h"
 
 #include <algorithm>
 #include <map>
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "cell_host/cell_member.h"
+#include "figwinch/simulation/sim_orders.h"
+#include "figwinch/simulation/sim_store.h"
 #include "tests/cell/rule_watch.h"
-#include "tests/cell/sim_orders.h"
-#include "tests/cell/sim_store.h"
 
 #include <deque>
 #include <memory>
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -1,5 +1,5 @@
 #include "figwinch/cell.h"
-#include "tests/cell/sim_store.h"
+#include "figwinch/simulation/sim_store.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/cell/reign_test.cpp
+++ b/tests/cell/reign_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/cell/sim_candidate.h"
+#include "figwinch/simulation/sim_candidate.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/cell/resignation_test.cpp
+++ b/tests/cell/resignation_test.cpp
@@ -1,5 +1,5 @@
+#include "figwinch/simulation/sim_candidate.h"
 #include "tests/cell/cell_world.h"
-#include "tests/cell/sim_candidate.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/cell/rule_watch.h
+++ b/tests/cell/rule_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "figwinch/observe.h"
-#include "tests/cell/sim_worker.h"
+#include "figwinch/simulation/sim_worker.h"
 
 #include <algorithm>
 #include <functional>
--- a/tests/cell/sharing_test.cpp
+++ b/tests/cell/sharing_test.cpp
@@ -1,6 +1,6 @@
 #include "cell/sharing_control.h"
 #include "cell/slowdown_model.h"
-#include "sim_serving.h"
+#include "simulation/sim_serving.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
