Let simulated hosts be used outside the tests' world

Cause: an experiment needs a host with the production cell_member and its ways to the simulated store and workers, without the tests' watch. Change: sim_host moves from tests/cell/cell_world.h to src/simulation/sim_host.h and takes its configuration instead of naming one. It includes cell_host's private headers, so it isn't public.

--- /dev/null
+++ b/src/simulation/sim_host.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "cell_host/cell_member.h"
+#include "figwinch/simulation/sim_orders.h"
+#include "figwinch/simulation/sim_store.h"
+
+#include <memory>
+#include <utility>
+
+namespace figwinch::sim {
+
+/// One host of a cell with its ways to the store and to the workers.
+class sim_host final : public cell_platform {
+public:
+    sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
+             const std::function<double()>& random, const std::string& name,
+             const cell_settings& settings, cell_config config)
+        : time_(time), fleet_(fleet), config_(std::move(config)), log_(time, store, random),
+          orders_(time, fleet, random), advisor_(time, fleet.policy),
+          member_(time.clock(), *this, settings, incarnation_id(name), "10.0.0.1:7000", 1) {
+        schedule();
+    }
+    ~sim_host() override {
+        log_.kill();
+        orders_.kill();
+        advisor_.kill();
+    }
+
+    cell_member& member() { return member_; }
+    sim_log& way_to_log() { return log_; }
+    sim_orders& way_to_workers() { return orders_; }
+    /// A frozen process does nothing; what it is sent waits.
+    void freeze_for(duration span) { frozen_until_ = time_.now() + span; }
+    bool is_frozen() const { return time_.now() < frozen_until_; }
+
+    durable_log& log() override { return log_; }
+    worker_orders& orders() override { return orders_; }
+    worker_advisor& advisor() override { return advisor_; }
+    const job_dialect& dialect() const override { std::abort(); }
+    bool is_config_key(std::string_view key) const override { return key == "config"; }
+    std::optional<cell_config> decode_config(std::string_view) const override { return config_; }
+    std::optional<data_centre_id> evacuated_by(std::string_view key) const override {
+        if (key.starts_with("out/"))
+            return data_centre_id(key.substr(4));
+        return std::nullopt;
+    }
+    std::optional<worker_listing> decode_listing(std::string_view id,
+                                                 std::string_view bytes) const override {
+        worker_listing listing = fleet_.workers.at(std::string(id)).listing;
+        listing.leaving = bytes == "leaving";
+        return listing;
+    }
+    std::uint64_t log_calls() const override { return 0; }
+    std::uint64_t order_calls() const override { return 0; }
+
+private:
+    void schedule() {
+        time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
+            if (weak.expired())
+                return;
+            if (!is_frozen())
+                member_.tick();
+            schedule();
+        });
+    }
+
+    sim_time& time_;
+    sim_fleet& fleet_;
+    cell_config config_;
+    sim_log log_;
+    sim_orders orders_;
+    sim_advisor advisor_;
+    cell_member member_;
+    instant frozen_until_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace figwinch::sim
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "cell_host/cell_member.h"
-#include "figwinch/simulation/sim_orders.h"
-#include "figwinch/simulation/sim_store.h"
+#include "simulation/sim_host.h"
 #include "tests/cell/rule_watch.h"
 
 #include <deque>
@@ -11,81 +9,6 @@
 
 namespace figwinch::sim {
 
-/// One host of a cell with its ways to the store and to the workers.
-class sim_host final : public cell_platform {
-public:
-    sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
-             const std::function<double()>& random, const std::string& name,
-             const cell_settings& settings)
-        : time_(time), fleet_(fleet), log_(time, store, random), orders_(time, fleet, random),
-          advisor_(time, fleet.policy),
-          member_(time.clock(), *this, settings, incarnation_id(name), "10.0.0.1:7000", 1) {
-        schedule();
-    }
-    ~sim_host() override {
-        log_.kill();
-        orders_.kill();
-        advisor_.kill();
-    }
-
-    cell_member& member() { return member_; }
-    sim_log& way_to_log() { return log_; }
-    sim_orders& way_to_workers() { return orders_; }
-    /// A frozen process does nothing; what it is sent waits.
-    void freeze_for(duration span) { frozen_until_ = time_.now() + span; }
-    bool is_frozen() const { return time_.now() < frozen_until_; }
-
-    durable_log& log() override { return log_; }
-    worker_orders& orders() override { return orders_; }
-    worker_advisor& advisor() override { return advisor_; }
-    const job_dialect& dialect() const override { std::abort(); }
-    bool is_config_key(std::string_view key) const override { return key == "config"; }
-    std::optional<cell_config> decode_config(std::string_view) const override {
-        cell_config config;
-        config.version = config_version(1);
-        config.queues.push_back(
-            {queue_name("q"), "h", "/q/", service_id("s"), 0, 3, 2, duration{}, std::nullopt});
-        config.queues.push_back(
-            {queue_name("advised"), "h", "/advised/", service_id("s"), 0, 3, 2, duration{},
-             advice_terms{std::chrono::milliseconds(20), duration{}, sim_policy::validity}});
-        config.services.push_back({service_id("s"), false, false});
-        return config;
-    }
-    std::optional<data_centre_id> evacuated_by(std::string_view key) const override {
-        if (key.starts_with("out/"))
-            return data_centre_id(key.substr(4));
-        return std::nullopt;
-    }
-    std::optional<worker_listing> decode_listing(std::string_view id,
-                                                 std::string_view bytes) const override {
-        worker_listing listing = fleet_.workers.at(std::string(id)).listing;
-        listing.leaving = bytes == "leaving";
-        return listing;
-    }
-    std::uint64_t log_calls() const override { return 0; }
-    std::uint64_t order_calls() const override { return 0; }
-
-private:
-    void schedule() {
-        time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
-            if (weak.expired())
-                return;
-            if (!is_frozen())
-                member_.tick();
-            schedule();
-        });
-    }
-
-    sim_time& time_;
-    sim_fleet& fleet_;
-    sim_log log_;
-    sim_orders orders_;
-    sim_advisor advisor_;
-    cell_member member_;
-    instant frozen_until_{};
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-};
-
 /// A cell in simulated time: a store, workers, hosts, and a watch that knows the rules. Everything
 /// is drawn from one seed.
 class cell_world {
@@ -117,7 +40,8 @@
     void start_host(std::size_t index) {
         hosts_[index] = std::make_unique<sim_host>(
             time_, store_, fleet_, [this] { return draw_share(); },
-            "host-" + std::to_string(index) + "#" + std::to_string(++lives_), settings_);
+            "host-" + std::to_string(index) + "#" + std::to_string(++lives_), settings_,
+            make_config());
     }
     void kill_host(std::size_t index) {
         const auto leading = acting();
@@ -196,6 +120,17 @@
     }
 
 private:
+    static cell_config make_config() {
+        cell_config config;
+        config.version = config_version(1);
+        config.queues.push_back(
+            {queue_name("q"), "h", "/q/", service_id("s"), 0, 3, 2, duration{}, std::nullopt});
+        config.queues.push_back(
+            {queue_name("advised"), "h", "/advised/", service_id("s"), 0, 3, 2, duration{},
+             advice_terms{std::chrono::milliseconds(20), duration{}, sim_policy::validity}});
+        config.services.push_back({service_id("s"), false, false});
+        return config;
+    }
     lease_epoch epoch_of(std::size_t index) const {
         return hosts_[index]->member().election().epoch();
     }
