Add figwinch-experiment, which compares settings in simulated time

Purpose: to weigh a change of policy or setting on loads of our own, on the same seeds with and without it. Seen: experiment_test 31 passed; test_experiment, test_programs and test_install of tests/system passed; lint clean.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -10,7 +10,7 @@
 install(DIRECTORY include/figwinch DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
 install(DIRECTORY src/pb/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/figwinch/pb
   FILES_MATCHING PATTERN "*.pb.h")
-set(figwinch_programs figwinch-cell figwinch-entry figwinch-scheduler figwinchctl figwinch-load)
+set(figwinch_programs figwinch-cell figwinch-entry figwinch-experiment figwinch-scheduler figwinchctl figwinch-load)
 set(figwinch_standins
   figwinch-standin-platform figwinch-standin-executor figwinch-standin-worker)
 
--- a/tests/system/programs.py
+++ b/tests/system/programs.py
@@ -9,6 +9,7 @@
     "figwinch-entry": BUILD / "src/entry/figwinch-entry",
     "figwinch-scheduler": BUILD / "src/scheduler/figwinch-scheduler",
     "figwinchctl": BUILD / "tools/ctl/figwinchctl",
+    "figwinch-experiment": BUILD / "tools/experiment/figwinch-experiment",
     "figwinch-load": BUILD / "tools/load/figwinch-load",
     "figwinch-standin-platform": BUILD / "tools/standin_platform/figwinch-standin-platform",
     "figwinch-standin-executor": BUILD / "tools/standin_executor/figwinch-standin-executor",
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -4,7 +4,7 @@
 
 from programs import clean_environment, path_of
 
-OURS = ["figwinch-load", "figwinch-standin-executor"]
+OURS = ["figwinch-experiment", "figwinch-load", "figwinch-standin-executor"]
 EXIT_SETTINGS = 2
 
 
