--- a/tools/experiment/day_callers.h
+++ b/tools/experiment/day_callers.h
@@ -27,12 +27,13 @@
         : time_(time), host_(host), jobs_(jobs), followed_(jobs.size()) {}
 
     void begin_day();
-    /// Whether no job that ends is open.
-    bool is_idle() const { return open_.empty(); }
+    /// Whether no caller waits for an answer or for the end of a job.
+    bool is_idle() const { return unanswered_ == 0 && open_.empty(); }
     const std::vector<followed_job>& followed() const { return followed_; }
 
 private:
     void hand_in(std::size_t job);
+    void take_answer(std::size_t job, intake_outcome outcome);
     void follow();
 
     sim::sim_time& time_;
@@ -41,6 +42,7 @@
     std::vector<followed_job> followed_;
     /// Accepted jobs that end, and haven't.
     std::vector<std::size_t> open_;
+    std::size_t unanswered_ = 0;
 };
 
 } // namespace figwinch::experiment
--- a/tools/experiment/day_result.h
+++ b/tools/experiment/day_result.h
@@ -15,7 +15,9 @@
     std::int64_t accepted = 0;
     std::int64_t in_time = 0;
     std::int64_t late = 0;
-    /// Accepted and without a good end when the day was over; none of tasks that last.
+    /// Ended badly: a task used up its attempts.
+    std::int64_t failed = 0;
+    /// Accepted and open when the day was over; none of tasks that last.
     std::int64_t unfinished = 0;
     /// From handing in to the end, s.
     std::optional<double> p50_s;
--- a/tools/experiment/metric.cpp
+++ b/tools/experiment/metric.cpp
@@ -23,6 +23,7 @@
         metric{"accepted", count_of<&class_result::accepted>},
         metric{"in_time", count_of<&class_result::in_time>},
         metric{"late", count_of<&class_result::late>},
+        metric{"failed", count_of<&class_result::failed>},
         metric{"unfinished", count_of<&class_result::unfinished>},
         metric{"p50_s", value_of<&class_result::p50_s>},
         metric{"p99_s", value_of<&class_result::p99_s>},
--- a/tools/experiment/result_builder.cpp
+++ b/tools/experiment/result_builder.cpp
@@ -28,7 +28,8 @@
             return;
         to.result.in_time += in_time ? 1 : 0;
         to.result.late += late ? 1 : 0;
-        to.result.unfinished += known.accepted && !known.succeeded ? 1 : 0;
+        to.result.failed += known.ended && !known.succeeded ? 1 : 0;
+        to.result.unfinished += known.accepted && !known.ended ? 1 : 0;
         to.valued += job.work * (in_time ? worth_in_time : late ? worth_late : 0);
         if (known.succeeded)
             to.times_s.push_back(
--- a/tools/experiment/results.h
+++ b/tools/experiment/results.h
@@ -16,7 +16,7 @@
     std::vector<comparison> compared;
 };
 
-/// Means over the seeds for people, then the comparison.
+/// Means over the seeds for people, then what differs; equal figures are left out.
 void print_results(std::ostream& out, const results& found);
 /// A line for each setup, seed and class.
 void write_days_csv(std::ostream& out, const results& found);
--- a/tools/experiment/setting_tables.h
+++ b/tools/experiment/setting_tables.h
@@ -9,7 +9,8 @@
 
 namespace figwinch::experiment {
 
-/// Every number that can be set, by what it belongs to.
+/// Every number that can be set, by what it belongs to. Of the cell those that the coordinator goes
+/// by; a variant of any other would compare a day with itself.
 std::span<const setting_key<cell_settings>> cell_keys();
 std::span<const setting_key<load_spec>> load_keys();
 std::span<const setting_key<class_load>> class_keys();
