--- a/tests/cell/follower_progress_test.cpp
+++ b/tests/cell/follower_progress_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/cell/sim_store.h"
+#include "figwinch/simulation/sim_store.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
