Let one list of programs serve the build, the tests and the demos

Users saw a traceback when a demo was started without a program: the tests and the soak had paths of their own beside the list in cmake/install.cmake, and nobody looked whether they were there.

Change: the build writes programs.txt from the list that serves the target `programs` and the installation; tests and demos read it. A missing program gives one line that says how to build it.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -14,13 +14,16 @@
 set(figwinch_standins
   figwinch-standin-platform figwinch-standin-executor figwinch-standin-worker)
 
-# `ninja programs` builds all that tools/run_demo starts.
+# `ninja programs` builds all that tools/run_demo starts; programs.txt says where they are.
 add_custom_target(programs)
+set(figwinch_places "")
 foreach(program ${figwinch_programs} ${figwinch_standins})
   if(TARGET ${program})
     add_dependencies(programs ${program})
+    string(APPEND figwinch_places "${program} $<TARGET_FILE:${program}>\n")
   endif()
 endforeach()
+file(GENERATE OUTPUT ${PROJECT_BINARY_DIR}/programs.txt CONTENT "${figwinch_places}")
 foreach(program ${figwinch_programs})
   if(TARGET ${program})
     install(TARGETS ${program} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
--- a/tests/system/demo.py
+++ b/tests/system/demo.py
@@ -5,13 +5,14 @@
 import cluster
 import manifest
 from http_calls import call
-from programs import SOURCE
+from programs import SOURCE, places, require
 
 
 def main():
     scenario = sys.argv[1] if len(sys.argv) > 1 else "mastering"
     if scenario not in manifest.SERVICES:
-        sys.exit(f"no trace {scenario!r}: choose one of {', '.join(manifest.SERVICES)}")
+        sys.exit(f"no trace {scenario!r}: choose one of cell, {', '.join(manifest.SERVICES)}")
+    require(places())
     with cluster.Cluster(scenario) as region:
         print(f"started: the platform's stand-in, {len(region.executors)} executors, "
               f"{len(region.workers)} workers, {len(region.entries)} entries, "
