--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -3,6 +3,8 @@
 import signal
 import socket
 
+from programs import clean_environment
+
 
 def free_port():
     with socket.socket() as taken:
@@ -41,6 +43,7 @@
                 *[f"--{key}={value}" for key, value in flags.items()],
                 stdout=log,
                 stderr=log,
+                env=clean_environment(),
             )
 
     def signal(self, number):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,11 +19,13 @@
 
 from aiohttp import web
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path[:0] = [str(HERE), str(HERE.parent / "system")]
 # pylint: disable=wrong-import-position
 from callers import HOST, PREFIX, Callers
 from cells import Cell
 from link import Link
+from programs import path_of, require
 from rules import Rules
 from store import Store
 from worker import Worker
@@ -45,16 +47,20 @@
 
 
 class Soak:
-    def __init__(self, program, seed, seconds, folder):
+    worker_type = Worker
+    rules_type = Rules
+
+    def __init__(self, build, seed, seconds, folder):
         self.random = random.Random(seed)
-        self.ctl = pathlib.Path(program).parent.parent.parent / "tools" / "ctl" / "figwinchctl"
+        self.ctl = path_of("figwinchctl", build)
+        program = path_of("figwinch-cell", build)
         self.seconds = seconds
-        self.rules = Rules()
+        self.rules = self.rules_type()
         self.store = Store()
         self.runners = []
         self.tasks = []
         self.workers = [
-            Worker(f"w-{i}", ZONES[i % 3], self.store, self.rules) for i in range(WORKERS)
+            self.worker_type(f"w-{i}", ZONES[i % 3], self.store, self.rules) for i in range(WORKERS)
         ]
         self.worker_links = [Link() for _ in self.workers]
         self.cells = [
@@ -206,8 +212,8 @@
             await asyncio.sleep(1)
         return states
 
-    async def check_status(self):
-        """What people see: one host coordinates, and it knows every worker."""
+    async def leaders(self):
+        """How many workers each host knows that says it coordinates."""
         leaders = []
         for cell in self.cells:
             asked = await asyncio.create_subprocess_exec(
@@ -217,6 +223,11 @@
             status = json.loads(text) if asked.returncode == 0 else {}
             if status.get("leads"):
                 leaders.append(len(status["workers"]))
+        return leaders
+
+    async def check_status(self):
+        """What people see: one host coordinates, and it knows every worker."""
+        leaders = await self.leaders()
         if leaders != [WORKERS]:
             self.rules.fault("STATUS", f"coordinators and the workers they know: {leaders}")
 
@@ -228,9 +239,9 @@
             await runner.cleanup()
 
 
-async def play(program, seed, seconds, keep):
+async def play(build, seed, seconds, keep):
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(program, seed, seconds, folder)
+    soak = Soak(build, seed, seconds, folder)
     try:
         await soak.play()
     finally:
@@ -261,12 +272,12 @@
     options.add_argument("--seconds", type=float, default=12)
     options.add_argument("--keep", action="store_true")
     with_ = options.parse_args()
-    program = str(pathlib.Path(with_.build) / "src" / "cell_host" / "figwinch-cell")
+    require(["figwinch-cell", "figwinchctl"], with_.build)
     seeds = [int(seed) for seed in with_.seeds.split(",") if seed]
     seeds = seeds or list(range(with_.first, with_.first + with_.count))
     passed = 0
     for seed in seeds:
-        passed += await play(program, seed, with_.seconds, with_.keep)
+        passed += await play(with_.build, seed, with_.seconds, with_.keep)
     print(f"tests passed={passed} failed={len(seeds) - passed}")
     return 0 if passed == len(seeds) else 1
 
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -25,10 +25,18 @@
     def percent(self):
         return min(100, int((time.monotonic() - self.begun) * 100_000 / max(1, self.ms)))
 
+    def is_due(self):
+        return self.ms and (time.monotonic() - self.begun) * 1000 > self.ms + STARTUP_MS
+
+    def set_pace(self, percent):
+        """The soak's tasks run at one speed."""
+
 
 class Worker:
     """One machine. `watch` sees each start and end before any caller does."""
 
+    run_type = Run
+
     def __init__(self, name, zone, store, watch):
         self.name = name
         self.zone = zone
@@ -93,7 +101,7 @@
             return self.answer(409, reason="late")
         self.prolong(body["untilMs"])
         self.highest[task] = number
-        run = Run(task, number, json.loads(body["spec"]))
+        run = self.run_type(task, number, json.loads(body["spec"]))
         # A second run of a task that runs here is taken, as the platform's workers do.
         self.watch.run_begun(self, run)
         self.runs[task] = run
@@ -111,8 +119,19 @@
         return self.answer()
 
     async def on_pace(self, request):
-        refused = self.refusal(await request.json())
-        return self.answer() if refused is None else refused
+        body = await request.json()
+        refused = self.refusal(body)
+        if refused is not None:
+            return refused
+        run = self.runs.get(body["task"])
+        if run and run.number == body["run"]:
+            run.set_pace(body["percent"])
+        return self.answer()
+
+    def recent(self, run):
+        """What the run did lately, as a report tells it; 0: not known."""
+        del run
+        return 0
 
     async def on_hold(self, request):
         body = await request.json()
@@ -130,7 +149,7 @@
                 await asyncio.wait_for(self.news.wait(), body["waitMs"] / 1000)
             except asyncio.TimeoutError:
                 pass
-        running = [[r.task, r.number, "", r.percent(), 0] for r in self.runs.values()]
+        running = [[r.task, r.number, "", r.percent(), self.recent(r)] for r in self.runs.values()]
         return self.answer(running=running, finished=self.ended[:500])
 
     def end(self, run, how):
@@ -142,12 +161,11 @@
 
     def work(self):
         """Ends what is due: good ends, failures, and a lease that has run out."""
-        now = time.monotonic()
         lapsed = self.runs and self.clock_ms() > self.until_ms
         for run in list(self.runs.values()):
             if lapsed:
                 self.end(run, "lapsed")
-            elif run.ms and (now - run.begun) * 1000 > run.ms + STARTUP_MS:
+            elif run.is_due():
                 failed = self.watch.failures.get(run.task, 0)
                 self.end(run, "failed" if failed < run.fails else "done")
 
