Take the soak's ports from the block that its run has locked

Two runs at once could pick the same free port between the look and the bind; the soak and the demo's test now run beside each other in ctest. Change: tests/soak takes tests/system/ports.py, as the other tests of processes do. A demo that is stopped early closes its callers' session.

--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -1,17 +1,11 @@
 """The program under test as separate processes: started, signalled and started again."""
 import asyncio
 import signal
-import socket
 
+from ports import free_port
 from programs import clean_environment
 
 
-def free_port():
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        return taken.getsockname()[1]
-
-
 class Cell:
     """One host. Its way to the store is a link of its own."""
 
--- a/tools/cell_demo/cell_demo.py
+++ b/tools/cell_demo/cell_demo.py
@@ -81,7 +81,6 @@
         await self.wait_for_status()
         await self.check_status()
         await self.keep_metrics()
-        await self.callers.session.close()
 
     async def hand_in_all(self):
         for _ in range(SERVING_JOBS):
@@ -183,6 +182,8 @@
 
     async def stop(self):
         """Asks the hosts to stop; those that haven't after some seconds are killed by their ids."""
+        if self.callers:
+            await self.callers.session.close()
         stops = asyncio.gather(*[cell.stop(signal.SIGTERM) for cell in self.cells])
         try:
             await asyncio.wait_for(stops, STOP_S)
