--- a/tests/system/test_cell_demo.py
+++ b/tests/system/test_cell_demo.py
@@ -8,6 +8,8 @@
 import unittest
 import xml.etree.ElementTree
 
+from http_calls import call
+from process import Process
 from programs import BUILD, SOURCE, clean_environment
 
 sys.path[:0] = [str(SOURCE / "tools/cell_demo"), str(SOURCE / "tests/soak")]
@@ -69,6 +71,21 @@
             self.check_progress(result.stdout)
             self.check_files(pathlib.Path(folder))
 
+    # Somebody stops the demo halfway: hosts that stay behind take ports and processors.
+    def test_a_stopped_demo_leaves_no_process(self):
+        with tempfile.TemporaryDirectory() as folder:
+            command = [PYTHON, "-u", DEMO, BUILD, "--folder", folder]
+            demo = Process("demo", command, folder, clean_environment())
+            try:
+                host = demo.wait_text(r"cell (127\.0\.0\.1:\d+)$").group(1)
+                demo.wait_text(r" coordinates; tasks: ")
+                self.assertEqual(200, call(host, "GET", "/metrics").status)
+                self.assertEqual(1, demo.stop())
+                self.assertRaises(OSError, call, host, "GET", "/metrics")
+                self.assertNotIn("Traceback", demo.text())
+            finally:
+                demo.kill()
+
     def check_table(self, rows):
         self.assertEqual({"serving", "quick", "filling", "all"}, set(rows))
         for sent, accepted, in_time, late, still_open, refused, in_doubt in rows.values():
--- a/tools/cell_demo/cell_demo.py
+++ b/tools/cell_demo/cell_demo.py
@@ -224,7 +224,8 @@
     folder = with_.folder or clean_folder(with_.build / "demo")
     folder.mkdir(parents=True, exist_ok=True)
     demo = CellDemo(with_.build, with_.seconds, folder)
-    print(f"{len(demo.cells)} hosts, {len(demo.workers)} workers and a store on loopback")
+    print(f"{len(demo.cells)} hosts, {len(demo.workers)} workers and a store on loopback; ask a host:")
+    print(f"  {demo.ctl} cell 127.0.0.1:{demo.cells[-1].metrics}", flush=True)
     # Without this SIGTERM would end the demo before its hosts.
     playing = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
