--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -1,13 +1,9 @@
 """The program under test as separate processes: started, signalled and started again."""
 import asyncio
 import signal
-import socket
 
-
-def free_port():
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        return taken.getsockname()[1]
+from ports import free_port
+from programs import clean_environment
 
 
 class Cell:
@@ -41,6 +37,7 @@
                 *[f"--{key}={value}" for key, value in flags.items()],
                 stdout=log,
                 stderr=log,
+                env=clean_environment(),
             )
 
     def signal(self, number):
