Wait for an append as long as it can be in the log

Callers saw 504 and "not stored" while the store was slow: a partition takes its appends one at a time, those of all hosts wait for one another for up to 2 s, and an append without an answer after 500 ms was sent once more beside the first, then told as doubt.

Price: a request that was lost on its way, with no answer to come, isn't sent again within 500 ms any more: its caller is told of doubt.

--- a/include/figwinch/cell/durable_log.h
+++ b/include/figwinch/cell/durable_log.h
@@ -98,6 +98,9 @@
                       std::function<void(read_result)> done) = 0;
     virtual void newest(cell_stream stream, const std::string& after_key,
                         std::function<void(newest_result)> done) = 0;
+    /// An append that has been sent for longer isn't done any more: appends wait in the log, and
+    /// one that would wait longer is refused.
+    virtual duration longest_queue() const { return duration::zero(); }
 };
 
 } // namespace figwinch
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -44,15 +44,20 @@
       workers_(time, platform.log(), cell_stream::workers, workers_pace,
                [this](const stored_record& record) { take_worker(record); }),
       intake_(time, platform.log(), cell_stream::intake, following_intake,
-              [this](const stored_record& record) { state_.apply(cell_stream::intake, record); }),
-      progress_(
-          time, platform.log(), cell_stream::progress, following_progress,
-          [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
-      writer_(time, platform.log(),
               [this](const stored_record& record) {
                   state_.apply(cell_stream::intake, record);
-                  intake_.skip(record);
+                  writer_.note_read(record);
               }),
+      progress_(
+          time, platform.log(), cell_stream::progress, following_progress,
+          [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
+      writer_({time, platform.log(),
+               [this](const stored_record& record) {
+                   state_.apply(cell_stream::intake, record);
+                   intake_.skip(record);
+               },
+               [this] { return log_answers(); },
+               [this](const std::function<void(bool)>& done) { sync_intake(done); }}),
       reign_(time, platform.log(), std::move(self), std::move(bus_address), times_of(cpu_share)) {
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -29,6 +29,7 @@
     const cell_state& state() const { return state_; }
     const reign& election() const { return reign_; }
     intake_writer& writer() { return writer_; }
+    const intake_writer& writer() const { return writer_; }
     /// Nothing while another host coordinates.
     const coordinator* coordinating() const { return coordinator_.get(); }
     bool is_loaded() const { return config_ && intake_.is_loaded(); }
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -50,11 +50,29 @@
            "age of what the coordinator knows of workers' notices");
     set_ms("figwinch_cell_operators_age_ms", member.operators_age(),
            "age of what this host knows of operators' changes");
+    set_intake(member.writer());
     set_coordinator(member.coordinating() == nullptr ? coordinator_counts{}
                                                      : member.coordinating()->counts());
     return registry_.expose();
 }
 
+void cell_metrics::set_intake(const intake_writer& writer) {
+    set_ms("figwinch_cell_append_ms", writer.pace().latest(),
+           "newest append of callers' jobs: its wait in the log and its service");
+    set_ms("figwinch_cell_append_usual_ms", writer.pace().usual(), "what that takes as a rule");
+    set("figwinch_cell_log_slow", writer.pace().is_slow() ? 1 : 0,
+        "1 while appends take many times what is usual");
+    set("figwinch_cell_intake_waiting", writer.waiting(), "callers whose records wait here");
+    const intake_counts& counts = writer.counts();
+    set("figwinch_cell_intake_appends", counts.appends, "appends of callers' records");
+    set("figwinch_cell_intake_records", counts.records, "callers whose records these held");
+    set("figwinch_cell_doubts_read", counts.settled_by_read,
+        "late appends that were found in the stream");
+    set("figwinch_cell_doubts_repeated", counts.settled_by_repeat,
+        "late appends that were answered when sent again");
+    set("figwinch_cell_doubts_left", counts.left_in_doubt, "callers told that nobody knows");
+}
+
 void cell_metrics::set_coordinator(const coordinator_counts& counts) {
     set("figwinch_cell_open_jobs", counts.open_jobs, "jobs that haven't ended");
     set("figwinch_cell_tasks_running", counts.running, "tasks on workers");
--- /dev/null
+++ b/src/cell_host/intake_entry.cpp
@@ -0,0 +1,32 @@
+#include "cell_host/intake_entry.h"
+
+#include <utility>
+
+namespace figwinch {
+
+void intake_entry::end(intake_outcome outcome) {
+    if (const auto call = std::exchange(done, nullptr))
+        call(outcome);
+}
+
+std::size_t intake_entry::bytes() const {
+    std::size_t sum = 0;
+    for (const stored_record& record : records)
+        sum += record.key.size() + (record.value ? record.value->size() : 0);
+    return sum;
+}
+
+/// The same key twice is the same job, whoever wrote it.
+bool intake_entry::is_settled_by(const stored_record& record) const {
+    return !has_ended() && records.size() == 1 && records.front().value && record.value &&
+           records.front().key == record.key;
+}
+
+std::vector<stored_record> records_of(const intake_entries& entries) {
+    std::vector<stored_record> records;
+    for (const intake_entry& entry : entries)
+        records.insert(records.end(), entry.records.begin(), entry.records.end());
+    return records;
+}
+
+} // namespace figwinch
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -1,137 +1,224 @@
 #include "cell_host/intake_writer.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace figwinch {
 namespace {
 
 constexpr duration retry_period = std::chrono::milliseconds(100);
+// An append without an answer for so long is looked for in the stream; when nothing else of the log
+// answers either, its callers are told after twice that.
+constexpr duration late_after = std::chrono::milliseconds(500);
 constexpr std::size_t most_entries = 200;
 constexpr std::size_t most_bytes = std::size_t{64} * 1024;
 
-std::size_t size_of(const std::vector<stored_record>& records) {
-    std::size_t bytes = 0;
-    for (const stored_record& record : records)
-        bytes += record.key.size() + (record.value ? record.value->size() : 0);
-    return bytes;
-}
-
 } // namespace
 
-void intake_writer::entry::end(intake_outcome outcome) {
-    if (const handler call = std::exchange(done, nullptr))
-        call(outcome);
-}
-
-intake_writer::intake_writer(const clock& time, durable_log& log,
-                             std::function<void(const stored_record&)> applied)
-    : time_(time), log_(log), applied_(std::move(applied)) {}
+intake_writer::intake_writer(parts with) : with_(std::move(with)), pace_(with_.time) {}
 
 void intake_writer::write(std::vector<stored_record> records, instant deadline, handler done) {
-    waiting_.push_back({std::move(records), deadline, std::move(done), false});
-    if (!in_flight_ && time_.now() >= next_send_)
-        send();
+    waiting_.push_back({std::move(records), deadline, std::move(done)});
+    send_what_waits();
 }
 
 void intake_writer::tick() {
-    end_overdue(waiting_);
-    if (in_flight_) {
-        end_overdue_in_flight();
-    } else {
-        end_overdue(batch_);
-        if (time_.now() >= next_send_ && (!batch_.empty() || !waiting_.empty()))
-            send();
-    }
+    end_overdue();
+    if (in_flight_)
+        watch_append();
+    else if (!waiting_.empty() && is_silent())
+        give_up_append();
+    send_what_waits();
 }
 
-void intake_writer::end_overdue(std::deque<entry>& entries) {
-    const instant now = time_.now();
-    std::deque<entry> keep;
-    for (entry& waiting : std::exchange(entries, {})) {
-        if (now < waiting.deadline)
+bool intake_writer::is_silent() const {
+    return unanswered_since_ && with_.time.now() - *unanswered_since_ >= 2 * late_after &&
+           !with_.log_answers();
+}
+
+void intake_writer::end_overdue() {
+    intake_entries keep;
+    for (intake_entry& waiting : std::exchange(waiting_, {})) {
+        if (waiting.has_ended())
+            continue;
+        if (with_.time.now() < waiting.deadline)
             keep.push_back(std::move(waiting));
         else
-            waiting.end(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
+            refuse(waiting);
     }
-    entries.insert(entries.begin(), std::make_move_iterator(keep.begin()),
-                   std::make_move_iterator(keep.end()));
+    put_back(std::move(keep));
 }
 
-/// The append goes on: its records are applied when the log has them.
-void intake_writer::end_overdue_in_flight() {
-    const instant now = time_.now();
-    for (entry& sent : batch_)
-        if (now >= sent.deadline)
-            sent.end(intake_outcome::unknown);
+void intake_writer::end_in_doubt(intake_entry& entry) {
+    if (entry.has_ended())
+        return;
+    ++counts_.left_in_doubt;
+    entry.end(intake_outcome::unknown);
 }
 
-void intake_writer::send() {
+void intake_writer::settle_by(intake_entries& entries, const stored_record& record) {
+    for (intake_entry& entry : entries) {
+        if (!entry.is_settled_by(record))
+            continue;
+        if (entry.doubtful || with_.time.now() - sent_at_ >= late_after)
+            ++counts_.settled_by_read;
+        entry.end(intake_outcome::stored);
+    }
+}
+
+void intake_writer::note_read(const stored_record& record) {
+    settle_by(batch_, record);
+    settle_by(waiting_, record);
+}
+
+void intake_writer::send_what_waits() {
+    if (in_flight_ || with_.time.now() < next_send_)
+        return;
+    fill_batch();
+    if (!batch_.empty())
+        send();
+}
+
+void intake_writer::fill_batch() {
     std::size_t bytes = 0;
-    for (const entry& waiting : batch_)
-        bytes += size_of(waiting.records);
-    while (!waiting_.empty() && batch_.size() < most_entries) {
-        bytes += size_of(waiting_.front().records);
-        if (!batch_.empty() && bytes > most_bytes)
-            break;
-        batch_.push_back(std::move(waiting_.front()));
-        waiting_.pop_front();
+    bool full = false;
+    for (intake_entry& entry : std::exchange(waiting_, {})) {
+        if (entry.has_ended())
+            continue;
+        full = full || batch_.size() == most_entries ||
+               (!batch_.empty() && bytes + entry.bytes() > most_bytes);
+        if (full || with_.time.now() < entry.append_from) {
+            waiting_.push_back(std::move(entry));
+            continue;
+        }
+        bytes += entry.bytes();
+        batch_.push_back(std::move(entry));
     }
-    std::vector<stored_record> records;
-    for (const entry& waiting : batch_)
-        records.insert(records.end(), waiting.records.begin(), waiting.records.end());
+}
+
+void intake_writer::send() {
     in_flight_ = true;
-    log_.append(cell_stream::intake, records, {},
-                [this, weak = std::weak_ptr(alive_)](const append_result& result) {
-                    if (!weak.expired())
-                        take(result);
-                });
+    ++counts_.appends;
+    counts_.records += batch_.size();
+    sent_at_ = with_.time.now();
+    if (!unanswered_since_)
+        unanswered_since_ = sent_at_;
+    next_look_ = sent_at_ + late_after;
+    with_.log.append(
+        cell_stream::intake, records_of(batch_), {},
+        [this, round = ++round_, weak = std::weak_ptr(alive_)](const append_result& result) {
+            if (!weak.expired() && round == round_ && in_flight_)
+                take(result);
+        });
+}
+
+/// The append goes on after its callers' time: its records are applied when the log has them.
+void intake_writer::watch_append() {
+    const instant now = with_.time.now();
+    pace_.note_waiting(now - sent_at_);
+    for (intake_entry& sent : batch_)
+        if (now >= sent.deadline)
+            end_in_doubt(sent);
+    if (is_silent())
+        return give_up_append();
+    if (now >= next_look_)
+        look_for_append();
+}
+
+/// A lost answer is found in the stream; nothing has to be appended twice for it.
+void intake_writer::look_for_append() {
+    next_look_ = with_.time.now() + late_after;
+    with_.read_on([this, round = round_, weak = std::weak_ptr(alive_)](bool) {
+        if (weak.expired() || round != round_ || !in_flight_)
+            return;
+        if (std::ranges::all_of(batch_, &intake_entry::has_ended))
+            abandon_append();
+    });
+}
+
+/// No call to the log is answered: callers are told so and can ask at another host.
+void intake_writer::give_up_append() {
+    for (intake_entry& sent : std::exchange(batch_, {}))
+        end_in_doubt(sent);
+    refuse_all(std::exchange(waiting_, {}));
+    abandon_append();
+}
+
+void intake_writer::abandon_append() {
+    in_flight_ = false;
+    batch_.clear();
+    unanswered_since_.reset();
+    next_send_ = with_.time.now() + retry_period;
 }
 
 void intake_writer::take(const append_result& result) {
     in_flight_ = false;
-    if (result.fault == log_fault::none)
-        return commit(result.offset);
-    next_send_ = time_.now() + retry_period;
+    if (result.fault != log_fault::silent)
+        unanswered_since_.reset();
     if (result.fault == log_fault::unavailable)
-        return refuse_batch();
-    end_in_doubt();
+        return take_refusal();
+    if (result.fault != log_fault::none)
+        return take_silence();
+    pace_.note(with_.time.now() - sent_at_);
+    commit(result.offset);
 }
 
-/// No answer: the same records are sent once more, since a lost answer is cheap to get again.
-/// Without an answer to that either, callers are told so and can ask at another host.
-void intake_writer::end_in_doubt() {
-    std::deque<entry> keep;
-    for (entry& waiting : std::exchange(batch_, {})) {
-        if (std::exchange(waiting.doubtful, true))
-            waiting.end(intake_outcome::unknown);
-        else
-            keep.push_back(std::move(waiting));
+/// No answer: the same records are sent once more, since a lost answer is cheap to get again. In a
+/// slow log the first may wait in the queue, and a second would only make that longer. Without an
+/// answer to the second callers are told so.
+void intake_writer::take_silence() {
+    const duration queue = pace_.is_slow() ? with_.log.longest_queue() : duration::zero();
+    intake_entries again;
+    for (intake_entry& sent : std::exchange(batch_, {})) {
+        if (std::exchange(sent.doubtful, true))
+            end_in_doubt(sent);
+        else if (!sent.has_ended())
+            again.push_back(std::move(sent));
     }
-    batch_.insert(batch_.begin(), std::make_move_iterator(keep.begin()),
-                  std::make_move_iterator(keep.end()));
-    end_overdue(batch_);
-    next_send_ = time_.now();
+    for (intake_entry& sent : again)
+        sent.append_from = sent_at_ + queue;
+    next_send_ = with_.time.now();
+    put_back(std::move(again));
+}
+
+/// The log itself refused: callers get their final answer now, so that they can go elsewhere. What
+/// an earlier append left in doubt stays so: that one may be stored yet.
+void intake_writer::take_refusal() {
+    next_send_ = with_.time.now() + retry_period;
+    refuse_all(std::exchange(batch_, {}));
+}
+
+void intake_writer::refuse(intake_entry& entry) {
+    if (entry.doubtful)
+        return end_in_doubt(entry);
+    entry.end(intake_outcome::not_stored);
+}
+
+void intake_writer::refuse_all(intake_entries entries) {
+    for (intake_entry& entry : entries)
+        refuse(entry);
+}
+
+void intake_writer::put_back(intake_entries entries) {
+    waiting_.insert(waiting_.begin(), std::make_move_iterator(entries.begin()),
+                    std::make_move_iterator(entries.end()));
 }
 
 void intake_writer::commit(std::uint64_t offset) {
-    std::deque<entry> batch = std::exchange(batch_, {});
-    for (entry& stored : batch) {
-        for (stored_record& record : stored.records) {
+    intake_entries stored = std::exchange(batch_, {});
+    for (intake_entry& entry : stored) {
+        for (stored_record& record : entry.records) {
             record.offset = offset++;
-            applied_(record);
+            with_.applied(record);
         }
     }
-    for (entry& stored : batch)
-        stored.end(intake_outcome::stored);
-    if (!in_flight_ && !waiting_.empty())
-        send();
-}
-
-/// The log itself refused: callers get their final answer now, so that they can go elsewhere. What
-/// an earlier append left in doubt stays so: that one may be stored yet.
-void intake_writer::refuse_batch() {
-    for (entry& waiting : std::exchange(batch_, {}))
-        waiting.end(waiting.doubtful ? intake_outcome::unknown : intake_outcome::not_stored);
+    for (intake_entry& entry : stored) {
+        if (entry.doubtful && !entry.has_ended())
+            ++counts_.settled_by_repeat;
+        entry.end(intake_outcome::stored);
+    }
+    send_what_waits();
 }
 
 } // namespace figwinch
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -1,67 +1,92 @@
 #pragma once
 
+#include "cell_host/append_pace.h"
+#include "cell_host/intake_entry.h"
 #include "figwinch/cell.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace figwinch {
 
-/// What became of a record that a caller waits for.
-enum class intake_outcome {
-    stored,
-    /// Certainly not in the log, and never will be.
-    not_stored,
-    /// May be in the log or still get there.
-    unknown,
+/// What became of appends, for metrics.
+struct intake_counts {
+    std::uint64_t appends = 0;
+    std::uint64_t records = 0;
+    /// Callers whose late append was found in the stream, was answered when sent again, and those
+    /// that were told of doubt.
+    std::uint64_t settled_by_read = 0;
+    std::uint64_t settled_by_repeat = 0;
+    std::uint64_t left_in_doubt = 0;
 };
 
-/// Appends jobs and cancellations to the intake stream, gathered in batches. An append without an
-/// answer is sent once more, since the same record twice is the same job; then callers are told.
-/// An append is bounded in records and bytes, so that it passes a narrow link in time.
+/// Appends jobs and cancellations to the intake stream, gathered in batches, one append at a time.
+/// An append that is late is looked for in the stream, and sent again only once it can't wait in
+/// the log's queue any more; when the log is silent altogether, callers are told at once. An
+/// append is bounded in records and bytes, so that it passes a narrow link in time.
 /// Owned by the host's daemon.
 class intake_writer {
 public:
     using handler = std::function<void(intake_outcome)>;
 
-    /// `applied` gets each record once the log has it, before its caller is told.
-    intake_writer(const clock& time, durable_log& log,
-                  std::function<void(const stored_record&)> applied);
+    /// What it works with; `time` and `log` outlive it.
+    struct parts {
+        const clock& time;
+        durable_log& log;
+        /// Gets each record once the log has it, before its caller is told.
+        std::function<void(const stored_record&)> applied;
+        /// Whether the log has answered anything to this host lately.
+        std::function<bool()> log_answers;
+        /// Reads the intake stream to its present end; tells whether it could.
+        std::function<void(std::function<void(bool)>)> read_on;
+    };
+
+    explicit intake_writer(parts with);
 
     /// Calls back once, at `deadline` at the latest and as soon as the outcome is settled or can't
     /// be.
     void write(std::vector<stored_record> records, instant deadline, handler done);
     void tick();
+    /// A record that was read from the stream.
+    void note_read(const stored_record& record);
     std::size_t waiting() const { return waiting_.size() + batch_.size(); }
+    const append_pace& pace() const { return pace_; }
+    const intake_counts& counts() const { return counts_; }
 
 private:
-    struct entry {
-        std::vector<stored_record> records;
-        instant deadline{};
-        handler done;
-        /// An append that held it went unanswered: it may be in the log.
-        bool doubtful = false;
-
-        /// Tells the caller once.
-        void end(intake_outcome outcome);
-    };
-
+    void send_what_waits();
+    void fill_batch();
     void send();
     void take(const append_result& result);
-    void end_in_doubt();
+    void take_silence();
+    void take_refusal();
+    bool is_silent() const;
+    void watch_append();
+    void look_for_append();
+    void give_up_append();
+    void abandon_append();
+    void end_overdue();
+    void end_in_doubt(intake_entry& entry);
+    void refuse(intake_entry& entry);
+    void refuse_all(intake_entries entries);
+    void settle_by(intake_entries& entries, const stored_record& record);
+    void put_back(intake_entries entries);
     void commit(std::uint64_t offset);
-    void refuse_batch();
-    void end_overdue(std::deque<entry>& entries);
-    void end_overdue_in_flight();
 
-    const clock& time_;
-    durable_log& log_;
-    std::function<void(const stored_record&)> applied_;
-    std::deque<entry> waiting_;
-    std::deque<entry> batch_;
+    parts with_;
+    append_pace pace_;
+    intake_counts counts_;
+    intake_entries waiting_;
+    intake_entries batch_;
     bool in_flight_ = false;
+    /// Of the append on its way; answers to earlier ones are dropped.
+    std::uint64_t round_ = 0;
+    instant sent_at_{};
+    /// When the first append was sent that the log hasn't answered, nor any after it.
+    std::optional<instant> unanswered_since_;
+    instant next_look_{};
     instant next_send_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/cell/sim_store.h
+++ b/tests/cell/sim_store.h
@@ -25,6 +25,20 @@
         std::uint64_t end() const { return first + records.size(); }
     };
 
+    /// What one append to a stream takes. Appends wait for one another, and one that would wait
+    /// for over `most_queued` is refused.
+    std::map<cell_stream, duration> service;
+    static constexpr duration most_queued = std::chrono::seconds(2);
+
+    /// When an append that arrives now is done, counted from now. Nothing: it is refused.
+    std::optional<duration> admit(cell_stream name, instant now) {
+        instant& free = free_at_[name];
+        if (free - now > most_queued)
+            return std::nullopt;
+        free = std::max(free, now) + service[name];
+        return free - now;
+    }
+
     stream& of(cell_stream name) { return streams_[name]; }
 
     append_result append(cell_stream name, std::vector<stored_record> records,
@@ -86,6 +100,7 @@
     }
 
     std::map<cell_stream, stream> streams_;
+    std::map<cell_stream, instant> free_at_;
 };
 
 /// One host's way to the store, which a test can block, slow or make lossy.
@@ -106,6 +121,9 @@
     /// Share of the appends that are done and not answered.
     double lost_answers = 0;
     duration delay = std::chrono::milliseconds(4);
+    /// An append without an answer for so long is given up, and done all the same.
+    std::optional<duration> patience;
+    std::size_t appends = 0;
     /// Records that one read answers with.
     std::size_t most_read = 100'000;
 
@@ -116,9 +134,19 @@
             return answer_silent(fault, done);
         if (blocked(fault, done))
             return;
+        ++appends;
+        const std::optional<duration> queued = store_.admit(stream, time_.now());
+        if (!queued) {
+            fault.fault = log_fault::unavailable;
+            return time_.after(delay,
+                               [=, alive = std::weak_ptr(alive_)] { deliver(alive, done, fault); });
+        }
+        const duration takes = delay + *queued;
+        if (patience && takes > *patience)
+            return append_late(stream, records, guard, takes, done);
         const bool lost = random_() < lost_answers;
         // It is done even when its host is gone by then.
-        time_.after(delay, [&store = store_, &time = time_, alive = std::weak_ptr(alive_), stream,
+        time_.after(takes, [&store = store_, &time = time_, alive = std::weak_ptr(alive_), stream,
                             records, guard, lost, done = std::move(done)] {
             const append_result answer = store.append(stream, records, guard);
             if (!lost)
@@ -166,10 +194,20 @@
             deliver(alive, done, page);
         });
     }
+    duration longest_queue() const override { return sim_store::most_queued; }
     /// The host is gone: nothing is answered any more.
     void kill() { alive_.reset(); }
 
 private:
+    void append_late(cell_stream stream, const std::vector<stored_record>& records,
+                     const append_guard& guard, duration takes,
+                     const std::function<void(append_result)>& done) {
+        append_result silent;
+        silent.fault = log_fault::silent;
+        time_.after(*patience,
+                    [=, alive = std::weak_ptr(alive_)] { deliver(alive, done, silent); });
+        time_.after(takes, [=, &store = store_] { store.append(stream, records, guard); });
+    }
     template <class Result, class Done>
     static void deliver(const std::weak_ptr<bool>& alive, const Done& done, const Result& result) {
         if (!alive.expired())
--- /dev/null
+++ b/tests/cell_host/intake_writer_test.cpp
@@ -0,0 +1,100 @@
+#include "cell_host/intake_writer.h"
+
+#include "tests/cell_host/sim_intake.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace figwinch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration patience = milliseconds(2700);
+
+/// Callers' jobs on their way into a log that is slow, silent or lossy.
+class intake_writer_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(intake_writer_test);
+    CPPUNIT_TEST(an_append_that_waits_in_the_log_is_not_sent_again);
+    CPPUNIT_TEST(a_lost_answer_is_found_in_the_stream);
+    CPPUNIT_TEST(a_silent_log_is_told_before_the_deadline);
+    CPPUNIT_TEST(a_slow_log_is_fast_again_within_a_second);
+    CPPUNIT_TEST_SUITE_END();
+
+    sim::sim_time time_;
+    sim::sim_store store_;
+
+    std::size_t stored_records() { return store_.of(cell_stream::intake).records.size(); }
+    static void assert_told(intake_outcome expected, const sim::told& answer) {
+        CPPUNIT_ASSERT(answer.outcome.has_value());
+        CPPUNIT_ASSERT(*answer.outcome == expected);
+    }
+
+public:
+    /// Guards against a repeat that doubles the load of a slow log while the first append still
+    /// waits there: the connection ends, the append doesn't.
+    void an_append_that_waits_in_the_log_is_not_sent_again() {
+        sim::intake_host host(time_, store_);
+        time_.run_for(milliseconds(100));
+        store_.service[cell_stream::intake] = milliseconds(800);
+        host.log.patience = milliseconds(500);
+        const auto answer = host.submit("a", patience);
+        time_.run_for(seconds(4));
+        assert_told(intake_outcome::stored, *answer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored_records());
+    }
+    /// Guards against a job that is appended twice, or told in doubt, because an answer was lost.
+    void a_lost_answer_is_found_in_the_stream() {
+        sim::intake_host host(time_, store_, 0);
+        time_.run_for(milliseconds(100));
+        host.log.lost_answers = 1;
+        const instant begun = time_.now();
+        const auto answer = host.submit("a", patience);
+        time_.run_for(seconds(4));
+        assert_told(intake_outcome::stored, *answer);
+        CPPUNIT_ASSERT(answer->at - begun < milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored_records());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, host.writer.counts().settled_by_read);
+    }
+    /// Guards against callers that are held to their deadlines while nothing of the log answers.
+    void a_silent_log_is_told_before_the_deadline() {
+        sim::intake_host host(time_, store_);
+        time_.run_for(milliseconds(100));
+        host.log.state = sim::sim_log::way::silent;
+        const instant begun = time_.now();
+        const auto sent = host.submit("a", patience);
+        const auto behind = host.submit("b", patience);
+        time_.run_for(seconds(4));
+        assert_told(intake_outcome::unknown, *sent);
+        CPPUNIT_ASSERT(sent->at - begun < milliseconds(1100));
+        CPPUNIT_ASSERT(behind->outcome.has_value());
+        CPPUNIT_ASSERT(behind->at - begun < milliseconds(2000));
+    }
+    /// Guards against a host that goes on as in a slow log when the log is fast again.
+    void a_slow_log_is_fast_again_within_a_second() {
+        sim::intake_host host(time_, store_);
+        const auto one_each_100_ms = [&](int count) {
+            for (int i = 0; i < count; ++i) {
+                host.submit(std::to_string(time_.now().time_since_epoch().count()), patience);
+                time_.run_for(milliseconds(100));
+            }
+        };
+        one_each_100_ms(10);
+        CPPUNIT_ASSERT(!host.writer.pace().is_slow());
+        store_.service[cell_stream::intake] = milliseconds(500);
+        one_each_100_ms(20);
+        CPPUNIT_ASSERT(host.writer.pace().is_slow());
+        store_.service[cell_stream::intake] = milliseconds(2);
+        one_each_100_ms(10);
+        CPPUNIT_ASSERT(!host.writer.pace().is_slow());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, host.writer.pace().times_slow());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(intake_writer_test);
+
+} // namespace
+} // namespace figwinch
--- a/tests/platform/store_log_test.cpp
+++ b/tests/platform/store_log_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(a_large_configuration_arrives_beside_two_other_loads);
     CPPUNIT_TEST(a_whole_page_arrives_over_a_narrow_link);
     CPPUNIT_TEST(an_append_of_many_records_gets_its_answer_over_a_narrow_link);
+    CPPUNIT_TEST(an_append_that_waits_in_the_log_gets_its_answer);
     CPPUNIT_TEST_SUITE_END();
 
     event_loop loop_;
@@ -31,6 +32,9 @@
     std::unique_ptr<slow_link> link_;
     std::unique_ptr<store_log> log_;
     std::size_t value_bytes_ = 0;
+    /// What an append waits in the log.
+    duration queued_{};
+    std::unique_ptr<event_handle> queue_;
 
     void start(std::size_t value_bytes, std::size_t bytes_per_s) {
         value_bytes_ = value_bytes;
@@ -39,7 +43,9 @@
         auto listening = http_server::listen(
             loop_, "127.0.0.1", 0, limits,
             [this](const http_request& request, const std::shared_ptr<http_responder>& to) {
-                to->respond(request.method == http_method::get ? page() : stored());
+                if (request.method == http_method::get)
+                    return to->respond(page());
+                queue_ = loop_.after(queued_, [to] { to->respond(stored()); });
             });
         CPPUNIT_ASSERT(listening.ok());
         store_ = std::move(*listening);
@@ -71,6 +77,15 @@
         loop_.run();
         return faults;
     }
+    log_fault append(const std::vector<stored_record>& records) {
+        std::optional<append_result> result;
+        log_->append(cell_stream::intake, records, {}, [&](const append_result& ended) {
+            result = ended;
+            loop_.stop();
+        });
+        loop_.run();
+        return result->fault;
+    }
     static void assert_none(const std::vector<log_fault>& faults) {
         for (const log_fault fault : faults)
             CPPUNIT_ASSERT(fault == log_fault::none);
@@ -93,13 +108,14 @@
     void an_append_of_many_records_gets_its_answer_over_a_narrow_link() {
         start(0, narrow);
         const std::vector<stored_record> records(40, {"k", std::string(4 * kilobyte, 'v'), 0});
-        std::optional<append_result> result;
-        log_->append(cell_stream::intake, records, {}, [&](const append_result& ended) {
-            result = ended;
-            loop_.stop();
-        });
-        loop_.run();
-        CPPUNIT_ASSERT(result->fault == log_fault::none);
+        CPPUNIT_ASSERT(append(records) == log_fault::none);
+    }
+    /// Guards against a job that is given up, and appended again, while it waits in the log behind
+    /// those of other hosts.
+    void an_append_that_waits_in_the_log_gets_its_answer() {
+        queued_ = std::chrono::milliseconds(800);
+        start(0, usual);
+        CPPUNIT_ASSERT(append({{"k", "v", 0}}) == log_fault::none);
     }
 };
 
