Refuse at once what a slow log can't take in time

Callers were held to their deadlines behind appends that took longer than they had, and told "not stored" or doubt then; and turned away at once by a log whose queue was full for a moment.

Change: intake_writer tells how long a record that comes now takes, from its newest append, the one on its way and what waits; job_front refuses with 503 what can't be stored by then, with a Retry-After from that figure and up to as much again by the job's name. What waits already is refused as soon as it can't make it. A refusal by a log that answers reads is taken for a full queue and tried again while its caller can wait as long as the queue may be. An append whose callers have all been told is dropped only when the stream has shown its records.

--- a/src/cell_host/intake_entry.cpp
+++ b/src/cell_host/intake_entry.cpp
@@ -17,8 +17,8 @@
 }
 
 /// The same key twice is the same job, whoever wrote it.
-bool intake_entry::is_settled_by(const stored_record& record) const {
-    return !has_ended() && records.size() == 1 && records.front().value && record.value &&
+bool intake_entry::is_in(const stored_record& record) const {
+    return records.size() == 1 && records.front().value && record.value &&
            records.front().key == record.key;
 }
 
--- a/src/cell_host/intake_entry.h
+++ b/src/cell_host/intake_entry.h
@@ -24,6 +24,8 @@
     std::function<void(intake_outcome)> done;
     /// An append that held it went unanswered: it may be in the log.
     bool doubtful = false;
+    /// The stream was seen to hold it.
+    bool seen = false;
     /// This host appends it itself no sooner: an earlier append of it may wait in the log's queue.
     instant append_from{};
 
@@ -32,7 +34,7 @@
     bool has_ended() const { return !done; }
     std::size_t bytes() const;
     /// Whether the log holds it, given that it holds `record`.
-    bool is_settled_by(const stored_record& record) const;
+    bool is_in(const stored_record& record) const;
 };
 
 using intake_entries = std::deque<intake_entry>;
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -11,6 +11,7 @@
 // An append without an answer for so long is looked for in the stream; when nothing else of the log
 // answers either, its callers are told after twice that.
 constexpr duration late_after = std::chrono::milliseconds(500);
+constexpr duration measure_life = std::chrono::seconds(1);
 constexpr std::size_t most_entries = 200;
 constexpr std::size_t most_bytes = std::size_t{64} * 1024;
 
@@ -27,11 +28,46 @@
     end_overdue();
     if (in_flight_)
         watch_append();
-    else if (!waiting_.empty() && is_silent())
+    else if (!waiting_.empty() && (is_silent() || (full_ && !with_.log_answers())))
         give_up_append();
+    if (pace_.is_slow())
+        refuse_hopeless();
     send_what_waits();
 }
 
+/// What can't be stored in its caller's time is refused before that is over.
+void intake_writer::refuse_hopeless() {
+    const duration head = wait_of(0);
+    const duration round = wait_of(most_entries) - head;
+    std::size_t ahead = 0;
+    intake_entries keep;
+    for (intake_entry& entry : std::exchange(waiting_, {})) {
+        const auto batches = static_cast<int>(ahead++ / most_entries);
+        const instant stored = with_.time.now() + head + round * batches;
+        if (entry.doubtful || stored <= entry.deadline)
+            keep.push_back(std::move(entry));
+        else
+            entry.end(intake_outcome::not_stored);
+    }
+    put_back(std::move(keep));
+}
+
+duration intake_writer::expected_wait() const {
+    return pace_.is_slow() ? wait_of(waiting_.size()) : duration::zero();
+}
+
+/// Until an entry is stored that has so many before it: what is left of the append on its way, and
+/// one more for each batch. An old measure counts for nothing.
+duration intake_writer::wait_of(std::size_t ahead) const {
+    const duration round = pace_.latest();
+    if (!in_flight_ && !pace_.measured_within(measure_life))
+        return duration::zero();
+    const duration left = in_flight_
+                              ? std::max(duration::zero(), sent_at_ + round - with_.time.now())
+                              : duration::zero();
+    return left + round * static_cast<int>(1 + ahead / most_entries);
+}
+
 bool intake_writer::is_silent() const {
     return unanswered_since_ && with_.time.now() - *unanswered_since_ >= 2 * late_after &&
            !with_.log_answers();
@@ -59,7 +95,10 @@
 
 void intake_writer::settle_by(intake_entries& entries, const stored_record& record) {
     for (intake_entry& entry : entries) {
-        if (!entry.is_settled_by(record))
+        if (!entry.is_in(record))
+            continue;
+        entry.seen = true;
+        if (entry.has_ended())
             continue;
         if (entry.doubtful || with_.time.now() - sent_at_ >= late_after)
             ++counts_.settled_by_read;
@@ -132,7 +171,7 @@
     with_.read_on([this, round = round_, weak = std::weak_ptr(alive_)](bool) {
         if (weak.expired() || round != round_ || !in_flight_)
             return;
-        if (std::ranges::all_of(batch_, &intake_entry::has_ended))
+        if (std::ranges::all_of(batch_, &intake_entry::seen))
             abandon_append();
     });
 }
@@ -160,6 +199,7 @@
         return take_refusal();
     if (result.fault != log_fault::none)
         return take_silence();
+    full_ = false;
     pace_.note(with_.time.now() - sent_at_);
     commit(result.offset);
 }
@@ -182,11 +222,24 @@
     put_back(std::move(again));
 }
 
-/// The log itself refused: callers get their final answer now, so that they can go elsewhere. What
-/// an earlier append left in doubt stays so: that one may be stored yet.
+/// The log itself refused. When it answers otherwise its queue is full: who can still wait for as
+/// long as that is tries again. The others get their final answer now, so that they can go
+/// elsewhere. What an earlier append left in doubt stays so: that one may be stored yet.
 void intake_writer::take_refusal() {
     next_send_ = with_.time.now() + retry_period;
-    refuse_all(std::exchange(batch_, {}));
+    intake_entries refused = std::exchange(batch_, {});
+    full_ = with_.log_answers();
+    if (!full_)
+        return refuse_all(std::move(refused));
+    pace_.note_full();
+    intake_entries again;
+    for (intake_entry& entry : refused) {
+        if (entry.deadline - with_.time.now() > with_.log.longest_queue())
+            again.push_back(std::move(entry));
+        else
+            refuse(entry);
+    }
+    put_back(std::move(again));
 }
 
 void intake_writer::refuse(intake_entry& entry) {
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -51,6 +51,9 @@
     void tick();
     /// A record that was read from the stream.
     void note_read(const stored_record& record);
+    /// How long a record that comes now will take to be stored, by what this host measures. Nothing
+    /// while the log isn't slow.
+    duration expected_wait() const;
     std::size_t waiting() const { return waiting_.size() + batch_.size(); }
     const append_pace& pace() const { return pace_; }
     const intake_counts& counts() const { return counts_; }
@@ -68,6 +71,8 @@
     void give_up_append();
     void abandon_append();
     void end_overdue();
+    void refuse_hopeless();
+    duration wait_of(std::size_t ahead) const;
     void end_in_doubt(intake_entry& entry);
     void refuse(intake_entry& entry);
     void refuse_all(intake_entries entries);
@@ -81,6 +86,8 @@
     intake_entries waiting_;
     intake_entries batch_;
     bool in_flight_ = false;
+    /// The log refused the newest append although it answers.
+    bool full_ = false;
     /// Of the append on its way; answers to earlier ones are dropped.
     std::uint64_t round_ = 0;
     instant sent_at_{};
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -72,6 +72,9 @@
     // Nothing is tried that would leave the caller waiting: another host may reach the log.
     if (!with_.log_answers())
         return refuse(answer, result_code::log_unavailable, "the log doesn't answer", id.str());
+    const instant deadline = deadline_of(request);
+    if (with_.time.now() + with_.writer.expected_wait() > deadline)
+        return refuse(answer, result_code::log_unavailable, "the log is slow", id.str());
     job->queue = queue.name;
     job->service = queue.service;
     job->priority = queue.priority;
@@ -81,7 +84,7 @@
     job->accepted_at = with_.time.wall_now();
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::job, id.str()), encode_job(*job), 0});
-    with_.writer.write(std::move(records), deadline_of(request),
+    with_.writer.write(std::move(records), deadline,
                        [this, id, answer, begun = with_.time.now()](intake_outcome outcome) {
                            answer_submission(id, answer, outcome, begun);
                        });
@@ -180,13 +183,23 @@
     const absl::string_view reason(why.data(), why.size());
     http_response response = json_response(
         row.http_status, absl::StrCat(R"({"code":)", number(code), R"(,"error":")", reason, "\"}"));
-    if (row.retry_after) {
-        const auto wait = std::chrono::ceil<std::chrono::seconds>(*row.retry_after).count();
-        response.headers.add("Retry-After", std::to_string(wait));
-    }
+    if (row.retry_after)
+        response.headers.add("Retry-After", std::to_string(retry_after(row, job).count()));
     answer->respond(std::move(response));
 }
 
+/// What a slow log needs for what waits here, and up to as much again: callers that are refused
+/// together don't come back together.
+std::chrono::seconds job_front::retry_after(const result_info& row, const std::string& job) const {
+    using std::chrono::seconds;
+    const auto least = std::chrono::ceil<seconds>(*row.retry_after);
+    const auto queue = std::chrono::ceil<seconds>(with_.writer.expected_wait());
+    if (queue == seconds::zero())
+        return least;
+    const auto spread = stable_hash(job) % static_cast<std::uint64_t>(queue.count() + 1);
+    return std::max(least, queue + seconds(spread));
+}
+
 duration job_front::patience_of(const http_request& request) const {
     return with_.dialect.patience(request).value_or(default_patience);
 }
--- a/src/cell_host/job_front.h
+++ b/src/cell_host/job_front.h
@@ -33,8 +33,9 @@
 
 /// Callers' way in: submits, shows and cancels jobs. Any host can answer, from its own copy of the
 /// log. A submission is accepted when the log has it; a job is called unknown only after the log
-/// was read to its end. No request is held longer than its caller waits, whatever the log does.
-/// Driven by `tick`. Owned by the host's daemon.
+/// was read to its end. What can't be stored in its caller's time is refused at once. No request is
+/// held longer than its caller waits, whatever the log does. Driven by `tick`. Owned by the host's
+/// daemon.
 class job_front {
 public:
     /// What it works with; all outlive it. `config` may be empty: no configuration yet.
@@ -88,6 +89,7 @@
     void settle(question& asked, std::string_view doubt);
     void refuse(const responder& answer, result_code code, std::string_view why,
                 const std::string& job);
+    std::chrono::seconds retry_after(const result_info& row, const std::string& job) const;
     duration patience_of(const http_request& request) const;
     instant deadline_of(const http_request& request) const;
 
--- a/tests/cell_host/cell_host_test.cpp
+++ b/tests/cell_host/cell_host_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_question_is_answered_in_time_while_a_load_is_on_its_way);
     CPPUNIT_TEST(a_cancellation_is_answered_in_time_while_a_load_is_on_its_way);
     CPPUNIT_TEST(a_submission_is_answered_in_time_while_its_append_is_on_its_way);
+    CPPUNIT_TEST(a_submission_that_a_slow_log_cant_take_in_time_is_refused_at_once);
     CPPUNIT_TEST_SUITE_END();
 
     event_loop loop_;
@@ -60,10 +61,11 @@
         loop_.run();
     }
     /// The answer that comes within the caller's patience.
-    std::optional<http_response> ask(http_method method) {
+    std::optional<http_response> ask(http_method method,
+                                     const std::string& job = "0123456789abcdef") {
         http_request request;
         request.method = method;
-        request.path = "/jobs/0123456789abcdef";
+        request.path = "/jobs/" + job;
         request.headers.add("Host", "gate.example");
         request.headers.add("Patience-Ms", patience_ms);
         std::optional<call_result> result;
@@ -108,6 +110,18 @@
         CPPUNIT_ASSERT(answer.has_value());
         CPPUNIT_ASSERT_EQUAL(status_in_doubt, answer->status);
     }
+    /// Guards against a submission that is handed to a log which can't take it in its caller's
+    /// time: it would end in doubt, where a refusal is certain.
+    void a_submission_that_a_slow_log_cant_take_in_time_is_refused_at_once() {
+        start();
+        platform_.held().service = milliseconds(600);
+        const auto first = ask(http_method::post);
+        CPPUNIT_ASSERT(first.has_value());
+        CPPUNIT_ASSERT_EQUAL(status_in_doubt, first->status);
+        run_for(milliseconds(200));
+        assert_refused(ask(http_method::post, "fedcba9876543210"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, platform_.held().appended);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cell_host_test);
--- a/tests/cell_host/fake_platform.h
+++ b/tests/cell_host/fake_platform.h
@@ -28,16 +28,23 @@
     explicit held_log(event_loop& loop) : loop_(loop) {}
 
     std::set<cell_stream> held;
+    /// What an append takes.
+    duration service{};
     /// Appends to the intake stream have so many records in all.
     std::size_t appended = 0;
 
     void append(cell_stream stream, const std::vector<stored_record>& records, const append_guard&,
                 std::function<void(append_result)> done) override {
         append_result answer;
-        if (stream == cell_stream::reigns)
+        if (stream == cell_stream::reigns) {
             answer.fault = log_fault::unavailable;
-        else
-            appended += records.size();
+            return reply(stream, [done = std::move(done), answer] { done(answer); });
+        }
+        appended += records.size();
+        if (service > duration::zero()) {
+            serving_ = loop_.after(service, [done = std::move(done), answer] { done(answer); });
+            return;
+        }
         reply(stream, [done = std::move(done), answer] { done(answer); });
     }
     void read(cell_stream stream, std::uint64_t, duration,
@@ -61,6 +68,7 @@
 
     event_loop& loop_;
     std::vector<std::function<void()>> unanswered_;
+    std::unique_ptr<event_handle> serving_;
 };
 
 /// Bodies are ignored; the `Patience-Ms` header says how long a caller waits.
--- a/tests/cell_host/intake_writer_test.cpp
+++ b/tests/cell_host/intake_writer_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(a_lost_answer_is_found_in_the_stream);
     CPPUNIT_TEST(a_silent_log_is_told_before_the_deadline);
     CPPUNIT_TEST(a_slow_log_is_fast_again_within_a_second);
+    CPPUNIT_TEST(a_record_that_cant_be_stored_in_time_is_refused_before_the_deadline);
+    CPPUNIT_TEST(a_full_log_is_tried_again_while_there_is_time);
     CPPUNIT_TEST_SUITE_END();
 
     sim::sim_time time_;
@@ -92,6 +94,32 @@
         CPPUNIT_ASSERT(!host.writer.pace().is_slow());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, host.writer.pace().times_slow());
     }
+    /// Guards against callers that are held to their deadlines behind an append which takes longer.
+    void a_record_that_cant_be_stored_in_time_is_refused_before_the_deadline() {
+        sim::intake_host host(time_, store_);
+        store_.service[cell_stream::intake] = milliseconds(1500);
+        host.submit("a", patience);
+        time_.run_for(milliseconds(1600));
+        host.submit("b", patience);
+        time_.run_for(milliseconds(100));
+        CPPUNIT_ASSERT(host.writer.expected_wait() > milliseconds(2800));
+        const instant begun = time_.now();
+        const auto late = host.submit("c", milliseconds(2000));
+        time_.run_for(seconds(4));
+        assert_told(intake_outcome::not_stored, *late);
+        CPPUNIT_ASSERT(late->at - begun < milliseconds(100));
+    }
+    /// Guards against a caller that is turned away by a log whose queue is full for a moment.
+    void a_full_log_is_tried_again_while_there_is_time() {
+        sim::intake_host host(time_, store_);
+        time_.run_for(milliseconds(100));
+        store_.service[cell_stream::intake] = milliseconds(2200);
+        CPPUNIT_ASSERT(store_.admit(cell_stream::intake, time_.now()).has_value());
+        store_.service[cell_stream::intake] = milliseconds(2);
+        const auto answer = host.submit("a", patience);
+        time_.run_for(seconds(4));
+        assert_told(intake_outcome::stored, *answer);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(intake_writer_test);
