Let one host append callers' jobs while the log is slow

Callers of a cell whose store was slow were refused or told of doubt: every host appends its own few jobs, and a partition that takes 100 ms for each append stores ten small ones a second.

Change: while a host finds the log slow it hands its callers' records over the bus to the coordinator's host, whose own writer has one append on its way and gathers what comes meanwhile in the next. The answer carries the offset, so that the host applies the records as its own. A late append is handed over once the stream doesn't show it. How long a record takes is judged by the quickest append of the slow spell: the newest one's wait was behind appends that are gone.

Tests: shared_writer_test, new with the parts: 40 hosts on ten appends a second, a cell that is fast again within a second, a writer killed between append and answer, one that doesn't coordinate, one that is silent, a lost request, the way over a real bus.

--- a/src/cell_host/append_pace.cpp
+++ b/src/cell_host/append_pace.cpp
@@ -28,7 +28,9 @@
     latest_ = took;
     measured_at_ = time_.now();
     if (took > std::max(least_slow, usual() * slow_factor))
-        return become_slow(took);
+        become_slow(took);
+    if (slow_)
+        least_ = std::min(took, least_.value_or(took));
     if (slow_ && took <= std::max(least_slow / 2, usual() * fast_factor))
         become_fast(took);
     if (slow_)
@@ -57,6 +59,7 @@
     if (slow_)
         return;
     slow_ = true;
+    least_.reset();
     slow_since_ = time_.now();
     ++times_slow_;
     log_event(log_level::warn, "log_slow",
--- a/src/cell_host/append_pace.h
+++ b/src/cell_host/append_pace.h
@@ -25,6 +25,8 @@
     /// The newest append's time.
     duration latest() const { return latest_; }
     duration usual() const;
+    /// The quickest append since the log became slow, which waited least in its queue.
+    duration least() const { return least_.value_or(duration::zero()); }
     /// Whether an append was answered within `span`.
     bool measured_within(duration span) const;
     /// How often the log became slow.
@@ -40,6 +42,7 @@
     duration latest_{};
     instant measured_at_{};
     std::optional<duration> usual_;
+    std::optional<duration> least_;
     std::uint64_t times_slow_ = 0;
 };
 
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -25,12 +25,15 @@
 
 cell_host::cell_host(event_loop& loop, cell_platform& platform, const cell_host_settings& with,
                      incarnation_id self)
-    : loop_(loop), platform_(platform), with_(with),
-      member_(time_, platform, with.cell, std::move(self), to_string(with.bus), with.cpu_share),
+    : loop_(loop), platform_(platform), with_(with), self_(std::move(self)),
+      member_(time_, platform, with.cell, self_, to_string(with.bus), with.cpu_share),
       front_({time_, platform.dialect(), member_.config(), member_.state(), member_.writer(),
               [this](const std::function<void(bool)>& done) { member_.sync_intake(done); },
               [this] { return member_.log_answers(); },
-              [this](duration waited) { metrics_.observe_acceptance(waited); }}) {
+              [this](duration waited) { metrics_.observe_acceptance(waited); }}),
+      handovers_(time_, member_.writer(), [this] {
+          return !stopping_ && member_.election().leads() && member_.log_answers();
+      }) {
     tick();
 }
 
@@ -63,11 +66,33 @@
     if (!metrics.ok())
         return metrics.status();
     metrics_server_ = std::move(*metrics);
+    return listen_to_peers();
+}
+
+absl::Status cell_host::listen_to_peers() {
+    auto peers = bus::bind(loop_, time_, with_.bus.address, with_.bus.port, self_);
+    if (!peers.ok())
+        return peers.status();
+    peers_ = std::move(*peers);
+    peers_->on_request([this](const bus_sender&, std::string_view body, const auto& reply) {
+        handovers_.handle(body, reply);
+    });
+    writer_ = std::make_unique<bus_writer>(time_, *peers_, [this] { return writer_address(); });
+    member_.writer().hand_to(writer_.get());
     return absl::OkStatus();
 }
 
+std::optional<std::string> cell_host::writer_address() const {
+    const std::optional<reign_view>& reign = member_.election().current();
+    if (!reign || reign->holder == self_)
+        return std::nullopt;
+    return reign->bus_address;
+}
+
 void cell_host::tick() {
     const duration next = member_.tick();
+    if (writer_)
+        writer_->tick();
     front_.tick();
     ticking_ = loop_.after(next, [this] { tick(); });
 }
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "cell_host/bus_writer.h"
 #include "cell_host/cell_host_settings.h"
 #include "cell_host/cell_member.h"
 #include "cell_host/cell_metrics.h"
+#include "cell_host/handover_server.h"
 #include "cell_host/job_front.h"
 
 namespace figwinch {
@@ -22,6 +24,9 @@
 private:
     void tick();
     bool is_ready() const { return !stopping_ && member_.is_loaded() && member_.log_answers(); }
+    absl::Status listen_to_peers();
+    /// The bus address of the host that appends for all: the coordinator's.
+    std::optional<std::string> writer_address() const;
     void answer_ready(const std::shared_ptr<http_responder>& answer) const;
     void finish_stop();
     void end();
@@ -30,10 +35,14 @@
     system_clock time_;
     cell_platform& platform_;
     cell_host_settings with_;
+    incarnation_id self_;
     cell_metrics metrics_;
     cell_member member_;
     job_front front_;
+    handover_server handovers_;
     bool stopping_ = false;
+    std::unique_ptr<bus> peers_;
+    std::unique_ptr<bus_writer> writer_;
     std::unique_ptr<http_server> callers_server_;
     std::unique_ptr<http_server> ready_server_;
     std::unique_ptr<http_server> metrics_server_;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -251,7 +251,7 @@
     drops.push_back({record_key(record_kind::job, id.str()), std::nullopt, 0});
     drops.push_back({record_key(record_kind::cancellation, id.str()), std::nullopt, 0});
     writer_.write(std::move(drops), time_.now() + forget_patience,
-                  [this, id, done](intake_outcome outcome) {
+                  [this, id, done](intake_outcome outcome, std::uint64_t) {
                       if (outcome == intake_outcome::stored)
                           done();
                       else if (coordinator_)
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -70,6 +70,9 @@
         "late appends that were found in the stream");
     set("figwinch_cell_doubts_repeated", counts.settled_by_repeat,
         "late appends that were answered when sent again");
+    set("figwinch_cell_doubts_handed", counts.settled_by_writer,
+        "late appends that the cell's writer settled");
+    set("figwinch_cell_intake_handed", counts.handed, "callers handed to the cell's writer");
     set("figwinch_cell_doubts_left", counts.left_in_doubt, "callers told that nobody knows");
 }
 
--- a/src/cell_host/intake_entry.cpp
+++ b/src/cell_host/intake_entry.cpp
@@ -4,9 +4,9 @@
 
 namespace figwinch {
 
-void intake_entry::end(intake_outcome outcome) {
+void intake_entry::end(intake_outcome outcome, std::uint64_t offset) {
     if (const auto call = std::exchange(done, nullptr))
-        call(outcome);
+        call(outcome, offset);
 }
 
 std::size_t intake_entry::bytes() const {
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -12,20 +12,37 @@
 // answers either, its callers are told after twice that.
 constexpr duration late_after = std::chrono::milliseconds(500);
 constexpr duration measure_life = std::chrono::seconds(1);
-constexpr std::size_t most_entries = 200;
-constexpr std::size_t most_bytes = std::size_t{64} * 1024;
+
+/// Callers who still wait, and whose record may be stored already.
+std::uint64_t count_doubtful(const intake_entries& entries) {
+    return static_cast<std::uint64_t>(std::ranges::count_if(
+        entries, [](const auto& entry) { return entry.doubtful && !entry.has_ended(); }));
+}
 
 } // namespace
 
-intake_writer::intake_writer(parts with) : with_(std::move(with)), pace_(with_.time) {}
+intake_writer::intake_writer(parts with)
+    : with_(std::move(with)), pace_(with_.time),
+      lane_(with_.time, [this](intake_entries entries, const handover_result& result) {
+          take_handed(std::move(entries), result);
+      }) {}
 
 void intake_writer::write(std::vector<stored_record> records, instant deadline, handler done) {
-    waiting_.push_back({std::move(records), deadline, std::move(done)});
+    waiting_.push({std::move(records), deadline, std::move(done)});
+    send_what_waits();
+}
+
+void intake_writer::write_for_other(std::vector<stored_record> records, instant deadline,
+                                    handler done) {
+    intake_entry entry{std::move(records), deadline, std::move(done)};
+    entry.own = true;
+    waiting_.push(std::move(entry));
     send_what_waits();
 }
 
 void intake_writer::tick() {
     end_overdue();
+    end_overdue_on_way(lane_.entries());
     if (in_flight_)
         watch_append();
     else if (!waiting_.empty() && (is_silent() || (full_ && !with_.log_answers())))
@@ -38,34 +55,36 @@
 /// What can't be stored in its caller's time is refused before that is over.
 void intake_writer::refuse_hopeless() {
     const duration head = wait_of(0);
-    const duration round = wait_of(most_entries) - head;
+    const duration round = wait_of(intake_queue::most_entries) - head;
     std::size_t ahead = 0;
     intake_entries keep;
-    for (intake_entry& entry : std::exchange(waiting_, {})) {
-        const auto batches = static_cast<int>(ahead++ / most_entries);
+    for (intake_entry& entry : waiting_.take_all()) {
+        const auto batches = static_cast<int>(ahead++ / intake_queue::most_entries);
         const instant stored = with_.time.now() + head + round * batches;
         if (entry.doubtful || stored <= entry.deadline)
             keep.push_back(std::move(entry));
         else
             entry.end(intake_outcome::not_stored);
     }
-    put_back(std::move(keep));
+    waiting_.put_back(std::move(keep));
 }
 
 duration intake_writer::expected_wait() const {
     return pace_.is_slow() ? wait_of(waiting_.size()) : duration::zero();
 }
 
-/// Until an entry is stored that has so many before it: what is left of the append on its way, and
-/// one more for each batch. An old measure counts for nothing.
+/// Until an entry is stored that has so many before it: what is left of what is on its way, and one
+/// round more for each batch. An old measure counts for nothing.
 duration intake_writer::wait_of(std::size_t ahead) const {
-    const duration round = pace_.latest();
+    if (hands_over())
+        return lane_.left();
     if (!in_flight_ && !pace_.measured_within(measure_life))
         return duration::zero();
+    const duration round = pace_.least();
     const duration left = in_flight_
                               ? std::max(duration::zero(), sent_at_ + round - with_.time.now())
                               : duration::zero();
-    return left + round * static_cast<int>(1 + ahead / most_entries);
+    return left + round * static_cast<int>(1 + ahead / intake_queue::most_entries);
 }
 
 bool intake_writer::is_silent() const {
@@ -75,7 +94,7 @@
 
 void intake_writer::end_overdue() {
     intake_entries keep;
-    for (intake_entry& waiting : std::exchange(waiting_, {})) {
+    for (intake_entry& waiting : waiting_.take_all()) {
         if (waiting.has_ended())
             continue;
         if (with_.time.now() < waiting.deadline)
@@ -83,7 +102,13 @@
         else
             refuse(waiting);
     }
-    put_back(std::move(keep));
+    waiting_.put_back(std::move(keep));
+}
+
+void intake_writer::end_overdue_on_way(intake_entries& entries) {
+    for (intake_entry& sent : entries)
+        if (with_.time.now() >= sent.deadline)
+            end_in_doubt(sent);
 }
 
 void intake_writer::end_in_doubt(intake_entry& entry) {
@@ -102,38 +127,32 @@
             continue;
         if (entry.doubtful || with_.time.now() - sent_at_ >= late_after)
             ++counts_.settled_by_read;
-        entry.end(intake_outcome::stored);
+        entry.end(intake_outcome::stored, record.offset);
     }
 }
 
 void intake_writer::note_read(const stored_record& record) {
     settle_by(batch_, record);
-    settle_by(waiting_, record);
+    settle_by(waiting_.entries(), record);
+    settle_by(lane_.entries(), record);
 }
 
 void intake_writer::send_what_waits() {
+    if (hands_over() && !lane_.is_busy()) {
+        intake_entries handed = waiting_.take([](const intake_entry& entry) { return !entry.own; });
+        counts_.handed += handed.size();
+        if (!handed.empty())
+            lane_.hand(std::move(handed));
+    }
     if (in_flight_ || with_.time.now() < next_send_)
         return;
-    fill_batch();
+    batch_ = waiting_.take([this](const intake_entry& entry) { return may_append(entry); });
     if (!batch_.empty())
         send();
 }
 
-void intake_writer::fill_batch() {
-    std::size_t bytes = 0;
-    bool full = false;
-    for (intake_entry& entry : std::exchange(waiting_, {})) {
-        if (entry.has_ended())
-            continue;
-        full = full || batch_.size() == most_entries ||
-               (!batch_.empty() && bytes + entry.bytes() > most_bytes);
-        if (full || with_.time.now() < entry.append_from) {
-            waiting_.push_back(std::move(entry));
-            continue;
-        }
-        bytes += entry.bytes();
-        batch_.push_back(std::move(entry));
-    }
+bool intake_writer::may_append(const intake_entry& entry) const {
+    return with_.time.now() >= entry.append_from && (entry.own || !hands_over());
 }
 
 void intake_writer::send() {
@@ -156,9 +175,7 @@
 void intake_writer::watch_append() {
     const instant now = with_.time.now();
     pace_.note_waiting(now - sent_at_);
-    for (intake_entry& sent : batch_)
-        if (now >= sent.deadline)
-            end_in_doubt(sent);
+    end_overdue_on_way(batch_);
     if (is_silent())
         return give_up_append();
     if (now >= next_look_)
@@ -172,15 +189,29 @@
         if (weak.expired() || round != round_ || !in_flight_)
             return;
         if (std::ranges::all_of(batch_, &intake_entry::seen))
-            abandon_append();
+            return abandon_append();
+        if (hands_over() && std::ranges::none_of(batch_, &intake_entry::own))
+            hand_late_over();
     });
 }
 
+/// The writer's one append for many hosts makes the queue hardly longer, so that a request which
+/// never arrived is made good.
+void intake_writer::hand_late_over() {
+    intake_entries late = std::exchange(batch_, {});
+    for (intake_entry& entry : late) {
+        entry.doubtful = true;
+        entry.append_from = sent_at_ + with_.log.longest_queue();
+    }
+    abandon_append();
+    waiting_.put_back(std::move(late));
+}
+
 /// No call to the log is answered: callers are told so and can ask at another host.
 void intake_writer::give_up_append() {
     for (intake_entry& sent : std::exchange(batch_, {}))
         end_in_doubt(sent);
-    refuse_all(std::exchange(waiting_, {}));
+    refuse_all(waiting_.take_all());
     abandon_append();
 }
 
@@ -201,7 +232,8 @@
         return take_silence();
     full_ = false;
     pace_.note(with_.time.now() - sent_at_);
-    commit(result.offset);
+    counts_.settled_by_repeat += count_doubtful(batch_);
+    commit(std::exchange(batch_, {}), result.offset);
 }
 
 /// No answer: the same records are sent once more, since a lost answer is cheap to get again. In a
@@ -219,7 +251,7 @@
     for (intake_entry& sent : again)
         sent.append_from = sent_at_ + queue;
     next_send_ = with_.time.now();
-    put_back(std::move(again));
+    waiting_.put_back(std::move(again));
 }
 
 /// The log itself refused. When it answers otherwise its queue is full: who can still wait for as
@@ -234,12 +266,13 @@
     pace_.note_full();
     intake_entries again;
     for (intake_entry& entry : refused) {
-        if (entry.deadline - with_.time.now() > with_.log.longest_queue())
+        const bool can_wait = entry.deadline - with_.time.now() > with_.log.longest_queue();
+        if (can_wait || (hands_over() && !entry.own))
             again.push_back(std::move(entry));
         else
             refuse(entry);
     }
-    put_back(std::move(again));
+    waiting_.put_back(std::move(again));
 }
 
 void intake_writer::refuse(intake_entry& entry) {
@@ -253,24 +286,37 @@
         refuse(entry);
 }
 
-void intake_writer::put_back(intake_entries entries) {
-    waiting_.insert(waiting_.begin(), std::make_move_iterator(entries.begin()),
-                    std::make_move_iterator(entries.end()));
+/// Nobody else is asked twice: what the writer didn't do or say, this host does itself.
+void intake_writer::take_handed(intake_entries entries, const handover_result& result) {
+    switch (result.outcome) {
+    case handover_result::kind::stored:
+        pace_.note(result.append);
+        counts_.settled_by_writer += count_doubtful(entries);
+        return commit(std::move(entries), result.offset);
+    case handover_result::kind::not_stored:
+        return refuse_all(std::move(entries));
+    case handover_result::kind::unknown:
+        for (intake_entry& entry : entries)
+            entry.doubtful = true;
+        break;
+    case handover_result::kind::not_taken:
+        break;
+    }
+    for (intake_entry& entry : entries)
+        entry.own = true;
+    waiting_.put_back(std::move(entries));
+    send_what_waits();
 }
 
-void intake_writer::commit(std::uint64_t offset) {
-    intake_entries stored = std::exchange(batch_, {});
+void intake_writer::commit(intake_entries stored, std::uint64_t offset) {
     for (intake_entry& entry : stored) {
         for (stored_record& record : entry.records) {
             record.offset = offset++;
             with_.applied(record);
         }
     }
-    for (intake_entry& entry : stored) {
-        if (entry.doubtful && !entry.has_ended())
-            ++counts_.settled_by_repeat;
-        entry.end(intake_outcome::stored);
-    }
+    for (intake_entry& entry : stored)
+        entry.end(intake_outcome::stored, entry.records.front().offset);
     send_what_waits();
 }
 
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "cell_host/append_pace.h"
+#include "cell_host/handover_lane.h"
 #include "cell_host/intake_entry.h"
+#include "cell_host/intake_queue.h"
 #include "figwinch/cell.h"
 
 #include <functional>
@@ -15,21 +17,26 @@
 struct intake_counts {
     std::uint64_t appends = 0;
     std::uint64_t records = 0;
-    /// Callers whose late append was found in the stream, was answered when sent again, and those
+    /// Callers whose late append was found in the stream, was answered when sent again or by the
+    /// cell's writer, and those
     /// that were told of doubt.
     std::uint64_t settled_by_read = 0;
     std::uint64_t settled_by_repeat = 0;
+    std::uint64_t settled_by_writer = 0;
+    /// Callers whose records were handed to the cell's writer.
+    std::uint64_t handed = 0;
     std::uint64_t left_in_doubt = 0;
 };
 
 /// Appends jobs and cancellations to the intake stream, gathered in batches, one append at a time.
 /// An append that is late is looked for in the stream, and sent again only once it can't wait in
-/// the log's queue any more; when the log is silent altogether, callers are told at once. An
-/// append is bounded in records and bytes, so that it passes a narrow link in time.
-/// Owned by the host's daemon.
+/// the log's queue any more; while appends queue in the log, records are handed to the cell's
+/// writer, which appends those of all hosts together. When the log is silent altogether, callers
+/// are told at once. An append is bounded in records and bytes, so that it passes a narrow link in
+/// time. Owned by the host's daemon.
 class intake_writer {
 public:
-    using handler = std::function<void(intake_outcome)>;
+    using handler = std::function<void(intake_outcome, std::uint64_t offset)>;
 
     /// What it works with; `time` and `log` outlive it.
     struct parts {
@@ -48,19 +55,25 @@
     /// Calls back once, at `deadline` at the latest and as soon as the outcome is settled or can't
     /// be.
     void write(std::vector<stored_record> records, instant deadline, handler done);
+    /// The same for a host that handed them over: they aren't handed on.
+    void write_for_other(std::vector<stored_record> records, instant deadline, handler done);
+    /// Who takes records over while the log is slow; outlives this. Null: nobody.
+    void hand_to(shared_writer* writer) { lane_.use(writer); }
     void tick();
     /// A record that was read from the stream.
     void note_read(const stored_record& record);
     /// How long a record that comes now will take to be stored, by what this host measures. Nothing
     /// while the log isn't slow.
     duration expected_wait() const;
-    std::size_t waiting() const { return waiting_.size() + batch_.size(); }
+    std::size_t waiting() const { return waiting_.size() + batch_.size() + lane_.size(); }
     const append_pace& pace() const { return pace_; }
     const intake_counts& counts() const { return counts_; }
 
 private:
     void send_what_waits();
-    void fill_batch();
+    bool hands_over() const { return pace_.is_slow() && lane_.is_open(); }
+    bool may_append(const intake_entry& entry) const;
+    void take_handed(intake_entries entries, const handover_result& result);
     void send();
     void take(const append_result& result);
     void take_silence();
@@ -68,22 +81,24 @@
     bool is_silent() const;
     void watch_append();
     void look_for_append();
+    void hand_late_over();
     void give_up_append();
     void abandon_append();
     void end_overdue();
     void refuse_hopeless();
     duration wait_of(std::size_t ahead) const;
+    void end_overdue_on_way(intake_entries& entries);
     void end_in_doubt(intake_entry& entry);
     void refuse(intake_entry& entry);
     void refuse_all(intake_entries entries);
     void settle_by(intake_entries& entries, const stored_record& record);
-    void put_back(intake_entries entries);
-    void commit(std::uint64_t offset);
+    void commit(intake_entries stored, std::uint64_t offset);
 
     parts with_;
     append_pace pace_;
+    handover_lane lane_;
     intake_counts counts_;
-    intake_entries waiting_;
+    intake_queue waiting_;
     intake_entries batch_;
     bool in_flight_ = false;
     /// The log refused the newest append although it answers.
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -84,10 +84,11 @@
     job->accepted_at = with_.time.wall_now();
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::job, id.str()), encode_job(*job), 0});
-    with_.writer.write(std::move(records), deadline,
-                       [this, id, answer, begun = with_.time.now()](intake_outcome outcome) {
-                           answer_submission(id, answer, outcome, begun);
-                       });
+    with_.writer.write(
+        std::move(records), deadline,
+        [this, id, answer, begun = with_.time.now()](intake_outcome outcome, std::uint64_t) {
+            answer_submission(id, answer, outcome, begun);
+        });
 }
 
 void job_front::answer_submission(const job_id& id, const responder& answer, intake_outcome outcome,
@@ -158,14 +159,15 @@
 void job_front::write_cancellation(const job_id& id, instant deadline, const responder& answer) {
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::cancellation, id.str()), "1", 0});
-    with_.writer.write(std::move(records), deadline, [this, id, answer](auto outcome) {
-        if (outcome != intake_outcome::stored)
-            return refuse(answer, result_code::log_unavailable, "cancellation not stored",
-                          id.str());
-        ++counts_.cancelled;
-        log_event(log_level::info, "job_cancelled", {{"job", id.str()}});
-        answer->respond(json_response(status_ok, "{}"));
-    });
+    with_.writer.write(std::move(records), deadline,
+                       [this, id, answer](auto outcome, std::uint64_t) {
+                           if (outcome != intake_outcome::stored)
+                               return refuse(answer, result_code::log_unavailable,
+                                             "cancellation not stored", id.str());
+                           ++counts_.cancelled;
+                           log_event(log_level::info, "job_cancelled", {{"job", id.str()}});
+                           answer->respond(json_response(status_ok, "{}"));
+                       });
 }
 
 void job_front::show_queue(const queue_config& queue, const responder& answer) {
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -213,9 +213,9 @@
     std::shared_ptr<std::optional<intake_outcome>> write(std::size_t host,
                                                          std::vector<stored_record> records) {
         auto told = std::make_shared<std::optional<intake_outcome>>();
-        hosts_.at(host)->member().writer().write(std::move(records),
-                                                 time_.now() + std::chrono::seconds(3),
-                                                 [told](intake_outcome what) { *told = what; });
+        hosts_.at(host)->member().writer().write(
+            std::move(records), time_.now() + std::chrono::seconds(3),
+            [told](intake_outcome what, std::uint64_t) { *told = what; });
         return told;
     }
     void watch_cancel(const std::string& id,
--- /dev/null
+++ b/tests/cell_host/shared_writer_test.cpp
@@ -0,0 +1,214 @@
+#include "cell_host/bus_writer.h"
+#include "cell_host/handover_codec.h"
+#include "cell_host/handover_server.h"
+#include "tests/cell_host/sim_intake.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace figwinch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration patience = milliseconds(2700);
+constexpr std::size_t hosts = 40;
+
+/// A cell whose log is slow, and its hosts' one writer.
+class shared_writer_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(shared_writer_test);
+    CPPUNIT_TEST(forty_hosts_are_served_by_a_log_of_ten_appends_a_second);
+    CPPUNIT_TEST(a_cell_is_fast_again_within_a_second_of_its_log);
+    CPPUNIT_TEST(a_writer_killed_between_append_and_answer_leaves_no_doubt);
+    CPPUNIT_TEST(a_host_that_doesnt_write_leaves_records_to_their_own_host);
+    CPPUNIT_TEST(a_request_that_was_lost_is_made_good_by_the_writer);
+    CPPUNIT_TEST(records_are_the_same_after_the_way_over_the_bus);
+    CPPUNIT_TEST(a_writer_over_the_bus_takes_records);
+    CPPUNIT_TEST(a_writer_that_is_silent_is_given_up_before_callers_do);
+    CPPUNIT_TEST_SUITE_END();
+
+    sim::sim_time time_;
+    sim::sim_store store_;
+    std::vector<std::unique_ptr<sim::intake_host>> hosts_;
+    std::vector<std::unique_ptr<sim::sim_bus_writer>> ways_;
+    std::vector<std::shared_ptr<sim::told>> told_;
+    int jobs_ = 0;
+
+    /// The first host writes for all.
+    void start(std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i)
+            hosts_.push_back(std::make_unique<sim::intake_host>(time_, store_));
+        for (std::size_t i = 1; i < count; ++i) {
+            ways_.push_back(std::make_unique<sim::sim_bus_writer>(time_, *hosts_.front()));
+            hosts_[i]->writer.hand_to(ways_.back().get());
+        }
+        store_.service[cell_stream::intake] = milliseconds(2);
+    }
+    std::shared_ptr<sim::told> submit(std::size_t host) {
+        told_.push_back(hosts_[host]->submit(std::to_string(jobs_++), patience));
+        return told_.back();
+    }
+    /// Each host gets a job every 400 ms.
+    void load_for(duration span) {
+        for (const instant end = time_.now() + span; time_.now() < end;) {
+            for (std::size_t i = 0; i < hosts_.size(); ++i) {
+                submit(i);
+                time_.run_for(milliseconds(10));
+            }
+        }
+    }
+    std::size_t count(intake_outcome outcome) const {
+        std::size_t sum = 0;
+        for (const auto& answer : told_)
+            sum += answer->outcome == outcome ? 1 : 0;
+        return sum;
+    }
+
+public:
+    /// Guards against hosts whose small appends queue for one another in a log that is slow: half
+    /// of them are refused and the others are told of doubt.
+    void forty_hosts_are_served_by_a_log_of_ten_appends_a_second() {
+        start(hosts);
+        load_for(seconds(1));
+        store_.service[cell_stream::intake] = milliseconds(100);
+        load_for(seconds(5));
+        time_.run_for(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count(intake_outcome::unknown));
+        CPPUNIT_ASSERT_EQUAL(told_.size(),
+                             count(intake_outcome::stored) + count(intake_outcome::not_stored));
+        CPPUNIT_ASSERT(count(intake_outcome::not_stored) * 20 < told_.size());
+        CPPUNIT_ASSERT_EQUAL(count(intake_outcome::stored),
+                             store_.of(cell_stream::intake).newest.size());
+    }
+    /// Guards against a cell that goes on handing records over when its log is fast.
+    void a_cell_is_fast_again_within_a_second_of_its_log() {
+        start(hosts);
+        load_for(seconds(1));
+        store_.service[cell_stream::intake] = milliseconds(100);
+        load_for(seconds(4));
+        store_.service[cell_stream::intake] = milliseconds(2);
+        load_for(seconds(1));
+        for (const auto& host : hosts_)
+            CPPUNIT_ASSERT(!host->writer.pace().is_slow());
+        told_.clear();
+        load_for(seconds(1));
+        time_.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(told_.size(), count(intake_outcome::stored));
+    }
+    /// Guards against records that were handed to a process which ended before it answered: they
+    /// may be in the log, so that they must not be called "never runs".
+    void a_writer_killed_between_append_and_answer_leaves_no_doubt() {
+        start(3);
+        load_for(seconds(1));
+        store_.service[cell_stream::intake] = milliseconds(100);
+        load_for(seconds(1));
+        told_.clear();
+        const auto answer = submit(1);
+        time_.run_for(milliseconds(50));
+        hosts_.front()->dead = true;
+        hosts_.front()->log.kill();
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT(answer->outcome == intake_outcome::stored);
+    }
+    /// Guards against records that nobody appends because the host asked no longer coordinates.
+    void a_host_that_doesnt_write_leaves_records_to_their_own_host() {
+        class refusing final : public shared_writer {
+        public:
+            bool is_open() const override { return true; }
+            void hand(const std::vector<stored_record>&, duration, handler done) override {
+                ++asked;
+                done({handover_result::kind::not_taken, 0, {}});
+            }
+            int asked = 0;
+        };
+        refusing other;
+        start(1);
+        hosts_.front()->writer.hand_to(&other);
+        store_.service[cell_stream::intake] = milliseconds(500);
+        submit(0);
+        time_.run_for(milliseconds(450));
+        submit(0);
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(1, other.asked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count(intake_outcome::stored));
+    }
+    /// Guards against a caller that is told of doubt because its host's request never arrived.
+    void a_request_that_was_lost_is_made_good_by_the_writer() {
+        start(2);
+        load_for(seconds(1));
+        told_.clear();
+        hosts_[1]->log.stuck = cell_stream::intake;
+        const instant begun = time_.now();
+        const auto answer = submit(1);
+        time_.run_for(seconds(3));
+        CPPUNIT_ASSERT(answer->outcome == intake_outcome::stored);
+        CPPUNIT_ASSERT(answer->at - begun < seconds(1));
+    }
+    /// Guards against a dropped key that arrives as an empty value.
+    void records_are_the_same_after_the_way_over_the_bus() {
+        const auto read = decode_handover(
+            encode_handover({seconds(2), {{"ja", std::string("\0x", 2), 0}, {"jb", {}, 0}}}));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->patience == seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->records.size());
+        CPPUNIT_ASSERT(read->records[0].value == std::string("\0x", 2));
+        CPPUNIT_ASSERT(!read->records[1].value.has_value());
+        const auto result = decode_handover_result(
+            encode_handover_result({handover_result::kind::not_stored, 7, milliseconds(100)}));
+        CPPUNIT_ASSERT(result.outcome == handover_result::kind::not_stored);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, result.offset);
+        CPPUNIT_ASSERT(result.append == milliseconds(100));
+        CPPUNIT_ASSERT(decode_handover_result("?").outcome == handover_result::kind::unknown);
+    }
+
+private:
+    /// Hands a record over a real bus to `serve`; how that ended.
+    static handover_result hand_over(const bus::request_handler& serve, duration wait) {
+        event_loop loop;
+        system_clock time;
+        auto server = bus::bind(loop, time, "127.0.0.1", 0, incarnation_id("writer#1"));
+        auto asker = bus::bind(loop, time, "127.0.0.1", 0, incarnation_id("host#1"));
+        CPPUNIT_ASSERT(server.ok() && asker.ok());
+        (*server)->on_request(serve);
+        const std::string where = "127.0.0.1:" + std::to_string((*server)->port());
+        bus_writer writer(time, **asker, [&] { return std::optional(where); });
+        const auto ticking = loop.every(milliseconds(10), [&] { writer.tick(); });
+        handover_result ended;
+        writer.hand({{"ja", "what it is", 0}}, wait, [&](const handover_result& result) {
+            ended = result;
+            loop.stop();
+        });
+        loop.run();
+        return ended;
+    }
+
+public:
+    void a_writer_over_the_bus_takes_records() {
+        sim::intake_host host(time_, store_);
+        const handover_result result = hand_over(
+            [&](const bus_sender&, std::string_view body, const auto& reply) {
+                handover_server server(time_.clock(), host.writer, [] { return true; });
+                server.handle(body, reply);
+                time_.run_for(milliseconds(50));
+            },
+            seconds(20));
+        CPPUNIT_ASSERT(result.outcome == handover_result::kind::stored);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.of(cell_stream::intake).records.size());
+    }
+    /// Guards against callers that are held to their deadlines by a writer that is frozen.
+    void a_writer_that_is_silent_is_given_up_before_callers_do() {
+        const instant begun = system_clock().now();
+        const handover_result result =
+            hand_over([](const bus_sender&, std::string_view, const auto&) {}, seconds(20));
+        CPPUNIT_ASSERT(result.outcome == handover_result::kind::unknown);
+        CPPUNIT_ASSERT(system_clock().now() - begun < seconds(10));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shared_writer_test);
+
+} // namespace
+} // namespace figwinch
--- a/tests/cell_host/sim_intake.h
+++ b/tests/cell_host/sim_intake.h
@@ -3,6 +3,7 @@
 #include "cell_host/intake_writer.h"
 #include "tests/cell/sim_store.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,7 +36,7 @@
     std::shared_ptr<told> submit(const std::string& job, duration patience) {
         auto answer = std::make_shared<told>();
         writer.write({{"j" + job, "what it is", 0}}, time_.now() + patience,
-                     [this, answer](intake_outcome outcome) {
+                     [this, answer](intake_outcome outcome, std::uint64_t) {
                          answer->outcome = outcome;
                          answer->at = time_.now();
                      });
@@ -45,7 +46,7 @@
 private:
     void schedule() {
         time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
-            if (weak.expired())
+            if (weak.expired() || dead)
                 return;
             follower_.tick();
             writer.tick();
@@ -56,6 +57,8 @@
     sim_time& time_;
 
 public:
+    /// Its process.
+    bool dead = false;
     sim_log log;
 
 private:
@@ -68,4 +71,54 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+/// The bus between a host and the cell's writer; a message takes 2 ms. A writer that is gone is
+/// noticed after a second.
+class sim_bus_writer final : public shared_writer {
+public:
+    sim_bus_writer(sim_time& time, intake_host& writer) : time_(time), writer_(writer) {}
+
+    bool is_open() const override { return !given_up_; }
+    void hand(const std::vector<stored_record>& records, duration patience, handler done) override {
+        const auto answer = once(std::move(done));
+        time_.after(way, [this, records, patience, answer] {
+            if (!writer_.dead)
+                take(records, patience, answer);
+        });
+        time_.after(std::chrono::seconds(1), [this, answer] {
+            if (!writer_.dead)
+                return;
+            given_up_ = true;
+            answer({});
+        });
+    }
+
+private:
+    static constexpr duration way = std::chrono::milliseconds(2);
+
+    static handler once(handler done) {
+        return [left = std::make_shared<handler>(std::move(done))](const handover_result& result) {
+            if (const handler call = std::exchange(*left, nullptr))
+                call(result);
+        };
+    }
+    void take(const std::vector<stored_record>& records, duration patience, const handler& answer) {
+        writer_.writer.write_for_other(
+            records, time_.now() + patience, [this, answer](intake_outcome outcome, auto offset) {
+                handover_result result;
+                result.offset = offset;
+                result.append = writer_.writer.pace().latest();
+                if (outcome == intake_outcome::stored)
+                    result.outcome = handover_result::kind::stored;
+                if (outcome == intake_outcome::not_stored)
+                    result.outcome = handover_result::kind::not_stored;
+                if (!writer_.dead)
+                    time_.after(way, [answer, result] { answer(result); });
+            });
+    }
+
+    sim_time& time_;
+    intake_host& writer_;
+    bool given_up_ = false;
+};
+
 } // namespace figwinch::sim
