Learn of a slow log by its reads

Callers were told of doubt although records go through one writer: each host learned of the slow log by its own first append only, and 38 of them, at 0.2 s each, stood in the log's queue before the writer's.

Change: a read of the progress stream without an answer for twice what makes an append slow marks the log as slow, so that the host's next record goes to the writer. A calm append of the writer ends that as before.

Test: a_host_that_reads_late_adds_nothing_to_the_queue.

--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -71,7 +71,7 @@
     // A coordinator writes the stream itself; until it has begun, a read may have to be tried
     // again.
     if (!coordinator_)
-        progress_.tick();
+        follow_progress();
     writer_.tick();
     reign_.tick();
     if (journal_ && (deposed_ || !reign_.leads() || reign_.epoch() != prepared_))
@@ -81,6 +81,13 @@
     return journal_ ? leading_tick : following_tick;
 }
 
+void cell_member::follow_progress() {
+    progress_.tick();
+    const duration since_answer = time_.now() - progress_.answered_at();
+    if (progress_.is_loaded() && !progress_.is_failing())
+        writer_.note_late_read(since_answer - following_progress.period);
+}
+
 void cell_member::resign() {
     reign_.resign();
     if (journal_)
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -44,6 +44,7 @@
 
 private:
     void lead();
+    void follow_progress();
     void begin_reign();
     void start_coordinator(bool state_read);
     void end_reign();
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -137,6 +137,11 @@
     settle_by(lane_.entries(), record);
 }
 
+/// An answer to a read holds more than one to an append: only twice the time counts.
+void intake_writer::note_late_read(duration waited) {
+    pace_.note_waiting(waited / 2);
+}
+
 void intake_writer::send_what_waits() {
     if (hands_over() && !lane_.is_busy()) {
         intake_entries handed = waiting_.take([](const intake_entry& entry) { return !entry.own; });
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -62,6 +62,9 @@
     void tick();
     /// A record that was read from the stream.
     void note_read(const stored_record& record);
+    /// A read of the log has been on its way for `waited`: a host that hasn't appended lately
+    /// learns of a slow log by it, before it adds to the log's queue.
+    void note_late_read(duration waited);
     /// How long a record that comes now will take to be stored, by what this host measures. Nothing
     /// while the log isn't slow.
     duration expected_wait() const;
--- a/tests/cell_host/shared_writer_test.cpp
+++ b/tests/cell_host/shared_writer_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(shared_writer_test);
     CPPUNIT_TEST(forty_hosts_are_served_by_a_log_of_ten_appends_a_second);
     CPPUNIT_TEST(a_cell_is_fast_again_within_a_second_of_its_log);
+    CPPUNIT_TEST(a_host_that_reads_late_adds_nothing_to_the_queue);
     CPPUNIT_TEST(a_writer_killed_between_append_and_answer_leaves_no_doubt);
     CPPUNIT_TEST(a_host_that_doesnt_write_leaves_records_to_their_own_host);
     CPPUNIT_TEST(a_request_that_was_lost_is_made_good_by_the_writer);
@@ -98,6 +99,19 @@
         time_.run_for(milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(told_.size(), count(intake_outcome::stored));
     }
+    /// Guards against hosts that learn of a slow log only by an append of their own: the first of
+    /// each fills the queue before the one writer.
+    void a_host_that_reads_late_adds_nothing_to_the_queue() {
+        start(2);
+        load_for(seconds(1));
+        const std::size_t appends = hosts_[1]->log.appends;
+        store_.service[cell_stream::intake] = milliseconds(100);
+        hosts_[1]->writer.note_late_read(milliseconds(250));
+        const auto answer = submit(1);
+        time_.run_for(seconds(1));
+        CPPUNIT_ASSERT(answer->outcome == intake_outcome::stored);
+        CPPUNIT_ASSERT_EQUAL(appends, hosts_[1]->log.appends);
+    }
     /// Guards against records that were handed to a process which ended before it answered: they
     /// may be in the log, so that they must not be called "never runs".
     void a_writer_killed_between_append_and_answer_leaves_no_doubt() {
