--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -48,15 +48,20 @@
       workers_(time, platform.log(), cell_stream::workers, workers_pace,
                [this](const stored_record& record) { listing_.take(record); }),
       intake_(time, platform.log(), cell_stream::intake, following_intake,
-              [this](const stored_record& record) { state_.apply(cell_stream::intake, record); }),
-      progress_(
-          time, platform.log(), cell_stream::progress, following_progress,
-          [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
-      writer_(time, platform.log(),
               [this](const stored_record& record) {
                   state_.apply(cell_stream::intake, record);
-                  intake_.skip(record);
+                  writer_.note_read(record);
               }),
+      progress_(
+          time, platform.log(), cell_stream::progress, following_progress,
+          [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
+      writer_({time, platform.log(),
+               [this](const stored_record& record) {
+                   state_.apply(cell_stream::intake, record);
+                   intake_.skip(record);
+               },
+               [this] { return log_answers(); },
+               [this](const std::function<void(bool)>& done) { sync_intake(done); }}),
       reign_(time, platform.log(), std::move(self), std::move(bus_address), times_of(cpu_share)) {
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
@@ -70,7 +75,7 @@
     // A coordinator writes the stream itself; until it has begun, a read may have to be tried
     // again.
     if (!coordinator_)
-        progress_.tick();
+        follow_progress();
     writer_.tick();
     reign_.stand(can_coordinate());
     reign_.tick();
@@ -85,6 +90,13 @@
     return journal_ ? leading_tick : following_tick;
 }
 
+void cell_member::follow_progress() {
+    progress_.tick();
+    const duration since_answer = time_.now() - progress_.answered_at();
+    if (progress_.is_loaded() && !progress_.is_failing())
+        writer_.note_late_read(since_answer - following_progress.period);
+}
+
 void cell_member::resign() {
     reign_.resign();
     if (journal_)
@@ -260,7 +272,7 @@
     drops.push_back({record_key(record_kind::job, id.str()), std::nullopt, 0});
     drops.push_back({record_key(record_kind::cancellation, id.str()), std::nullopt, 0});
     writer_.write(std::move(drops), time_.now() + forget_patience,
-                  [this, id, done](intake_outcome outcome) {
+                  [this, id, done](intake_outcome outcome, std::uint64_t) {
                       if (outcome == intake_outcome::stored)
                           done();
                       else if (coordinator_)
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -29,6 +29,7 @@
     const cell_state& state() const { return state_; }
     const reign& election() const { return reign_; }
     intake_writer& writer() { return writer_; }
+    const intake_writer& writer() const { return writer_; }
     /// Nothing while another host coordinates.
     const coordinator* coordinating() const { return coordinator_.get(); }
     bool is_loaded() const { return config_ && intake_.is_loaded(); }
@@ -47,6 +48,7 @@
     void lead();
     bool is_useful() const;
     void step_aside();
+    void follow_progress();
     void begin_reign();
     void start_coordinator(bool state_read);
     void end_reign();
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -70,6 +70,9 @@
     // Nothing is tried that would leave the caller waiting: another host may reach the log.
     if (!with_.log_answers())
         return refuse(answer, result_code::log_unavailable, "the log doesn't answer", id.str());
+    const instant deadline = deadline_of(request);
+    if (with_.time.now() + with_.writer.expected_wait() > deadline)
+        return refuse(answer, result_code::log_unavailable, "the log is slow", id.str());
     job->queue = queue.name;
     job->service = queue.service;
     job->priority = queue.priority;
@@ -79,10 +82,11 @@
     job->accepted_at = with_.time.wall_now();
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::job, id.str()), encode_job(*job), 0});
-    with_.writer.write(std::move(records), deadline_of(request),
-                       [this, id, answer, begun = with_.time.now()](intake_outcome outcome) {
-                           answer_submission(id, answer, outcome, begun);
-                       });
+    with_.writer.write(
+        std::move(records), deadline,
+        [this, id, answer, begun = with_.time.now()](intake_outcome outcome, std::uint64_t) {
+            answer_submission(id, answer, outcome, begun);
+        });
 }
 
 void job_front::answer_submission(const job_id& id, const responder& answer, intake_outcome outcome,
@@ -153,14 +157,15 @@
 void job_front::write_cancellation(const job_id& id, instant deadline, const responder& answer) {
     std::vector<stored_record> records;
     records.push_back({record_key(record_kind::cancellation, id.str()), "1", 0});
-    with_.writer.write(std::move(records), deadline, [this, id, answer](auto outcome) {
-        if (outcome != intake_outcome::stored)
-            return refuse(answer, result_code::log_unavailable, "cancellation not stored",
-                          id.str());
-        ++counts_.cancelled;
-        log_event(log_level::info, "job_cancelled", {{"job", id.str()}});
-        answer->respond(json_response(status_ok, "{}"));
-    });
+    with_.writer.write(std::move(records), deadline,
+                       [this, id, answer](auto outcome, std::uint64_t) {
+                           if (outcome != intake_outcome::stored)
+                               return refuse(answer, result_code::log_unavailable,
+                                             "cancellation not stored", id.str());
+                           ++counts_.cancelled;
+                           log_event(log_level::info, "job_cancelled", {{"job", id.str()}});
+                           answer->respond(json_response(status_ok, "{}"));
+                       });
 }
 
 void job_front::show_queue(const queue_config& queue, const responder& answer) {
@@ -178,13 +183,23 @@
     const absl::string_view reason(why.data(), why.size());
     http_response response = json_response(
         row.http_status, absl::StrCat(R"({"code":)", number(code), R"(,"error":")", reason, "\"}"));
-    if (row.retry_after) {
-        const auto wait = std::chrono::ceil<std::chrono::seconds>(*row.retry_after).count();
-        response.headers.add("Retry-After", std::to_string(wait));
-    }
+    if (row.retry_after)
+        response.headers.add("Retry-After", std::to_string(retry_after(row, job).count()));
     answer->respond(std::move(response));
 }
 
+/// What a slow log needs for what waits here, and up to as much again: callers that are refused
+/// together don't come back together.
+std::chrono::seconds job_front::retry_after(const result_info& row, const std::string& job) const {
+    using std::chrono::seconds;
+    const auto least = std::chrono::ceil<seconds>(*row.retry_after);
+    const auto queue = std::chrono::ceil<seconds>(with_.writer.expected_wait());
+    if (queue == seconds::zero())
+        return least;
+    const auto spread = stable_hash(job) % static_cast<std::uint64_t>(queue.count() + 1);
+    return std::max(least, queue + seconds(spread));
+}
+
 instant job_front::deadline_of(const http_request& request) const {
     const duration patience = with_.dialect.patience(request).value_or(default_patience);
     return with_.time.now() + std::max(patience - answer_margin, answer_margin);
--- /dev/null
+++ b/tests/cell_host/sim_intake.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "cell_host/intake_writer.h"
+#include "figwinch/simulation/sim_store.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace figwinch::sim {
+
+/// What a caller was told, and when.
+struct told {
+    std::optional<intake_outcome> outcome;
+    instant at{};
+};
+
+/// One host's writer of callers' jobs, with its way to the store and a follower of the stream.
+class intake_host {
+public:
+    intake_host(sim_time& time, sim_store& store, double random = 1)
+        : time_(time), log(time, store, [random] { return random; }),
+          follower_(time.clock(), log, cell_stream::intake, {{}, std::chrono::seconds(1)},
+                    [this](const stored_record& record) { writer.note_read(record); }),
+          writer({time.clock(), log,
+                  [this](const stored_record& record) { follower_.skip(record); },
+                  [this] { return log.state == sim_log::way::open; },
+                  [this](const std::function<void(bool)>& done) { follower_.sync(done); }}) {
+        schedule();
+    }
+    ~intake_host() { log.kill(); }
+
+    /// A caller hands in a job and waits for `patience`.
+    std::shared_ptr<told> submit(const std::string& job, duration patience) {
+        auto answer = std::make_shared<told>();
+        writer.write({{"j" + job, "what it is", 0}}, time_.now() + patience,
+                     [this, answer](intake_outcome outcome, std::uint64_t) {
+                         answer->outcome = outcome;
+                         answer->at = time_.now();
+                     });
+        return answer;
+    }
+
+private:
+    void schedule() {
+        time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
+            if (weak.expired() || dead)
+                return;
+            follower_.tick();
+            writer.tick();
+            schedule();
+        });
+    }
+
+    sim_time& time_;
+
+public:
+    /// Its process.
+    bool dead = false;
+    sim_log log;
+
+private:
+    keyed_follower follower_;
+
+public:
+    intake_writer writer;
+
+private:
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// The bus between a host and the cell's writer; a message takes 2 ms. A writer that is gone is
+/// noticed after a second.
+class sim_bus_writer final : public shared_writer {
+public:
+    sim_bus_writer(sim_time& time, intake_host& writer) : time_(time), writer_(writer) {}
+
+    bool is_open() const override { return !given_up_; }
+    void hand(const std::vector<stored_record>& records, duration patience, handler done) override {
+        const auto answer = once(std::move(done));
+        time_.after(way, [this, records, patience, answer] {
+            if (!writer_.dead)
+                take(records, patience, answer);
+        });
+        time_.after(std::chrono::seconds(1), [this, answer] {
+            if (!writer_.dead)
+                return;
+            given_up_ = true;
+            answer({});
+        });
+    }
+
+private:
+    static constexpr duration way = std::chrono::milliseconds(2);
+
+    static handler once(handler done) {
+        return [left = std::make_shared<handler>(std::move(done))](const handover_result& result) {
+            if (const handler call = std::exchange(*left, nullptr))
+                call(result);
+        };
+    }
+    void take(const std::vector<stored_record>& records, duration patience, const handler& answer) {
+        writer_.writer.write_for_other(
+            records, time_.now() + patience, [this, answer](intake_outcome outcome, auto offset) {
+                handover_result result;
+                result.offset = offset;
+                result.append = writer_.writer.pace().latest();
+                if (outcome == intake_outcome::stored)
+                    result.outcome = handover_result::kind::stored;
+                if (outcome == intake_outcome::not_stored)
+                    result.outcome = handover_result::kind::not_stored;
+                if (!writer_.dead)
+                    time_.after(way, [answer, result] { answer(result); });
+            });
+    }
+
+    sim_time& time_;
+    intake_host& writer_;
+    bool given_up_ = false;
+};
+
+} // namespace figwinch::sim
--- a/tools/experiment/day_callers.cpp
+++ b/tools/experiment/day_callers.cpp
@@ -41,7 +41,8 @@
     ++unanswered_;
     host_.writer().write(
         {{record_key(record_kind::job, day_watch::id_of(job)), encode_job(spec), 0}},
-        time_.now() + patience, [this, job](intake_outcome outcome) { take_answer(job, outcome); });
+        time_.now() + patience,
+        [this, job](intake_outcome outcome, std::uint64_t) { take_answer(job, outcome); });
 }
 
 void day_callers::take_answer(std::size_t job, intake_outcome outcome) {
