Keep neither payload nor steps of ended jobs in the copy

Every host keeps all jobs of the last minutes whole, so that any can coordinate; of a job that has ended only its state is still asked for, and whoever begins a reign reads no more of it than queue and age.

Change: cell_state drops payload and steps of a job once it knows its end, in whatever order its records come. A job stays known (a resend is the same job, 410 stays 410), and a coordinator that is running keeps its own reference. an_ended_job_keeps_no_work_in_whatever_order_it_is_read failed before. cell_test and cell_history_test pass.

--- a/include/figwinch/cell/job_entry.h
+++ b/include/figwinch/cell/job_entry.h
@@ -12,7 +12,8 @@
 /// A job as the log shows it. Part of `cell_state`.
 struct job_entry {
     job_id id;
-    /// Empty while only progress or a cancellation has been read: the streams are read apart.
+    /// Empty while only progress or a cancellation has been read: the streams are read apart. Of an
+    /// ended job without payload and steps.
     std::shared_ptr<const job_spec> spec;
     /// Where in the intake stream the job stands.
     std::uint64_t intake_offset = 0;
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -5,6 +5,29 @@
 #include <algorithm>
 
 namespace figwinch {
+namespace {
+
+/// What an ended job is still asked for: its state, its queue and its age. Payload and steps are
+/// most of what a job takes.
+std::shared_ptr<const job_spec> without_work(const job_spec& whole) {
+    auto rest = std::make_shared<job_spec>();
+    rest->queue = whole.queue;
+    rest->service = whole.service;
+    rest->priority = whole.priority;
+    rest->attempts = whole.attempts;
+    rest->stretch = whole.stretch;
+    rest->target = whole.target;
+    rest->accepted_at = whole.accepted_at;
+    return rest;
+}
+
+/// Records of one job come in any order.
+void drop_work_if_ended(job_entry& job) {
+    if (job.phase != job_phase::open && job.spec && !job.spec->steps.empty())
+        job.spec = without_work(*job.spec);
+}
+
+} // namespace
 
 bool cell_state::is_newer(cell_stream stream, const stored_record& record) {
     // Keys of different kinds never meet in two streams, but offsets of two streams can't be
@@ -62,6 +85,7 @@
     }
     job.spec = std::make_shared<const job_spec>(std::move(*spec));
     job.intake_offset = record.offset;
+    drop_work_if_ended(job);
     if (intake_changed_)
         intake_changed_(job);
 }
@@ -95,6 +119,7 @@
     job.begun = progress->begun;
     job.phase = progress->phase;
     job.progress_record = *record.value;
+    drop_work_if_ended(job);
 }
 
 void cell_state::apply_ordered_to(const stored_record& record, const job_id& id) {
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(malformed_names_are_refused);
     CPPUNIT_TEST(jobs_out_of_bounds_are_refused);
     CPPUNIT_TEST(older_records_never_undo_newer_ones);
+    CPPUNIT_TEST(an_ended_job_keeps_no_work_in_whatever_order_it_is_read);
     CPPUNIT_TEST(unreadable_records_are_counted_and_passed_over);
     CPPUNIT_TEST(a_follower_reports_keys_that_went_while_it_was_away);
     CPPUNIT_TEST_SUITE_END();
@@ -153,6 +154,31 @@
         state.apply(cell_stream::progress, {"pa", encode_progress(progress), 4});
         CPPUNIT_ASSERT(state.find(job_id("a"))->phase == job_phase::succeeded);
     }
+    /// Guards against hosts that keep the payloads and steps of all jobs that ended lately, and
+    /// against taking an ended job for an unknown one.
+    void an_ended_job_keeps_no_work_in_whatever_order_it_is_read() {
+        job_progress ended;
+        ended.phase = job_phase::succeeded;
+        const stored_record job{"ja", encode_job(full_job()), 1};
+        const stored_record end{"pa", encode_progress(ended), 1};
+        for (const bool job_first : {true, false}) {
+            cell_state state;
+            state.apply(job_first ? cell_stream::intake : cell_stream::progress,
+                        job_first ? job : end);
+            state.apply(job_first ? cell_stream::progress : cell_stream::intake,
+                        job_first ? end : job);
+            state.apply(cell_stream::intake, {"ja", job.value, 2});
+            const job_entry* const known = state.find(job_id("a"));
+            CPPUNIT_ASSERT(known != nullptr && known->spec);
+            CPPUNIT_ASSERT(known->phase == job_phase::succeeded);
+            CPPUNIT_ASSERT(known->spec->queue == full_job().queue);
+            CPPUNIT_ASSERT(known->spec->accepted_at == full_job().accepted_at);
+            CPPUNIT_ASSERT(known->spec->payload.empty() && known->spec->steps.empty());
+            state.apply(cell_stream::intake, {"ja", std::nullopt, 3});
+            state.apply(cell_stream::progress, {"pa", std::nullopt, 3});
+            CPPUNIT_ASSERT(state.find(job_id("a")) == nullptr);
+        }
+    }
     void unreadable_records_are_counted_and_passed_over() {
         cell_state state;
         state.apply(cell_stream::intake, {"ja", "\xff\xff", 1});
