Don't take a writer whose log is slow for one that is gone

Hosts turned to their own appends for 2 s, and so filled the log's queue, whenever the writer's append took longer than their callers' patience: the hand-over's own timeout counted as silence of the host.

Change: only a question whether the writer is there that goes unanswered marks it as gone. Entries whose callers' time is over aren't handed over.

Test: a_writer_whose_log_is_slow_is_asked_again fails before and passes now.

--- a/src/cell_host/bus_writer.cpp
+++ b/src/cell_host/bus_writer.cpp
@@ -44,20 +44,26 @@
     peers_.ask(asked_, encode_handover({}), probe_patience,
                [this, round = round_, weak = std::weak_ptr(alive_)](const auto& reply) {
                    if (!weak.expired() && !reply.ok())
-                       take(round, reply);
+                       give_up(round);
                });
 }
 
-void bus_writer::take(std::uint64_t round, const absl::StatusOr<std::string>& reply) {
+void bus_writer::give_up(std::uint64_t round) {
     if (round != round_ || !done_)
         return;
-    if (reply.ok())
-        return end(decode_handover_result(*reply));
     absent_ = asked_;
     absent_until_ = time_.now() + absence;
     end({});
 }
 
+/// Without an answer in its callers' time the writer isn't gone yet: its log may be slow.
+
+void bus_writer::take(std::uint64_t round, const absl::StatusOr<std::string>& reply) {
+    if (round != round_ || !done_)
+        return;
+    end(reply.ok() ? decode_handover_result(*reply) : handover_result{});
+}
+
 void bus_writer::end(const handover_result& result) {
     if (const handler call = std::exchange(done_, nullptr))
         call(result);
--- a/src/cell_host/bus_writer.h
+++ b/src/cell_host/bus_writer.h
@@ -24,6 +24,7 @@
 private:
     void take(std::uint64_t round, const absl::StatusOr<std::string>& reply);
     void probe();
+    void give_up(std::uint64_t round);
     void end(const handover_result& result);
 
     const clock& time_;
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -108,7 +108,9 @@
 
 void intake_writer::send_what_waits() {
     if (hands_over() && !lane_.is_busy()) {
-        intake_entries handed = waiting_.take([](const intake_entry& entry) { return !entry.own; });
+        intake_entries handed = waiting_.take([now = with_.time.now()](const intake_entry& entry) {
+            return !entry.own && now < entry.deadline;
+        });
         counts_.handed += handed.size();
         if (!handed.empty())
             lane_.hand(std::move(handed));
--- a/tests/cell_host/shared_writer_test.cpp
+++ b/tests/cell_host/shared_writer_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(a_request_that_was_lost_is_made_good_by_the_writer);
     CPPUNIT_TEST(records_are_the_same_after_the_way_over_the_bus);
     CPPUNIT_TEST(a_writer_over_the_bus_takes_records);
+    CPPUNIT_TEST(a_writer_whose_log_is_slow_is_asked_again);
     CPPUNIT_TEST(a_writer_that_is_silent_is_given_up_before_callers_do);
     CPPUNIT_TEST_SUITE_END();
 
@@ -179,8 +180,13 @@
     }
 
 private:
+    struct handed_over {
+        handover_result result;
+        /// Whether the writer is asked again.
+        bool open = false;
+    };
     /// Hands a record over a real bus to `serve`; how that ended.
-    static handover_result hand_over(const bus::request_handler& serve, duration wait) {
+    static handed_over hand_over(const bus::request_handler& serve, duration wait) {
         event_loop loop;
         system_clock time;
         auto server = bus::bind(loop, time, "127.0.0.1", 0, incarnation_id("writer#1"));
@@ -190,9 +196,9 @@
         const std::string where = "127.0.0.1:" + std::to_string((*server)->port());
         bus_writer writer(time, **asker, [&] { return std::optional(where); });
         const auto ticking = loop.every(milliseconds(10), [&] { writer.tick(); });
-        handover_result ended;
+        handed_over ended;
         writer.hand({{"ja", "what it is", 0}}, wait, [&](const handover_result& result) {
-            ended = result;
+            ended = {result, writer.is_open()};
             loop.stop();
         });
         loop.run();
@@ -202,22 +208,35 @@
 public:
     void a_writer_over_the_bus_takes_records() {
         sim::intake_host host(time_, store_);
-        const handover_result result = hand_over(
+        const handed_over ended = hand_over(
             [&](const bus_sender&, std::string_view body, const auto& reply) {
                 handover_server server(time_.clock(), host.writer, [] { return true; });
                 server.handle(body, reply);
                 time_.run_for(milliseconds(50));
             },
             seconds(20));
-        CPPUNIT_ASSERT(result.outcome == handover_result::kind::stored);
+        CPPUNIT_ASSERT(ended.result.outcome == handover_result::kind::stored);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.of(cell_stream::intake).records.size());
     }
+    /// Guards against hosts that turn to their own appends, and fill the log's queue, because the
+    /// writer's append took longer than a caller waits.
+    void a_writer_whose_log_is_slow_is_asked_again() {
+        const handed_over ended = hand_over(
+            [](const bus_sender&, std::string_view body, const auto& reply) {
+                if (decode_handover(body)->records.empty())
+                    reply(encode_presence());
+            },
+            milliseconds(400));
+        CPPUNIT_ASSERT(ended.result.outcome == handover_result::kind::unknown);
+        CPPUNIT_ASSERT(ended.open);
+    }
     /// Guards against callers that are held to their deadlines by a writer that is frozen.
     void a_writer_that_is_silent_is_given_up_before_callers_do() {
         const instant begun = system_clock().now();
-        const handover_result result =
+        const handed_over ended =
             hand_over([](const bus_sender&, std::string_view, const auto&) {}, seconds(20));
-        CPPUNIT_ASSERT(result.outcome == handover_result::kind::unknown);
+        CPPUNIT_ASSERT(ended.result.outcome == handover_result::kind::unknown);
+        CPPUNIT_ASSERT(!ended.open);
         CPPUNIT_ASSERT(system_clock().now() - begun < seconds(10));
     }
 };
