Don't refuse by a queue that the cell's writer has emptied

Callers were refused together although the writer was about to store them: its first append had waited behind those of all hosts, and it took that for the time of the next, while the others no longer appended.

Change: a host to which others hand records over counts no round in its estimate.

Test: a_writer_doesnt_refuse_by_a_queue_that_is_gone fails before and passes now.

--- a/src/cell_host/intake_outlook.cpp
+++ b/src/cell_host/intake_outlook.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr duration measure_life = std::chrono::seconds(1);
+constexpr duration writing_life = std::chrono::seconds(2);
 
 } // namespace
 
@@ -31,6 +32,12 @@
     return pace_.is_slow() ? wait_of(waiting_.size()) : duration::zero();
 }
 
+/// Then the others' appends are leaving the log's queue, and how long those of this host waited
+/// behind them says nothing of the next.
+bool intake_writer::writes_for_others() const {
+    return handed_here_ && with_.time.now() - *handed_here_ < writing_life;
+}
+
 /// Until an entry is stored that has so many before it: what is left of what is on its way, and one
 /// round more for each batch. An old measure counts for nothing.
 duration intake_writer::wait_of(std::size_t ahead) const {
@@ -38,7 +45,7 @@
         return lane_.left();
     if (!in_flight_ && !pace_.measured_within(measure_life))
         return duration::zero();
-    const duration round = pace_.least();
+    const duration round = writes_for_others() ? duration::zero() : pace_.least();
     const duration left = in_flight_
                               ? std::max(duration::zero(), sent_at_ + round - with_.time.now())
                               : duration::zero();
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -35,6 +35,7 @@
                                     handler done) {
     intake_entry entry{std::move(records), deadline, std::move(done)};
     entry.own = true;
+    handed_here_ = with_.time.now();
     waiting_.push(std::move(entry));
     send_what_waits();
 }
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -90,6 +90,7 @@
     void end_overdue();
     void refuse_hopeless();
     duration wait_of(std::size_t ahead) const;
+    bool writes_for_others() const;
     void end_overdue_on_way(intake_entries& entries);
     void end_in_doubt(intake_entry& entry);
     void refuse(intake_entry& entry);
@@ -112,6 +113,8 @@
     /// When the first append was sent that the log hasn't answered, nor any after it.
     std::optional<instant> unanswered_since_;
     instant next_look_{};
+    /// When another host last handed records over.
+    std::optional<instant> handed_here_;
     instant next_send_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/cell_host/shared_writer_test.cpp
+++ b/tests/cell_host/shared_writer_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(forty_hosts_are_served_by_a_log_of_ten_appends_a_second);
     CPPUNIT_TEST(a_cell_is_fast_again_within_a_second_of_its_log);
     CPPUNIT_TEST(a_host_that_reads_late_adds_nothing_to_the_queue);
+    CPPUNIT_TEST(a_writer_doesnt_refuse_by_a_queue_that_is_gone);
     CPPUNIT_TEST(a_writer_killed_between_append_and_answer_leaves_no_doubt);
     CPPUNIT_TEST(a_host_that_doesnt_write_leaves_records_to_their_own_host);
     CPPUNIT_TEST(a_request_that_was_lost_is_made_good_by_the_writer);
@@ -113,6 +114,24 @@
         CPPUNIT_ASSERT(answer->outcome == intake_outcome::stored);
         CPPUNIT_ASSERT_EQUAL(appends, hosts_[1]->log.appends);
     }
+    /// Guards against a writer that refuses all records of a cell because its first append waited
+    /// behind the other hosts', which now append nothing.
+    void a_writer_doesnt_refuse_by_a_queue_that_is_gone() {
+        start(2);
+        store_.service[cell_stream::intake] = milliseconds(1500);
+        CPPUNIT_ASSERT(store_.admit(cell_stream::intake, time_.now()).has_value());
+        store_.service[cell_stream::intake] = milliseconds(100);
+        submit(0);
+        time_.run_for(milliseconds(1650));
+        CPPUNIT_ASSERT(hosts_[0]->writer.pace().is_slow());
+        submit(0);
+        time_.run_for(milliseconds(15));
+        std::optional<intake_outcome> outcome;
+        hosts_[0]->writer.write_for_other({{"jx", "what it is", 0}}, time_.now() + seconds(1),
+                                          [&](intake_outcome what, auto) { outcome = what; });
+        time_.run_for(seconds(1));
+        CPPUNIT_ASSERT(outcome == intake_outcome::stored);
+    }
     /// Guards against records that were handed to a process which ended before it answered: they
     /// may be in the log, so that they must not be called "never runs".
     void a_writer_killed_between_append_and_answer_leaves_no_doubt() {
