--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -35,6 +35,7 @@
                                     handler done) {
     intake_entry entry{std::move(records), deadline, std::move(done)};
     entry.own = true;
+    handed_here_ = with_.time.now();
     waiting_.push(std::move(entry));
     send_what_waits();
 }
@@ -108,7 +109,9 @@
 
 void intake_writer::send_what_waits() {
     if (hands_over() && !lane_.is_busy()) {
-        intake_entries handed = waiting_.take([](const intake_entry& entry) { return !entry.own; });
+        intake_entries handed = waiting_.take([now = with_.time.now()](const intake_entry& entry) {
+            return !entry.own && now < entry.deadline;
+        });
         counts_.handed += handed.size();
         if (!handed.empty())
             lane_.hand(std::move(handed));
