Hear of all workers over a link that their reports fill

Callers would see jobs that wait, and work that is lost, after a change of coordinator on a host with a narrow or busy link: it asks all workers for their reports in the same moment, gave each up 700 ms later though bytes kept coming, and asked for the same again.

Cause: one bound on the whole of a call whose answer grows with what the worker has, over a link that all answers share.

Ruled out: a bound on silence alone.

Reports that a worker doesn't wait with and that prolong no lease are asked for 64 at a time, the rest waits unsent in order. A worker that stays silent makes room once 64 others have answered or none has for 150 ms.

Tried: room made after 150 ms whatever arrives meanwhile.

--- /dev/null
+++ b/tests/platform/send_window_test.cpp
@@ -0,0 +1,102 @@
+#include "platform/send_window.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace figwinch::platform {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+class send_window_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(send_window_test);
+    CPPUNIT_TEST(what_there_is_room_for_is_sent_at_once);
+    CPPUNIT_TEST(what_waits_is_sent_in_order);
+    CPPUNIT_TEST(a_call_larger_than_the_window_is_sent_alone);
+    CPPUNIT_TEST(silent_peers_dont_hold_up_the_others);
+    CPPUNIT_TEST(a_call_that_others_overtook_makes_room);
+    CPPUNIT_TEST(a_call_that_ends_while_it_is_sent_makes_room);
+    CPPUNIT_TEST_SUITE_END();
+
+    using numbers = std::vector<send_window::call_number>;
+
+    event_loop loop_;
+    numbers sent_;
+
+    void submit(send_window& window, std::size_t size) {
+        window.submit(size, [this](send_window::call_number call) { sent_.push_back(call); });
+    }
+    void assert_sent(const numbers& expected) { CPPUNIT_ASSERT(sent_ == expected); }
+
+public:
+    /// Guards against orders that are held up though the link is free.
+    void what_there_is_room_for_is_sent_at_once() {
+        send_window window(loop_, 10, hours(1));
+        submit(window, 6);
+        submit(window, 4);
+        assert_sent({1, 2});
+    }
+    /// Guards against an order that others pass until its time is over.
+    void what_waits_is_sent_in_order() {
+        send_window window(loop_, 10, hours(1));
+        for (const std::size_t size : {8U, 7U, 1U})
+            submit(window, size);
+        assert_sent({1});
+        window.ended(1, true);
+        assert_sent({1, 2, 3});
+    }
+    /// Guards against an order that is never sent.
+    void a_call_larger_than_the_window_is_sent_alone() {
+        send_window window(loop_, 10, hours(1));
+        submit(window, 11);
+        submit(window, 1);
+        assert_sent({1});
+        window.ended(1, false);
+        assert_sent({1, 2});
+    }
+    /// Guards against a coordinator that hears of no worker while those that it asked first are
+    /// cut off.
+    void silent_peers_dont_hold_up_the_others() {
+        send_window window(loop_, 2, milliseconds(10));
+        submit(window, 1);
+        submit(window, 1);
+        window.submit(1, [this](send_window::call_number call) {
+            sent_.push_back(call);
+            loop_.stop();
+        });
+        assert_sent({1, 2});
+        loop_.run();
+        assert_sent({1, 2, 3});
+    }
+    /// Guards against the same while most workers answer: the others' places add up.
+    void a_call_that_others_overtook_makes_room() {
+        send_window window(loop_, 2, hours(1));
+        for (int call = 0; call < 5; ++call)
+            submit(window, 1);
+        window.ended(2, true);
+        assert_sent({1, 2, 3});
+        window.ended(3, true);
+        assert_sent({1, 2, 3, 4, 5});
+        // It no longer counts: its end makes no more room.
+        submit(window, 1);
+        window.ended(1, false);
+        assert_sent({1, 2, 3, 4, 5});
+    }
+    /// Guards against a queue that stands still behind an order that was no longer wanted.
+    void a_call_that_ends_while_it_is_sent_makes_room() {
+        send_window window(loop_, 1, hours(1));
+        submit(window, 1);
+        window.submit(1, [&window](send_window::call_number call) { window.ended(call, false); });
+        submit(window, 1);
+        window.ended(1, true);
+        assert_sent({1, 3});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(send_window_test);
+
+} // namespace
+} // namespace figwinch::platform
