Bound the log client's reads and the host list by silence

Cause: one bound on the whole of a call whose answer is bounded in records and not in bytes. config_follower and audit_writer gave a read up by themselves after 1.2 s and 2 s, and the entry asked for the list anew each second, beside the one on its way.

Change: a read or a list ends when nothing is heard for its timeout, and at the latest 33 s after it, 4 MB on a link of 1 Mbit/s. An append, whose request is what is long, gets what its bytes take on such a link beside its timeout.

--- a/include/figwinch/config/config_follower_settings.h
+++ b/include/figwinch/config/config_follower_settings.h
@@ -10,7 +10,8 @@
     /// Spreads work that one process does for all.
     node_id self;
     duration poll_period = std::chrono::milliseconds(200);
-    /// After this a read or a fetch from a peer counts as unanswered.
+    /// After this a fetch from a peer counts as unanswered, and a read when `longest_log_answer`
+    /// has passed too.
     duration timeout = std::chrono::seconds(1);
     std::size_t page_records = 256;
     freshness_limits freshness{};
--- a/include/figwinch/log/host_list_client.h
+++ b/include/figwinch/log/host_list_client.h
@@ -24,7 +24,8 @@
 };
 
 /// The platform's lagging list of live and leaving hosts. Calls never block; each calls back
-/// exactly once within its timeout. Errors: `peer_unreachable` when there is no usable answer.
+/// exactly once: within its timeout, or while its answer keeps coming. Errors: `peer_unreachable`
+/// when there is no usable answer.
 class host_list_client {
 public:
     using callback = std::function<void(absl::StatusOr<std::vector<host_entry>>)>;
--- a/include/figwinch/log/log_client.h
+++ b/include/figwinch/log/log_client.h
@@ -30,7 +30,12 @@
     std::vector<log_record> records;
 };
 
-/// The platform's log. Calls never block; each calls back exactly once within its timeout.
+/// How much longer than its timeout a call may take while its answer keeps coming: a page or a list
+/// of 4 MB on the narrowest link that a host may have, 1 Mbit/s.
+inline constexpr duration longest_log_answer = std::chrono::seconds(33);
+
+/// The platform's log. Calls never block; each calls back exactly once: within its timeout and the
+/// time that what it sends takes on a narrow link, or while its answer keeps coming.
 /// Errors: `log_unavailable` (the log itself says so: nothing was appended), `log_silent` (no
 /// answer: an append may have taken effect), `log_truncated` (offset older than retention; see
 /// `first_kept_of`).
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -19,7 +19,8 @@
 
 void config_follower::tick(instant now) {
     // Guards against a port that never calls back: its late answer is recognised by its number.
-    if (read_open_ && now - read_sent_ >= settings_.timeout + settings_.poll_period)
+    const duration latest_read = settings_.timeout + longest_log_answer + settings_.poll_period;
+    if (read_open_ && now - read_sent_ >= latest_read)
         read_open_ = false;
     if (fetch_open_ && now - fetch_sent_ >= settings_.timeout + settings_.poll_period)
         fetch_open_ = false;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <iostream>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -102,7 +103,10 @@
 private:
     void every_second() {
         roster_.tick();
+        if (std::exchange(fetching_, true))
+            return;
         hosts_.fetch([this](const absl::StatusOr<std::vector<host_entry>>& hosts) {
+            fetching_ = false;
             if (hosts.ok())
                 take_hosts(*hosts);
         });
@@ -124,6 +128,7 @@
     std::unique_ptr<http_client> platform_;
     http_log_client log_;
     http_host_list_client hosts_;
+    bool fetching_ = false;
     config_follower config_;
     entry_core core_;
     voter_roster roster_;
--- a/src/log/http_host_list_client.cpp
+++ b/src/log/http_host_list_client.cpp
@@ -1,6 +1,7 @@
 #include "log/http_host_list_client.h"
 
 #include "figwinch/base/result_code.h"
+#include "figwinch/log/log_client.h"
 #include "log/http_log_client.h"
 #include "platform.pb.h"
 
@@ -60,7 +61,7 @@
     http_request call;
     call.path = "/v1/hosts";
     call.headers.add(node_header, self_.str());
-    http_.call(std::move(call), timeout_,
+    http_.call(std::move(call), {timeout_, timeout_ + longest_log_answer},
                [done = std::move(done)](const call_result& result) { done(hosts_of(result)); });
 }
 
--- a/src/log/http_host_list_client.h
+++ b/src/log/http_host_list_client.h
@@ -9,6 +9,7 @@
 /// it.
 class http_host_list_client final : public host_list_client {
 public:
+    /// A call ends when nothing is heard for `timeout`, and within `longest_log_answer` beside it.
     http_host_list_client(http_client& http, node_id self, duration timeout);
 
     void fetch(callback done) override;
--- a/src/log/http_log_client.cpp
+++ b/src/log/http_log_client.cpp
@@ -10,6 +10,8 @@
 namespace figwinch {
 namespace {
 
+// What a byte takes on the narrowest link that a host may have, 1 Mbit/s.
+constexpr duration byte_time = std::chrono::microseconds(8);
 constexpr int http_ok = 200;
 constexpr int http_gone = 410;
 constexpr int http_unavailable = 503;
@@ -71,8 +73,10 @@
 void http_log_client::append(const stream_name& stream, std::string payload, append_callback done) {
     http_request call = request(http_method::post, stream);
     call.headers.add("Content-Type", "application/octet-stream");
+    // Nothing is heard before all of it is sent.
+    const duration bound = timeout_ + byte_time * payload.size();
     call.body = std::move(payload);
-    http_.call(std::move(call), timeout_,
+    http_.call(std::move(call), {bound, bound},
                [done = std::move(done)](const call_result& result) { done(offset_of(result)); });
 }
 
@@ -80,7 +84,7 @@
                            read_callback done) {
     http_request call = request(http_method::get, stream);
     call.query = "from=" + std::to_string(from.value()) + "&max=" + std::to_string(max_records);
-    http_.call(std::move(call), timeout_,
+    http_.call(std::move(call), {timeout_, timeout_ + longest_log_answer},
                [done = std::move(done)](const call_result& result) { done(page_of(result)); });
 }
 
--- a/src/log/http_log_client.h
+++ b/src/log/http_log_client.h
@@ -13,7 +13,7 @@
 /// `log_client` over the wire format of docs/PORTS.md. Owned by the daemon; `http` outlives it.
 class http_log_client final : public log_client {
 public:
-    /// Every call ends within `timeout`.
+    /// A call ends when nothing is heard for `timeout`, and within `longest_log_answer` beside it.
     http_log_client(http_client& http, node_id self, duration timeout);
 
     void append(const stream_name& stream, std::string payload, append_callback done) override;
--- a/tests/log/http_log_slow_link_test.cpp
+++ b/tests/log/http_log_slow_link_test.cpp
@@ -1,5 +1,6 @@
 #include "figwinch/log.h"
 #include "figwinch/net.h"
+#include "log/http_host_list_client.h"
 #include "log/http_log_client.h"
 #include "log/log_page_codec.h"
 #include "tests/net/slow_link.h"
@@ -21,8 +22,31 @@
 class http_log_slow_link_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(http_log_slow_link_test);
     CPPUNIT_TEST(a_page_of_many_records_arrives_over_a_slow_link);
+    CPPUNIT_TEST(a_list_of_many_hosts_arrives_over_a_slow_link);
+    CPPUNIT_TEST(an_append_of_a_large_record_gets_its_answer_over_a_slow_link);
     CPPUNIT_TEST_SUITE_END();
 
+    event_loop loop_;
+    std::unique_ptr<http_server> server_;
+    std::unique_ptr<slow_link> link_;
+    std::unique_ptr<http_client> http_;
+
+    /// Every call is answered with `body`.
+    void start(std::string body) {
+        auto listening = http_server::listen(
+            loop_, "127.0.0.1", 0, {},
+            [body = std::move(body)](const http_request&,
+                                     const std::shared_ptr<http_responder>& to) {
+                http_response answer;
+                answer.body = body;
+                to->respond(std::move(answer));
+            });
+        CPPUNIT_ASSERT(listening.ok());
+        server_ = std::move(*listening);
+        link_ = std::make_unique<slow_link>(loop_, server_->port(), usual / 5);
+        http_ = http_client::create(loop_, {"127.0.0.1", link_->port()}, 4);
+    }
+
 public:
     /// Guards against a follower that asks for the same page for ever: a page is bounded in records
     /// and not in bytes, its call by the time that followers give it, 1 s. 256 of 8 KB take 1.7 s.
@@ -54,6 +78,39 @@
         CPPUNIT_ASSERT(result->ok());
         CPPUNIT_ASSERT_EQUAL(std::size_t{256}, (*result)->records.size());
     }
+    /// Guards against an entry that never learns of hosts that leave: 5000 hosts take 1.5 s.
+    void a_list_of_many_hosts_arrives_over_a_slow_link() {
+        constexpr std::size_t hosts = 5000;
+        const std::string row = R"({"name":"w","address":"127.0.0.1:7000","kind":"worker",)"
+                                R"("state":"live"})";
+        std::string body = "{\"hosts\":[" + row;
+        for (std::size_t host = 1; host < hosts; ++host)
+            body += "," + row;
+        start(body + "]}");
+        http_host_list_client list(*http_, node_id("entry-1"), 1s);
+        absl::StatusOr<std::vector<host_entry>> result;
+        list.fetch([&](const absl::StatusOr<std::vector<host_entry>>& read) {
+            result = read;
+            loop_.stop();
+        });
+        loop_.run();
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT_EQUAL(hosts, result->size());
+    }
+    /// Guards against a snapshot that is appended again and again: 400 KB take 1.6 s.
+    void an_append_of_a_large_record_gets_its_answer_over_a_slow_link() {
+        start(R"({"offset": 12})");
+        http_log_client log(*http_, node_id("entry-1"), 1s);
+        absl::StatusOr<log_offset> result;
+        log.append(stream_name("config"), std::string(400'000, 's'),
+                   [&](const absl::StatusOr<log_offset>& offset) {
+                       result = offset;
+                       loop_.stop();
+                   });
+        loop_.run();
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT_EQUAL(log_offset(12), *result);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_log_slow_link_test);
