Answer callers in a hurry before they give up

Callers who wait less than 300 ms would see no answer while the log is silent: their requests were held for 300 ms, whatever their patience.

Cause: the deadline was the patience less 300 ms, and at least 300 ms. Found by reading.

Change: an answer has 300 ms for its way, and at most half of the patience. From 600 ms of patience on nothing changes; with 300 to 600 ms a request is held for half of it, where it was held for 300 ms.

Evidence: caller_patience_test, by a clock that the test sets. Of its three tests two fail before and none after.

--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr duration default_patience = std::chrono::seconds(3);
-// Before the caller gives up, so that the answer still reaches it.
+// Before the caller gives up, so that the answer still reaches it; at most half of its patience.
 constexpr duration answer_margin = std::chrono::milliseconds(300);
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
@@ -187,7 +187,7 @@
 
 instant job_front::deadline_of(const http_request& request) const {
     const duration patience = with_.dialect.patience(request).value_or(default_patience);
-    return with_.time.now() + std::max(patience - answer_margin, answer_margin);
+    return with_.time.now() + patience - std::min(answer_margin, patience / 2);
 }
 
 } // namespace figwinch
--- /dev/null
+++ b/tests/cell_host/caller_patience_test.cpp
@@ -0,0 +1,80 @@
+#include "cell_host/job_front.h"
+#include "tests/cell_host/fake_platform.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch {
+namespace {
+
+using std::chrono::milliseconds;
+
+class kept_answer final : public http_responder {
+public:
+    std::optional<http_response> sent;
+    void respond(http_response response) override { sent = std::move(response); }
+    bool is_open() const override { return !sent; }
+};
+
+/// How long callers' requests are held, by a clock that a test sets.
+class caller_patience_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(caller_patience_test);
+    CPPUNIT_TEST(a_question_ends_before_its_caller_gives_up);
+    CPPUNIT_TEST(a_submission_ends_before_its_caller_gives_up);
+    CPPUNIT_TEST(a_patient_callers_question_waits);
+    CPPUNIT_TEST_SUITE_END();
+
+    manual_clock time_;
+    event_loop loop_;
+    fake_platform platform_{loop_};
+    cell_state state_;
+    std::optional<cell_config> config_ = platform_.decode_config("");
+    intake_writer writer_{time_, platform_.log(), [](const stored_record&) {}};
+    // No read of the log ends.
+    job_front front_{{time_, platform_.dialect(), config_, state_, writer_,
+                      [](const std::function<void(bool)>&) {}, [] { return true; },
+                      [](duration) {}}};
+
+    /// What a caller with `patience` has been told `after` its request.
+    std::optional<http_response> ask(http_method method, milliseconds patience,
+                                     milliseconds after) {
+        platform_.held().held = {cell_stream::intake};
+        http_request request;
+        request.method = method;
+        request.path = "/jobs/0123456789abcdef";
+        request.headers.add("Host", "gate.example");
+        request.headers.add("Patience-Ms", std::to_string(patience.count()));
+        const auto answer = std::make_shared<kept_answer>();
+        front_.handle(request, answer);
+        time_.advance(after);
+        writer_.tick();
+        front_.tick();
+        return answer->sent;
+    }
+
+public:
+    /// Guards against questions of callers in a hurry that are held until they have given up.
+    void a_question_ends_before_its_caller_gives_up() {
+        for (const int patience : {0, 1, 100, 200, 299, 300, 400, 3000}) {
+            const auto answer =
+                ask(http_method::get, milliseconds(patience), milliseconds(patience));
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT_EQUAL(503, answer->status);
+        }
+    }
+    /// Guards against the same of submissions, which stay in doubt.
+    void a_submission_ends_before_its_caller_gives_up() {
+        const auto answer = ask(http_method::post, milliseconds(200), milliseconds(199));
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(504, answer->status);
+    }
+    /// Guards against refusals that come long before they have to.
+    void a_patient_callers_question_waits() {
+        CPPUNIT_ASSERT(!ask(http_method::get, milliseconds(3000), milliseconds(2699)).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_patience_test);
+
+} // namespace
+} // namespace figwinch
