Answer all callers before a planned stop has to end

Callers would see a connection that is cut without an answer when their request reaches a host that stops while the log is silent, from 2.6 s after SIGTERM on, or earlier when they wait longer than 3 s.

Cause: a request is held as long as its caller waits, which may be longer than the stop lasts: stop_bound_reached ends the process first. Found by reading.

Change: from the begin of a planned stop no request is held until later than 200 ms before the stop's bound, those that came before included. Questions are then refused with 503. A submission whose append may still be stored gets 504, one that never left this process 503.

--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -13,6 +13,8 @@
 // Beside the metrics, for figwinchctl.
 constexpr std::string_view status_path = "/cell";
 constexpr duration stop_margin = std::chrono::milliseconds(700);
+// Before the stop's bound, so that answers still reach their callers.
+constexpr duration last_answers = std::chrono::milliseconds(200);
 
 http_server_limits caller_limits() {
     http_server_limits limits;
@@ -84,7 +86,9 @@
         return;
     log_event(log_level::info, "stopping", {});
     member_.resign();
-    bound_ = loop_.after(with_.grace - stop_margin, [this] {
+    const duration bound = with_.grace - stop_margin;
+    front_.end_by(time_.now() + bound - last_answers);
+    bound_ = loop_.after(bound, [this] {
         log_event(log_level::error, "stop_bound_reached", {});
         end();
     });
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -1,5 +1,6 @@
 #include "cell_host/intake_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figwinch {
@@ -44,6 +45,12 @@
     }
 }
 
+void intake_writer::end_by(instant latest) {
+    for (std::deque<entry>* const entries : {&waiting_, &batch_})
+        for (entry& held : *entries)
+            held.deadline = std::min(held.deadline, latest);
+}
+
 void intake_writer::end_overdue(std::deque<entry>& entries) {
     const instant now = time_.now();
     std::deque<entry> keep;
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -34,6 +34,8 @@
     /// be.
     void write(std::vector<stored_record> records, instant deadline, handler done);
     void tick();
+    /// Moves later deadlines to `latest`.
+    void end_by(instant latest);
     std::size_t waiting() const { return waiting_.size() + batch_.size(); }
 
 private:
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -187,7 +187,15 @@
 
 instant job_front::deadline_of(const http_request& request) const {
     const duration patience = with_.dialect.patience(request).value_or(default_patience);
-    return with_.time.now() + patience - std::min(answer_margin, patience / 2);
+    const instant end = with_.time.now() + patience - std::min(answer_margin, patience / 2);
+    return std::min(end, latest_end_);
+}
+
+void job_front::end_by(instant latest) {
+    latest_end_ = latest;
+    for (const auto& asked : questions_)
+        asked->end = std::min(asked->end, latest);
+    with_.writer.end_by(latest);
 }
 
 } // namespace figwinch
--- a/src/cell_host/job_front.h
+++ b/src/cell_host/job_front.h
@@ -57,6 +57,8 @@
     void handle(const http_request& request, const std::shared_ptr<http_responder>& answer);
     /// Refuses questions that have waited too long for a read of the log.
     void tick();
+    /// Before a planned stop: holds no request beyond `latest`, those that it holds included.
+    void end_by(instant latest);
     const job_front_counts& counts() const { return counts_; }
 
 private:
@@ -93,6 +95,7 @@
     parts with_;
     std::vector<std::shared_ptr<question>> questions_;
     job_front_counts counts_;
+    instant latest_end_ = instant::max();
 };
 
 } // namespace figwinch
