--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -52,6 +52,12 @@
     send_what_waits();
 }
 
+void intake_writer::end_by(instant latest) {
+    for (intake_entries* const entries : {&waiting_.entries(), &batch_, &lane_.entries()})
+        for (intake_entry& held : *entries)
+            held.deadline = std::min(held.deadline, latest);
+}
+
 bool intake_writer::is_silent() const {
     return unanswered_since_ && with_.time.now() - *unanswered_since_ >= 2 * late_after &&
            !with_.log_answers();
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -18,8 +18,7 @@
     std::uint64_t appends = 0;
     std::uint64_t records = 0;
     /// Callers whose late append was found in the stream, was answered when sent again or by the
-    /// cell's writer, and those
-    /// that were told of doubt.
+    /// cell's writer, and those that were told of doubt.
     std::uint64_t settled_by_read = 0;
     std::uint64_t settled_by_repeat = 0;
     std::uint64_t settled_by_writer = 0;
@@ -60,6 +59,8 @@
     /// Who takes records over while the log is slow; outlives this. Null: nobody.
     void hand_to(shared_writer* writer) { lane_.use(writer); }
     void tick();
+    /// Moves later deadlines to `latest`.
+    void end_by(instant latest);
     /// A record that was read from the stream.
     void note_read(const stored_record& record);
     /// A read of the log has been on its way for `waited`: a host that hasn't appended lately
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr duration default_patience = std::chrono::seconds(3);
-// Before the caller gives up, so that the answer still reaches it.
+// Before the caller gives up, so that the answer still reaches it; at most half of its patience.
 constexpr duration answer_margin = std::chrono::milliseconds(300);
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
@@ -202,7 +202,15 @@
 
 instant job_front::deadline_of(const http_request& request) const {
     const duration patience = with_.dialect.patience(request).value_or(default_patience);
-    return with_.time.now() + std::max(patience - answer_margin, answer_margin);
+    const instant end = with_.time.now() + patience - std::min(answer_margin, patience / 2);
+    return std::min(end, latest_end_);
+}
+
+void job_front::end_by(instant latest) {
+    latest_end_ = latest;
+    for (const auto& asked : questions_)
+        asked->end = std::min(asked->end, latest);
+    with_.writer.end_by(latest);
 }
 
 } // namespace figwinch
