--- a/src/cell/reign.cpp
+++ b/src/cell/reign.cpp
@@ -48,7 +48,8 @@
         return find_end();
     if (leads_)
         return renew();
-    if (claim_now_ && standing_ && !resigned_ && now - vacant_since_.value_or(now) >= times_.modesty)
+    if (claim_now_ && standing_ && !resigned_ &&
+        now - vacant_since_.value_or(now) >= times_.modesty)
         return claim();
     follow();
 }
