--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -1,7 +1,6 @@
 #include "cell_host/intake_writer.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace figwinch {
