End the demo's own calls before it closes their session

Users who stopped the demo saw a traceback now and then: its session was closed while tasks still called with it.

Change: the tasks are cancelled and awaited first.

--- a/tools/cell_demo/cell_demo.py
+++ b/tools/cell_demo/cell_demo.py
@@ -182,6 +182,10 @@
 
     async def stop(self):
         """Asks the hosts to stop; those that haven't after some seconds are killed by their ids."""
+        left = [*self.calls, *self.tasks]
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
         if self.callers:
             await self.callers.session.close()
         stops = asyncio.gather(*[cell.stop(signal.SIGTERM) for cell in self.cells])
