--- a/tests/cell_host/planned_stop_test.cpp
+++ b/tests/cell_host/planned_stop_test.cpp
@@ -1,12 +1,9 @@
-#include "cell_host/cell_host.h"
-#include "tests/cell_host/fake_platform.h"
+#include "tests/cell_host/called_host.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <unistd.h>
 
 #include <optional>
-#include <string>
 
 namespace figwinch {
 namespace {
@@ -29,53 +26,26 @@
     // The host's end is bound to come 800 ms after the begin of its stop.
     static constexpr duration grace = milliseconds(1500);
 
-    event_loop loop_;
-    fake_platform platform_{loop_};
-    std::unique_ptr<cell_host> host_;
-    std::unique_ptr<http_client> client_;
+    called_host host_;
     std::optional<call_result> result_;
 
-    // Other tests on this machine listen on other addresses.
-    static std::string own_address() {
-        constexpr int bits = 8;
-        constexpr int mask = 0xff;
-        const int id = getpid();
-        return "127." + std::to_string(100 + ((id >> (2 * bits)) & 0x3f)) + "." +
-               std::to_string((id >> bits) & mask) + "." + std::to_string(id & mask);
-    }
-    void run_for(duration span) {
-        const auto timer = loop_.after(span, [this] { loop_.stop(); });
-        loop_.run();
-    }
     void start() {
-        constexpr std::uint16_t first_port = 7740;
         cell_host_settings with;
-        with.node = "host-1";
-        with.callers = {own_address(), first_port};
-        with.ready = {own_address(), first_port + 1};
-        with.bus = {own_address(), first_port + 2};
-        with.metrics = {own_address(), first_port + 3};
         with.grace = grace;
-        host_ = std::make_unique<cell_host>(loop_, platform_, with, incarnation_id("host-1#1"));
-        CPPUNIT_ASSERT(host_->listen().ok());
-        client_ = http_client::create(loop_, with.callers, 4);
-        run_for(milliseconds(200));
-        platform_.held().held = {cell_stream::intake};
+        host_.start(with);
+        host_.platform.held().held = {cell_stream::intake};
     }
     void ask(http_method method) {
-        http_request request;
-        request.method = method;
-        request.path = "/jobs/0123456789abcdef";
-        request.headers.add("Host", "gate.example");
-        request.headers.add("Patience-Ms", "30000");
-        client_->call(std::move(request), seconds(30), [this](call_result ended) {
-            result_ = std::move(ended);
-            loop_.stop();
-        });
+        constexpr duration patience = seconds(30);
+        host_.client->call(called_host::request_about("0123456789abcdef", method, patience),
+                           patience, [this](call_result ended) {
+                               result_ = std::move(ended);
+                               host_.loop.stop();
+                           });
     }
     /// The status that a caller gets before the host ends.
     std::optional<int> status() {
-        loop_.run();
+        host_.loop.run();
         if (!result_ || result_->outcome != call_outcome::answered)
             return std::nullopt;
         return result_->response.status;
@@ -83,23 +53,20 @@
     std::optional<int> ask_and_stop(http_method method) {
         start();
         ask(method);
-        run_for(milliseconds(100));
-        host_->stop();
+        host_.run_for(milliseconds(100));
+        host_.host->stop();
         return status();
     }
     std::optional<int> stop_and_ask(http_method method) {
         start();
-        host_->stop();
-        run_for(milliseconds(100));
+        host_.host->stop();
+        host_.run_for(milliseconds(100));
         ask(method);
         return status();
     }
 
 public:
-    void tearDown() override {
-        client_.reset();
-        host_.reset();
-    }
+    void tearDown() override { host_.end(); }
     /// Guards against a question that is cut when the host that holds it has to end.
     void a_question_that_came_before_the_stop_is_answered() {
         CPPUNIT_ASSERT(ask_and_stop(http_method::get) == status_unavailable);
