Bound starts on their way by what the link has carried

Cause: all starts of a round go out in one moment; what they take grows with their number, the bound on each doesn't.

Ruled out: a longer bound for each start, which has no effect 1.5 s after its order.

--- a/include/figwinch/cell/worker_orders.h
+++ b/include/figwinch/cell/worker_orders.h
@@ -51,6 +51,8 @@
     lease_epoch epoch;
     /// Of the queue's advisor; empty where none is asked.
     std::string ticket;
+    /// Asked before an order that had to wait is sent: if not, it ends as `not_sent`. Empty: it is.
+    std::function<bool()> still_wanted{};
 };
 
 /// An order to let a run work at a share of its speed.
--- a/include/figwinch/simulation/sim_orders.h
+++ b/include/figwinch/simulation/sim_orders.h
@@ -37,18 +37,23 @@
     bool cut = false;
     /// Workers that this host doesn't reach, while others may.
     std::set<std::string> cut_from;
+    /// How long orders to start wait unsent.
+    duration unsent{};
+    /// The worker of the newest one that began to wait.
+    std::string waits_for;
 
     void start(const worker_listing& where, const start_order& order,
                answer_handler done) override {
-        if (fleet_.on_start_sent)
-            fleet_.on_start_sent(where.id.str(), order.task);
-        send(where, draw(where), done,
-             [order, &fleet = fleet_, &time = time_, id = where.id.str()](sim_worker& worker,
-                                                                          bool late) {
-                 if (!fleet.policy.takes(id, order.task, order.ticket, time.now()))
-                     return order_answer{order_outcome::not_advised, worker.clock_ms()};
-                 return worker.start(order, late);
-             });
+        if (unsent == duration::zero())
+            return send_start(where, order, done);
+        waits_for = where.id.str();
+        time_.after(unsent, [this, where, order, done, alive = std::weak_ptr(alive_)] {
+            if (alive.expired())
+                return;
+            if (order.still_wanted())
+                return send_start(where, order, done);
+            done({order_outcome::not_sent, std::nullopt});
+        });
     }
     void stop(const worker_listing& where, const std::string& task, run_number run,
               lease_epoch epoch, answer_handler done) override {
@@ -102,6 +107,18 @@
         duration delay = way;
     };
 
+    void send_start(const worker_listing& where, const start_order& order,
+                    const answer_handler& done) {
+        if (fleet_.on_start_sent)
+            fleet_.on_start_sent(where.id.str(), order.task);
+        send(where, draw(where), done,
+             [order, &fleet = fleet_, &time = time_, id = where.id.str()](sim_worker& worker,
+                                                                          bool late) {
+                 if (!fleet.policy.takes(id, order.task, order.ticket, time.now()))
+                     return order_answer{order_outcome::not_advised, worker.clock_ms()};
+                 return worker.start(order, late);
+             });
+    }
     std::uint64_t born_of(const worker_listing& where) const {
         return fleet_.workers.at(where.id.str()).worker->born_ms();
     }
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -123,6 +123,8 @@
     // coordinator_runs.cpp
     void start(task_work& task, worker_work& worker, run_number run, const std::string& checkpoint);
     void order_start(task_work& task);
+    bool is_start_wanted(const task_name& name, run_number run, const worker_id& worker,
+                         std::uint64_t born_ms);
     void take_start_answer(const task_name& name, run_number run, const worker_id& worker,
                            const order_answer& answer);
     void give_back(task_work& task, worker_work& worker, std::string_view why, duration rest);
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -57,6 +57,10 @@
     const task_name name = name_of(task);
     start_order order{to_string(name),         run,    task.job->spec->payload, checkpoint,
                       task.run.start_until_ms, epoch_, ticket_for(task, worker)};
+    order.still_wanted = [this, weak = std::weak_ptr(alive_), name, run, id = worker.listing.id,
+                          born_ms = worker.born_ms] {
+        return !weak.expired() && !deposed_ && is_start_wanted(name, run, id, born_ms);
+    };
     log_event(log_level::info, "task_started",
               {{"task", order.task},
                {"run", static_cast<std::int64_t>(run.value())},
@@ -70,6 +74,19 @@
                        });
 }
 
+/// Whether an order that waited unsent may still go out: the rest of its time is enough for its
+/// way, and nothing has come that would keep it from being given now.
+bool cell_coordinator::is_start_wanted(const task_name& name, run_number run, const worker_id& id,
+                                       std::uint64_t born_ms) {
+    const worker_work* const worker = find_worker(id);
+    const task_work* const task = find_task(name);
+    if (task == nullptr || worker == nullptr || task->where != worker || task->run.number != run)
+        return false;
+    const duration waited = with_.time.now() - task->run.ordered_at;
+    return task->run.now == task_run::phase::starting && worker->born_ms == born_ms &&
+           waited < start_validity - order_way && sees_notices() && usable(*worker, *task->job);
+}
+
 void cell_coordinator::take_start_answer(const task_name& name, run_number run, const worker_id& id,
                                          const order_answer& answer) {
     const instant now = with_.time.now();
--- a/tests/cell/worker_notice_test.cpp
+++ b/tests/cell/worker_notice_test.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST_SUITE(worker_notice_test);
     CPPUNIT_TEST(nothing_starts_on_a_worker_whose_notice_cant_be_read);
     CPPUNIT_TEST(nothing_starts_in_a_data_centre_whose_evacuation_cant_be_read);
+    CPPUNIT_TEST(a_start_that_waits_unsent_isnt_sent_once_the_notice_is_read);
+    CPPUNIT_TEST(a_start_that_waits_too_long_unsent_isnt_sent);
     CPPUNIT_TEST_SUITE_END();
 
     std::map<std::string, instant> last_start_;
@@ -29,6 +31,10 @@
         world_.time().after(milliseconds(100), [this, number] { submit_later(number + 1); });
     }
     sim_log& coordinators_log() { return world_.host(*world_.coordinator())->way_to_log(); }
+    void hold_starts_unsent(duration span) {
+        for (std::size_t index = 0; index < world_.hosts(); ++index)
+            world_.host(index)->way_to_workers().unsent = span;
+    }
 
 public:
     /// Guards against starts on a worker that left seconds ago, by a coordinator whose copy of the
@@ -60,6 +66,33 @@
         CPPUNIT_ASSERT(last_start_["w1"] < notice + cell_settings().evacuation_notice);
         kept_the_rules();
     }
+    /// Guards against a start that waited for the host's link and goes out to a worker that is
+    /// known to leave.
+    void a_start_that_waits_unsent_isnt_sent_once_the_notice_is_read() {
+        constexpr duration read_within = milliseconds(300);
+        begin_with_load();
+        hold_starts_unsent(milliseconds(700));
+        world_.time().run_for(seconds(3));
+        sim_orders& orders = world_.host(*world_.coordinator())->way_to_workers();
+        run_until([&orders] { return orders.waits_for == "w1"; });
+        world_.list_worker("w1", "leaving");
+        const instant notice = world_.time().now();
+        world_.time().run_for(seconds(3));
+        CPPUNIT_ASSERT(last_start_["w1"] < notice + read_within);
+        CPPUNIT_ASSERT(last_start_["w2"] > notice + seconds(1));
+        kept_the_rules();
+    }
+    /// Guards against starts that use the link and arrive when they have no effect any more.
+    void a_start_that_waits_too_long_unsent_isnt_sent() {
+        hold_starts_unsent(milliseconds(900));
+        begin_with_load();
+        world_.time().run_for(seconds(5));
+        CPPUNIT_ASSERT(last_start_.empty());
+        hold_starts_unsent(duration::zero());
+        world_.time().run_for(seconds(5));
+        CPPUNIT_ASSERT(!last_start_.empty());
+        kept_the_rules();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_notice_test);
--- a/tests/platform/send_window_test.cpp
+++ b/tests/platform/send_window_test.cpp
@@ -19,6 +19,9 @@
     CPPUNIT_TEST(silent_peers_dont_hold_up_the_others);
     CPPUNIT_TEST(a_call_that_others_overtook_makes_room);
     CPPUNIT_TEST(a_call_that_ends_while_it_is_sent_makes_room);
+    CPPUNIT_TEST(swift_answers_let_a_full_window_grow);
+    CPPUNIT_TEST(an_idle_window_stays_as_it_is);
+    CPPUNIT_TEST(slow_answers_halve_it_once_a_round);
     CPPUNIT_TEST_SUITE_END();
 
     using numbers = std::vector<send_window::call_number>;
@@ -26,6 +29,9 @@
     event_loop loop_;
     numbers sent_;
 
+    static window_limits fixed(std::size_t most, duration counted) {
+        return {most, most, counted, {}, {}};
+    }
     void submit(send_window& window, std::size_t size) {
         window.submit(size, [this](send_window::call_number call) { sent_.push_back(call); });
     }
@@ -34,14 +40,14 @@
 public:
     /// Guards against orders that are held up though the link is free.
     void what_there_is_room_for_is_sent_at_once() {
-        send_window window(loop_, 10, hours(1));
+        send_window window(loop_, fixed(10, hours(1)));
         submit(window, 6);
         submit(window, 4);
         assert_sent({1, 2});
     }
     /// Guards against an order that others pass until its time is over.
     void what_waits_is_sent_in_order() {
-        send_window window(loop_, 10, hours(1));
+        send_window window(loop_, fixed(10, hours(1)));
         for (const std::size_t size : {8U, 7U, 1U})
             submit(window, size);
         assert_sent({1});
@@ -50,7 +56,7 @@
     }
     /// Guards against an order that is never sent.
     void a_call_larger_than_the_window_is_sent_alone() {
-        send_window window(loop_, 10, hours(1));
+        send_window window(loop_, fixed(10, hours(1)));
         submit(window, 11);
         submit(window, 1);
         assert_sent({1});
@@ -60,7 +66,7 @@
     /// Guards against a coordinator that hears of no worker while those that it asked first are
     /// cut off.
     void silent_peers_dont_hold_up_the_others() {
-        send_window window(loop_, 2, milliseconds(10));
+        send_window window(loop_, fixed(2, milliseconds(10)));
         submit(window, 1);
         submit(window, 1);
         window.submit(1, [this](send_window::call_number call) {
@@ -73,7 +79,7 @@
     }
     /// Guards against the same while most workers answer: the others' places add up.
     void a_call_that_others_overtook_makes_room() {
-        send_window window(loop_, 2, hours(1));
+        send_window window(loop_, fixed(2, hours(1)));
         for (int call = 0; call < 5; ++call)
             submit(window, 1);
         window.ended(2, true);
@@ -87,13 +93,47 @@
     }
     /// Guards against a queue that stands still behind an order that was no longer wanted.
     void a_call_that_ends_while_it_is_sent_makes_room() {
-        send_window window(loop_, 1, hours(1));
+        send_window window(loop_, fixed(1, hours(1)));
         submit(window, 1);
         window.submit(1, [&window](send_window::call_number call) { window.ended(call, false); });
         submit(window, 1);
         window.ended(1, true);
         assert_sent({1, 3});
     }
+    /// Guards against a fast link that carries no more than the slowest one would.
+    void swift_answers_let_a_full_window_grow() {
+        send_window window(loop_, {4, 64, hours(1), hours(1), hours(1)});
+        for (int call = 0; call < 100; ++call)
+            submit(window, 1);
+        for (send_window::call_number call = 1; call <= 100; ++call)
+            window.ended(call, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, window.most());
+    }
+    /// Guards against a window that has grown beyond what the link was ever seen to carry.
+    void an_idle_window_stays_as_it_is() {
+        send_window window(loop_, {4, 64, hours(1), hours(1), hours(1)});
+        for (send_window::call_number call = 1; call <= 100; ++call) {
+            submit(window, 1);
+            window.ended(call, true);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, window.most());
+    }
+    /// Guards against a link that is given more than it carries in time, and against one that is
+    /// left idle for one slow moment.
+    void slow_answers_halve_it_once_a_round() {
+        send_window window(loop_, {4, 64, hours(1), milliseconds(20), milliseconds(40)});
+        for (int call = 0; call < 16; ++call)
+            submit(window, 1);
+        for (send_window::call_number call = 1; call <= 8; ++call)
+            window.ended(call, true);
+        const std::size_t grown = window.most();
+        CPPUNIT_ASSERT(grown > 8);
+        const auto late = loop_.after(milliseconds(60), [this] { loop_.stop(); });
+        loop_.run();
+        for (send_window::call_number call = 9; call <= 16; ++call)
+            window.ended(call, true);
+        CPPUNIT_ASSERT_EQUAL(grown / 2, window.most());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(send_window_test);
