Search an index for workers instead of walking over all of them

Change: candidate_index (library placement) finds workers by service, by what is free in classes, by labels, racks and serving images. A search that found nothing isn't made again in the same round for the same image and as much. Holds wait in a queue by their time, room is kept from one heap of workers, ended jobs stand in a queue, jobs are found by hash, and a row of a report is matched by the number of its run before its name. While the log is silent the workers that are recorded are walked as before.

--- a/include/figwinch/cell/worker_orders.h
+++ b/include/figwinch/cell/worker_orders.h
@@ -72,6 +72,12 @@
     /// How long the worker may wait for an end before it answers.
     duration wait{};
     lease_epoch epoch;
+    /// Ends up to `seen` of the life `born_ms` are known and needn't be told again.
+    std::uint64_t seen = 0;
+    std::uint64_t born_ms = 0;
+    /// The answer must name the tasks of all runs; else those may be left out that were ordered
+    /// or told before.
+    bool names = false;
 };
 
 /// The port to the workers of a cell. Orders never block and call back once each; they aren't sent
--- a/include/figwinch/cell/worker_report.h
+++ b/include/figwinch/cell/worker_report.h
@@ -25,6 +25,7 @@
 
 /// A run that a worker has.
 struct running_row {
+    /// May be empty where the answer needn't name it: `hold_order::names`.
     std::string task;
     run_number run;
     std::string checkpoint;
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -62,18 +62,20 @@
 
 void cell_coordinator::take_evacuated(absl::flat_hash_set<data_centre_id> data_centres) {
     evacuated_ = std::move(data_centres);
+    for (const auto& [id, worker] : workers_)
+        offer(*worker);
     placement_due_ = true;
 }
 
 void cell_coordinator::take_intake(const job_entry& entry) {
-    const auto known = jobs_.find(entry.id);
-    if (known == jobs_.end()) {
+    job_work* const known = find_job(entry.id);
+    if (known == nullptr) {
         // A predecessor that doesn't know yet that it is one may take up jobs for a little longer.
         const bool early = with_.time.now() - began_ < fresh_reign;
         add_job(entry, early);
         return sort_jobs();
     }
-    job_work& job = *known->second;
+    job_work& job = *known;
     if (entry.cancel_wanted && job.phase == job_phase::open)
         end_job(job, job_phase::cancelled);
     write_dirty();
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -7,6 +7,10 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <deque>
+#include <functional>
+#include <queue>
+
 namespace figwinch {
 
 /// A worker that hasn't reported for longer gets nothing new.
@@ -44,8 +48,11 @@
     void end_step(job_work& job, step_work& step);
     void end_job(job_work& job, job_phase phase);
     void drop_ended_jobs();
+    bool may_drop(const job_work& job) const;
+    void drop_job(job_work& job);
     void look_ahead(job_work& job) const;
     void sort_jobs();
+    job_work* find_job(const job_id& id);
     task_work* find_task(const task_name& name);
     static task_name name_of(const task_work& task);
 
@@ -61,7 +68,13 @@
     void order_recorded(const task_name& name, run_number run);
 
     // coordinator_workers.cpp
+    struct due_hold {
+        instant at{};
+        worker_slot worker = 0;
+        friend auto operator<=>(const due_hold&, const due_hold&) = default;
+    };
     void hold_due();
+    void hold_at(worker_work& worker, instant when);
     void hold(worker_work& worker);
     void take_report(const worker_id& id, instant asked, order_outcome outcome,
                      const worker_report& report);
@@ -75,10 +88,12 @@
     // coordinator_reports.cpp
     void take_ends(worker_work& worker, const std::vector<ended_row>& rows);
     void take_running(worker_work& worker, const worker_report& report, instant asked);
-    void take_row(worker_work& worker, const running_row& row);
-    void drop_missing(worker_work& worker, const worker_report& report, instant asked,
-                      const absl::flat_hash_set<task_work*>& seen);
-    std::optional<resources> stray_size(const worker_work& worker, const worker_report& report);
+    task_work* task_of(const worker_work& worker, const running_row& row);
+    void take_row(worker_work& worker, const running_row& row, task_work* task);
+    void drop_missing(worker_work& worker, const worker_report& report, instant asked);
+    static std::optional<resources> stray_size(const worker_work& worker,
+                                               const worker_report& report,
+                                               const std::vector<const task_work*>& shown);
 
     // coordinator_sharing.cpp
     static void log_sharing(const worker_work& worker);
@@ -134,33 +149,68 @@
     void note_failure_of(worker_work& worker, const job_id& job);
     void bind(task_work& task, worker_work& worker);
     void release(task_work& task);
-    static void list_images(worker_work& worker);
+    void list_images(worker_work& worker);
     run_number next_run();
     void be_deposed();
 
     // coordinator_placement.cpp
     enum class task_turn { lasting_again, short_task, lasting_first };
+    struct waiting_step {
+        job_work* job = nullptr;
+        step_work* step = nullptr;
+    };
     void place_all();
-    bool place_jobs(task_turn turn, std::uint64_t most);
+    std::vector<waiting_step> waiting_steps() const;
+    bool place_steps(const std::vector<waiting_step>& waiting, task_turn turn, std::uint64_t most);
     bool place_step(job_work& job, step_work& step, task_turn turn);
     bool place_gang(job_work& job, step_work& step);
-    worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
-    bool is_surely_there(const worker_work& worker, const task_work& task) const;
     bool usable(const worker_work& worker, const job_work& job) const;
-    bool admits(const worker_work& worker, const task_work& task) const;
-    double score(const worker_work& worker, const task_work& task) const;
-    double score_serving(const worker_work& worker, const task_work& task) const;
-    double score_filling(const worker_work& worker, const task_work& task) const;
-    bool may_fill(const worker_work& worker, const task_work& task) const;
+    bool admits(const worker_work& worker, const step_work& step) const;
+    double score(const worker_work& worker, const step_work& step) const;
+    double score_serving(const worker_work& worker, const step_work& step) const;
+    double score_filling(const worker_work& worker, const step_work& step) const;
+    bool may_fill(const worker_work& worker, const step_work& step) const;
     std::int64_t left_to_fill(const worker_work& worker) const;
     void leave_leaving_workers();
 
+    // coordinator_candidates.cpp
+    /// A worker that admits a step's tasks, and how well one would do there; higher is better.
+    struct candidate {
+        worker_work* worker = nullptr;
+        double score = 0;
+    };
+    using candidates = std::vector<candidate>;
+    /// What a step asks for that no worker was found to admit in this round.
+    struct vain_search {
+        service_id service;
+        image_number image = 0;
+        bool filling = false;
+        resources size;
+    };
+    void add_slot(worker_work& worker);
+    void drop_slot(worker_work& worker);
+    void tag_labels(worker_work& worker);
+    void tag_images(worker_work& worker);
+    bool takes_starts(const worker_work& worker) const;
+    void offer(worker_work& worker);
+    tag_number image_tag(image_number image);
+    candidates search(const job_work& job, const step_work& step, const rack_id& only_rack);
+    void visit_for(const job_work& job, const step_work& step, const rack_id& only_rack,
+                   const candidate_index::visitor& visit);
+    static bool may_be_vain(const job_work& job, const step_work& step);
+    bool is_vain(const job_work& job, const step_work& step) const;
+    worker_work* choose(const job_work& job, const task_work& task, const rack_id& only_rack);
+    worker_work* choose_recorded(const job_work& job, const task_work& task);
+    worker_work* best_of(const candidates& found, const task_work& task) const;
+    void renew_score(candidates& found, const worker_work& worker, const step_work& step) const;
+    bool is_surely_there(const worker_work& worker, const task_work& task) const;
+
     // coordinator_room.cpp
     void keep_room();
-    void keep_room_for(const step_work& step);
+    std::vector<const task_work*> lasting_without_run() const;
 
     // coordinator_advice.cpp
-    bool is_advised(const worker_work& worker, const task_work& task) const;
+    bool is_advised(const worker_work& worker, const job_work& job, const step_work& step) const;
     std::string ticket_for(task_work& task, const worker_work& worker) const;
     void ask_advice(job_work& job, const task_work& task);
     std::vector<worker_id> advice_candidates(const job_work& job, const task_work& task) const;
@@ -175,12 +225,25 @@
     absl::flat_hash_set<data_centre_id> evacuated_;
     // Ordered, as the workers are: what is decided must not hang on where a hash puts its keys.
     std::map<job_id, std::unique_ptr<job_work>> jobs_;
+    absl::flat_hash_map<job_id, job_work*> job_index_;
+    /// Jobs that have ended, the first to end in front.
+    std::deque<job_work*> ended_jobs_;
     /// Open jobs in the order in which they are served.
     std::vector<job_work*> order_;
     /// Jobs whose progress, or whose workers, have changed since they were last written.
     std::vector<job_work*> dirty_;
     std::vector<job_work*> widened_;
     std::map<worker_id, std::unique_ptr<worker_work>> workers_;
+    /// Finds workers for tasks; its slots are the places of `slots_`.
+    candidate_index index_;
+    std::vector<worker_work*> slots_;
+    std::vector<worker_slot> unused_slots_;
+    /// By number of the image.
+    std::vector<tag_number> image_tags_;
+    std::uint64_t searches_ = 0;
+    std::vector<vain_search> vain_searches_;
+    /// Holds by when they are due; an entry counts while it says what the worker says.
+    std::priority_queue<due_hold, std::vector<due_hold>, std::greater<>> due_holds_;
     /// Workers that a predecessor may have given tasks and that haven't reported, and when what
     /// they had must be over.
     absl::flat_hash_map<worker_id, instant> unresolved_;
--- a/src/cell/coordinator_advice.cpp
+++ b/src/cell/coordinator_advice.cpp
@@ -22,10 +22,11 @@
 } // namespace
 
 /// Whether a start of the task may be sent there as far as the queue's policy is concerned.
-bool cell_coordinator::is_advised(const worker_work& worker, const task_work& task) const {
-    if (!task.job->advice)
+bool cell_coordinator::is_advised(const worker_work& worker, const job_work& job,
+                                  const step_work& step) const {
+    if (!job.advice)
         return true;
-    return task.step->advice.ticket(worker.listing.id, worker.born_ms, with_.time.now()) != nullptr;
+    return step.advice.ticket(worker.listing.id, worker.born_ms, with_.time.now()) != nullptr;
 }
 
 /// The ticket that a start carries; it stands for the worker's present life from then on.
@@ -65,26 +66,22 @@
 
 std::vector<worker_id> cell_coordinator::advice_candidates(const job_work& job,
                                                            const task_work& task) const {
-    struct candidate {
-        worker_id worker;
-        double score = 0;
-    };
     const instant now = with_.time.now();
     const step_advice& known = task.step->advice;
-    std::vector<candidate> candidates;
+    candidates open;
     for (const auto& [id, worker] : workers_) {
-        if (!usable(*worker, job) || !admits(*worker, task) ||
+        if (!usable(*worker, job) || !admits(*worker, *task.step) ||
             !known.is_open(id, worker->born_ms, now))
             continue;
         const double bonus = known.is_good(id) ? known_good_bonus : 0;
-        candidates.push_back({id, score(*worker, task) + bonus});
+        open.push_back({worker.get(), score(*worker, *task.step) + bonus});
     }
-    std::ranges::sort(candidates, std::greater{}, &candidate::score);
-    candidates.resize(std::min(candidates.size(), most_asked));
+    std::ranges::sort(open, std::greater{}, &candidate::score);
+    open.resize(std::min(open.size(), most_asked));
     std::vector<worker_id> asked;
-    asked.reserve(candidates.size());
-    for (const candidate& one : candidates)
-        asked.push_back(one.worker);
+    asked.reserve(open.size());
+    for (const candidate& one : open)
+        asked.push_back(one.worker->listing.id);
     return asked;
 }
 
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -75,8 +75,10 @@
     job.recorded_to = entry.ordered_to;
     apply_queue(job);
     jobs_.emplace(entry.id, std::move(made));
+    job_index_.emplace(entry.id, &job);
     if (job.phase != job_phase::open) {
         job.ended_at = with_.time.now();
+        ended_jobs_.push_back(&job);
         return;
     }
     order_.push_back(&job);
@@ -182,12 +184,17 @@
     });
 }
 
+job_work* cell_coordinator::find_job(const job_id& id) {
+    const auto known = job_index_.find(id);
+    return known == job_index_.end() ? nullptr : known->second;
+}
+
 task_work* cell_coordinator::find_task(const task_name& name) {
-    const auto job = jobs_.find(name.job);
-    if (job == jobs_.end())
+    job_work* const job = find_job(name.job);
+    if (job == nullptr)
         return nullptr;
-    const auto occurrence = job->second->occurrences.find(name.occurrence);
-    if (occurrence == job->second->occurrences.end())
+    const auto occurrence = job->occurrences.find(name.occurrence);
+    if (occurrence == job->occurrences.end())
         return nullptr;
     if (name.step >= occurrence->second->steps.size())
         return nullptr;
@@ -229,6 +236,7 @@
     job.phase = phase;
     job.ended_at = with_.time.now();
     std::erase(order_, &job);
+    ended_jobs_.push_back(&job);
     mark_dirty(job);
     for (const auto& [number, occurrence] : job.occurrences)
         for (step_work& step : occurrence->steps)
@@ -245,21 +253,35 @@
 
 void cell_coordinator::drop_ended_jobs() {
     const instant now = with_.time.now();
-    for (const auto& [id, job] : jobs_) {
-        const bool old = now - job->ended_at > settings_.status_kept + status_slack;
-        if (job->phase == job_phase::open || job->dirty || job->widened || job->forgetting ||
-            !old || has_runs(*job))
+    std::size_t kept = 0;
+    while (kept < ended_jobs_.size()) {
+        job_work* const job = ended_jobs_[kept];
+        if (now - job->ended_at <= settings_.status_kept + status_slack)
+            return;
+        if (!may_drop(*job)) {
+            ++kept;
             continue;
-        job->forgetting = true;
-        // The acceptance goes first: a job that is accepted and has no progress would run again.
-        with_.forget(id, [this, weak = std::weak_ptr(alive_), id = id] {
-            if (weak.expired())
-                return;
-            with_.journal.write({record_key(record_kind::progress, id.str()), std::nullopt, 0});
-            with_.journal.write({record_key(record_kind::ordered_to, id.str()), std::nullopt, 0});
-            jobs_.erase(id);
-        });
+        }
+        ended_jobs_.erase(ended_jobs_.begin() + static_cast<std::ptrdiff_t>(kept));
+        drop_job(*job);
     }
 }
 
+bool cell_coordinator::may_drop(const job_work& job) const {
+    return !job.dirty && !job.widened && !has_runs(job);
+}
+
+void cell_coordinator::drop_job(job_work& job) {
+    // The acceptance goes first: a job that is accepted and has no progress would run again.
+    const job_id id = job.id;
+    with_.forget(id, [this, weak = std::weak_ptr(alive_), id] {
+        if (weak.expired())
+            return;
+        with_.journal.write({record_key(record_kind::progress, id.str()), std::nullopt, 0});
+        with_.journal.write({record_key(record_kind::ordered_to, id.str()), std::nullopt, 0});
+        job_index_.erase(id);
+        jobs_.erase(id);
+    });
+}
+
 } // namespace figwinch
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -72,8 +72,10 @@
     if (worker.registering)
         return;
     // A successor needn't ask it, nor wait for it.
-    if (std::exchange(worker.registered, false))
-        with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+    if (!std::exchange(worker.registered, false))
+        return;
+    offer(worker);
+    with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
 }
 
 void cell_coordinator::forget_gone_workers() {
@@ -88,6 +90,7 @@
         with_.orders.forget(id);
         if (workers_[id]->registered)
             with_.journal.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+        drop_slot(*workers_[id]);
         workers_.erase(id);
     }
 }
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -22,13 +22,9 @@
 // One point of expected slowdown of a neighbour weighs as much as this share of a worker less to
 // run on.
 constexpr double slowdown_weight = 5;
-constexpr double failed_there_penalty = 10;
 constexpr double cold_penalty = 1;
 constexpr double near_data_bonus = 2;
 
-// Reports of a worker at work are up to a second apart.
-constexpr duration just_reported = std::chrono::milliseconds(600);
-
 double share(std::int64_t part, std::int64_t whole) {
     return whole <= 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
 }
@@ -44,31 +40,40 @@
         return;
     }
     mark_unresolved();
+    vain_searches_.clear();
+    const std::vector<waiting_step> waiting = waiting_steps();
     const std::uint64_t most = counts_.starts + most_starts_at_once;
     for (const task_turn turn :
          {task_turn::lasting_again, task_turn::short_task, task_turn::lasting_first})
-        if (!place_jobs(turn, most)) {
+        if (!place_steps(waiting, turn, most)) {
             placement_due_ = true;
             return;
         }
 }
 
-/// Starts tasks whose turn it is, job by job. Returns whether all that can be started is, within
-/// `most` starts in all.
-bool cell_coordinator::place_jobs(task_turn turn, std::uint64_t most) {
+/// Steps whose turn it is and that have tasks without a run, in the order of jobs.
+std::vector<cell_coordinator::waiting_step> cell_coordinator::waiting_steps() const {
+    std::vector<waiting_step> waiting;
+    for (job_work* const job : order_)
+        for (const auto& [number, occurrence] : job->occurrences)
+            for (step_work& step : occurrence->steps)
+                if (step.ready && step.placed < step.left)
+                    waiting.push_back({job, &step});
+    return waiting;
+}
+
+/// Starts tasks whose turn it is. Returns whether all that can be started is, within `most` starts
+/// in all.
+bool cell_coordinator::place_steps(const std::vector<waiting_step>& waiting, task_turn turn,
+                                   std::uint64_t most) {
     const bool lasting = turn != task_turn::short_task;
-    // A copy: starting can end jobs only by later answers, but the order may be rebuilt.
-    for (job_work* const job : std::vector<job_work*>(order_)) {
-        for (const auto& [number, occurrence] : job->occurrences) {
-            for (step_work& step : occurrence->steps) {
-                if (step.spec->lasting != lasting || !step.ready || step.placed >= step.left)
-                    continue;
-                if (step.spec->gang && may_start(step.tasks.front()))
-                    place_gang(*job, step);
-                else if (!step.spec->gang)
-                    place_step(*job, step, turn);
-            }
-        }
+    for (const auto& [job, step] : waiting) {
+        if (step->spec->lasting != lasting || step->placed >= step->left)
+            continue;
+        if (step->spec->gang && may_start(step->tasks.front()))
+            place_gang(*job, *step);
+        else if (!step->spec->gang)
+            place_step(*job, *step, turn);
         if (counts_.starts + recording_.size() >= most)
             return false;
     }
@@ -82,16 +87,23 @@
     const bool again = turn == task_turn::lasting_again;
     if (!each && !may_start(step.tasks.front()))
         return false;
+    const bool any_worker = log_confirms();
+    std::optional<candidates> found;
     for (task_work& task : step.tasks) {
         if (task.progress.done || task.where != nullptr || now < task.not_before ||
             (each && !may_start(task)) || (again && task.progress.ordered_to.empty()))
             continue;
-        worker_work* const worker = choose(job, task, rack_id());
+        if (any_worker && (!found || found->empty()))
+            found = search(job, step, rack_id());
+        worker_work* const worker =
+            any_worker ? best_of(*found, task) : choose_recorded(job, task);
         if (worker == nullptr) {
             ask_advice(job, task);
             return false;
         }
         start(task, *worker, next_run(), task.progress.checkpoint);
+        if (any_worker)
+            renew_score(*found, *worker, step);
     }
     return true;
 }
@@ -132,38 +144,6 @@
     return false;
 }
 
-worker_work* cell_coordinator::choose(const job_work& job, const task_work& task,
-                                      const rack_id& only_rack) {
-    worker_work* best = nullptr;
-    std::pair<bool, double> best_score;
-    // While the log is silent nothing can be recorded; what is recorded already can be used.
-    const bool any_worker = log_confirms();
-    for (const auto& [id, worker] : workers_) {
-        if (!only_rack.empty() && worker->listing.rack != only_rack)
-            continue;
-        if (!usable(*worker, job) || !admits(*worker, task) || !is_advised(*worker, task))
-            continue;
-        if (!any_worker && !is_recorded_at(task, *worker))
-            continue;
-        const std::pair found{is_surely_there(*worker, task), score(*worker, task)};
-        if (best == nullptr || found > best_score) {
-            best = worker.get();
-            best_score = found;
-        }
-    }
-    return best;
-}
-
-/// A worker that was lost a moment ago still looks usable, and has room. A lasting task that is
-/// started there is down until that start can have no effect any more; so a task that has run
-/// before goes to a worker that has just reported, where there is one. First starts come many at a
-/// time and are spread over all workers.
-bool cell_coordinator::is_surely_there(const worker_work& worker, const task_work& task) const {
-    if (!has_own_record(*task.step->spec) || task.progress.ordered_to.empty())
-        return true;
-    return worker.unanswered == 0 && with_.time.now() - worker.reported_at < just_reported;
-}
-
 bool cell_coordinator::usable(const worker_work& worker, const job_work& job) const {
     const instant now = with_.time.now();
     return worker.listed && !worker.listing.leaving && worker.heard && worker.registered &&
@@ -172,11 +152,11 @@
            !evacuated_.contains(worker.listing.data_centre);
 }
 
-bool cell_coordinator::admits(const worker_work& worker, const task_work& task) const {
-    const step_spec& spec = *task.step->spec;
+bool cell_coordinator::admits(const worker_work& worker, const step_work& step) const {
+    const step_spec& spec = *step.spec;
     resources size = spec.size;
     if (spec.filling) {
-        if (!may_fill(worker, task))
+        if (!may_fill(worker, step))
             return false;
         size.cpu_millis = 0;
     }
@@ -193,38 +173,36 @@
     if (spec.most_per_worker == 0)
         return true;
     const auto beside = std::ranges::count_if(
-        worker.tasks, [&task](const task_work* other) { return other->step == task.step; });
+        worker.tasks, [&step](const task_work* other) { return other->step == &step; });
     return static_cast<std::uint32_t>(beside) < spec.most_per_worker;
 }
 
-/// How well a task would do on a worker; higher is better.
-double cell_coordinator::score(const worker_work& worker, const task_work& task) const {
-    const step_spec& spec = *task.step->spec;
+/// How well a task of the step would do on a worker; higher is better.
+double cell_coordinator::score(const worker_work& worker, const step_work& step) const {
+    const step_spec& spec = *step.spec;
     const resources& capacity = worker.listing.capacity;
     const resources left = capacity - worker.taken;
     double value = 0;
     if (spec.filling)
-        value = score_filling(worker, task);
+        value = score_filling(worker, step);
     else
         value = std::min(share(left.cpu_millis - spec.size.cpu_millis, capacity.cpu_millis),
                          share(left.memory_mib - spec.size.memory_mib, capacity.memory_mib));
     if (spec.tail_target > duration::zero())
-        value += score_serving(worker, task);
+        value += score_serving(worker, step);
     if (!spec.near_rack.empty() && worker.listing.rack == spec.near_rack)
         value += near_data_bonus;
     if (worker.listing.cold_left > duration::zero())
         value -= cold_penalty;
-    if (std::ranges::count(task.failed_on, worker.listing.id) > 0)
-        value -= failed_there_penalty;
     return value;
 }
 
 /// Serving tasks go where the others suffer from the same neighbours.
-double cell_coordinator::score_serving(const worker_work& worker, const task_work& task) const {
+double cell_coordinator::score_serving(const worker_work& worker, const step_work& step) const {
     double difference = 0;
     for (const auto& [image, tasks] : worker.serving)
-        difference = std::max(difference, slowdowns_.difference(image, task.step->image));
-    const bool same = worker.serving.contains(task.step->image);
+        difference = std::max(difference, slowdowns_.difference(image, step.image));
+    const bool same = worker.serving.contains(step.image);
     return (same ? same_image_bonus * (1 - difference) : 0) - difference * other_image_penalty;
 }
 
@@ -236,30 +214,30 @@
            worker.filling_cpu;
 }
 
-bool cell_coordinator::may_fill(const worker_work& worker, const task_work& task) const {
+bool cell_coordinator::may_fill(const worker_work& worker, const step_work& step) const {
     // A task that lasts has to run all the time, if slowly: others of its kind that have taken the
     // processors never end, and it would wait for ever.
-    if (task.step->spec->lasting)
+    if (step.spec->lasting)
         return true;
-    if (left_to_fill(worker) < task.step->spec->size.cpu_millis)
+    if (left_to_fill(worker) < step.spec->size.cpu_millis)
         return false;
     if (!worker.sharing.admits_filling(with_.time.now()))
         return false;
-    const double more = share(task.step->spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
+    const double more = share(step.spec->size.cpu_millis, worker.listing.capacity.cpu_millis);
     return std::ranges::all_of(worker.serving, [&](const auto& group) {
         const image_number served = group.first;
         const double expected = slowdowns_.slowdown_of(served, worker.filling_images) +
-                                slowdowns_.slowdown(served, task.step->image) * more;
+                                slowdowns_.slowdown(served, step.image) * more;
         return expected <= slowdowns_.usual_headroom(served, usual_load_margin, usual_aim);
     });
 }
 
-double cell_coordinator::score_filling(const worker_work& worker, const task_work& task) const {
+double cell_coordinator::score_filling(const worker_work& worker, const step_work& step) const {
     const std::int64_t cores = worker.listing.capacity.cpu_millis;
-    const double more = share(task.step->spec->size.cpu_millis, cores);
+    const double more = share(step.spec->size.cpu_millis, cores);
     double worst = 0;
     for (const auto& [served, tasks] : worker.serving)
-        worst = std::max(worst, slowdowns_.slowdown(served, task.step->image) * more);
+        worst = std::max(worst, slowdowns_.slowdown(served, step.image) * more);
     return share(left_to_fill(worker), cores) - more - slowdown_weight * worst;
 }
 
--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -31,27 +31,52 @@
         if (known == nullptr || known->born_ms != born)
             return;
         known->noted = std::max(known->noted, noted);
-        known->next_hold = with_.time.now();
+        hold_at(*known, with_.time.now());
     });
 }
 
 void cell_coordinator::take_running(worker_work& worker, const worker_report& report,
                                     instant asked) {
-    absl::flat_hash_set<task_work*> seen;
+    const std::uint64_t number = ++worker.reports;
+    worker.wants_names = false;
+    std::vector<const task_work*> shown;
+    shown.reserve(report.running.size());
     for (const running_row& row : report.running) {
-        take_row(worker, row);
-        const auto name = parse_task_name(row.task);
-        task_work* const task = name ? find_task(*name) : nullptr;
+        task_work* const task = task_of(worker, row);
+        shown.push_back(task);
+        if (task == nullptr && row.task.empty()) {
+            worker.wants_names = true;
+            continue;
+        }
+        take_row(worker, row, task);
         if (task != nullptr && task->where == &worker && task->run.number == row.run)
-            seen.insert(task);
+            task->run.shown_in = number;
     }
-    drop_missing(worker, report, asked, seen);
-    worker.strays = stray_size(worker, report);
+    drop_missing(worker, report, asked);
+    worker.strays = stray_size(worker, report, shown);
 }
 
-void cell_coordinator::take_row(worker_work& worker, const running_row& row) {
+/// The task that a row of a worker's report names. Nearly all rows are of runs that are known to be
+/// there, which needs no look-up by name.
+task_work* cell_coordinator::task_of(const worker_work& worker, const running_row& row) {
+    task_work* found = nullptr;
+    for (task_work* const task : worker.tasks) {
+        if (task->run.number != row.run)
+            continue;
+        if (task->run.name == row.task)
+            return task;
+        // Members of a gang have the same number.
+        if (row.task.empty() && found != nullptr)
+            return nullptr;
+        found = task;
+    }
+    if (row.task.empty())
+        return found;
     const auto name = parse_task_name(row.task);
-    task_work* const task = name ? find_task(*name) : nullptr;
+    return name ? find_task(*name) : nullptr;
+}
+
+void cell_coordinator::take_row(worker_work& worker, const running_row& row, task_work* task) {
     const instant now = with_.time.now();
     const bool wanted = task != nullptr && task->job->phase == job_phase::open &&
                         !task->progress.done && task->where == nullptr;
@@ -59,6 +84,7 @@
         // Started by a predecessor, or a start whose answer never came.
         task->run = task_run{};
         task->run.number = row.run;
+        task->run.name = row.task;
         task->run.ordered_at = now;
         task->run.seen_at = now;
         task->run.now = task_run::phase::running;
@@ -90,13 +116,13 @@
 
 /// Gives up runs that the worker's report proves gone: the report was asked for after the last
 /// order about the run was answered, or the start can no longer take effect by the worker's clock.
-void cell_coordinator::drop_missing(worker_work& worker, const worker_report& report, instant asked,
-                                    const absl::flat_hash_set<task_work*>& seen) {
+void cell_coordinator::drop_missing(worker_work& worker, const worker_report& report,
+                                    instant asked) {
     std::vector<task_work*> gone;
     for (task_work* const task : worker.tasks) {
-        if (seen.contains(task))
-            continue;
         const task_run& run = task->run;
+        if (run.shown_in == worker.reports)
+            continue;
         const bool settled = run.settled_at && *run.settled_at < asked;
         const bool start_passed = run.now == task_run::phase::stopping && !run.settled_at &&
                                   run.start_until_ms < report.clock_ms;
@@ -113,14 +139,14 @@
 /// What the rows of a report take that aren't runs of ours. They count until they have gone: what
 /// is being stopped still has its room. Nothing when a row's job isn't known.
 std::optional<resources> cell_coordinator::stray_size(const worker_work& worker,
-                                                      const worker_report& report) {
+                                                      const worker_report& report,
+                                                      const std::vector<const task_work*>& shown) {
     resources sum;
-    for (const running_row& row : report.running) {
-        const auto name = parse_task_name(row.task);
-        const task_work* const task = name ? find_task(*name) : nullptr;
+    for (std::size_t index = 0; index < shown.size(); ++index) {
+        const task_work* const task = shown[index];
         if (task == nullptr)
             return std::nullopt;
-        if (task->where == &worker && task->run.number == row.run)
+        if (task->where == &worker && task->run.number == report.running[index].run)
             continue;
         resources size = task->step->spec->size;
         size.cpu_millis = task->step->spec->filling ? 0 : size.cpu_millis;
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -61,6 +61,7 @@
                           born_ms = worker.born_ms] {
         return !weak.expired() && !deposed_ && is_start_wanted(name, run, id, born_ms);
     };
+    task.run.name = order.task;
     log_event(log_level::info, "task_started",
               {{"task", order.task},
                {"run", static_cast<std::int64_t>(run.value())},
@@ -140,6 +141,7 @@
         else if (spec.tail_target > duration::zero())
             ++worker.serving[task->step->image];
     }
+    tag_images(worker);
 }
 
 /// A start that was refused: nothing of it is on the worker.
@@ -170,6 +172,7 @@
     worker.taken += taken;
     worker.lasting_cpu += spec.lasting ? taken.cpu_millis : 0;
     list_images(worker);
+    offer(worker);
 }
 
 void cell_coordinator::release(task_work& task) {
@@ -187,6 +190,7 @@
     worker.taken -= taken;
     worker.lasting_cpu -= spec.lasting ? taken.cpu_millis : 0;
     list_images(worker);
+    offer(worker);
     if (!task.run.checkpoint.empty() && !task.progress.done)
         task.progress.checkpoint = task.run.checkpoint;
     placement_due_ = true;
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -142,7 +142,7 @@
         job_wait here = job_wait::no_room;
         if (!label.empty() && std::ranges::count(worker->listing.labels, label) == 0)
             here = job_wait::no_label;
-        else if (admits(*worker, task) && !is_advised(*worker, task))
+        else if (admits(*worker, *task.step) && !is_advised(*worker, job, *task.step))
             here = job_wait::advice;
         furthest = std::max(furthest, here);
     }
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -48,10 +48,13 @@
         if (!worker) {
             worker = std::make_unique<worker_work>();
             worker->reported_at = with_.time.now();
+            add_slot(*worker);
+            hold_at(*worker, with_.time.now());
             log_worker(row);
         }
         worker->listed = true;
         worker->listing = row;
+        tag_labels(*worker);
         const bool other_life = row.born_ms != 0 && worker->born_ms != 0;
         if (other_life && row.born_ms != worker->born_ms)
             worker->unanswered = std::max(worker->unanswered, 1);
@@ -59,20 +62,34 @@
         if (unresolved != unresolved_.end() && is_other_life(row.id, row.born_ms))
             unresolved->second = std::max(unresolved->second, whole_leases_over_);
     }
+    for (const auto& [id, worker] : workers_)
+        offer(*worker);
     placement_due_ = true;
 }
 
 void cell_coordinator::hold_due() {
     const instant now = with_.time.now();
-    for (const auto& [id, worker] : workers_)
-        if (!worker->hold_in_flight && now >= worker->next_hold)
+    while (!due_holds_.empty() && due_holds_.top().at <= now) {
+        const due_hold due = due_holds_.top();
+        due_holds_.pop();
+        worker_work* const worker = slots_[due.worker];
+        if (worker != nullptr && worker->next_hold == due.at && !worker->hold_in_flight)
             hold(*worker);
+    }
+}
+
+void cell_coordinator::hold_at(worker_work& worker, instant when) {
+    worker.next_hold = when;
+    due_holds_.push({when, worker.slot});
 }
 
 void cell_coordinator::hold(worker_work& worker) {
     const instant now = with_.time.now();
     hold_order order;
     order.epoch = epoch_;
+    order.seen = worker.seen;
+    order.born_ms = worker.born_ms;
+    order.names = worker.wants_names;
     // After a silence another life may answer, whose own ends count from 1 again: it must not
     // forget ends that only the earlier life's were noted up to.
     order.noted = worker.unanswered == 0 ? worker.noted : 0;
@@ -107,14 +124,13 @@
     if (outcome == order_outcome::superseded)
         return be_deposed();
     if (outcome != order_outcome::done) {
-        worker->next_hold = now + hold_retry;
+        hold_at(*worker, now + hold_retry);
         return take_silence(*worker);
     }
     worker->reported_at = now;
     worker->unanswered = 0;
     if (worker->silent)
         end_silence(*worker);
-    worker->next_hold = now;
     if (worker->born_ms != report.born_ms)
         start_new_life(*worker, report.born_ms);
     worker->clock.observe(report.clock_ms, now);
@@ -130,8 +146,8 @@
     share_processors(*worker);
     if (!worker->registered && !worker->registering)
         register_life(*worker);
-    if (worker->noted < worker->seen)
-        worker->next_hold = now + unnoted_pause;
+    hold_at(*worker, worker->noted < worker->seen ? now + unnoted_pause : now);
+    offer(*worker);
 }
 
 /// Whether a worker's life isn't the one that predecessors held. An order to start that was for the
@@ -149,6 +165,7 @@
     worker.clock = {};
     // Orders that were on their way to the earlier life may reach this one.
     worker.heard = false;
+    offer(worker);
     worker.seen = 0;
     worker.noted = 0;
     worker.failures_in_row = 0;
@@ -163,6 +180,7 @@
     if (worker.unanswered < unanswered_to_tell || worker.silent || !worker.registered)
         return;
     worker.silent = true;
+    offer(worker);
     log_event(log_level::warn, "worker_silent", {{"worker", worker.listing.id.str()}});
     with_.journal.write({record_key(record_kind::worker, worker.listing.id.str()),
                          encode_worker({worker.born_ms, true}), 0});
@@ -188,6 +206,7 @@
                 known->registering = false;
                 known->registered = true;
                 known->silent = false;
+                offer(*known);
                 placement_due_ = true;
             }
         });
--- a/src/cell/job_work.h
+++ b/src/cell/job_work.h
@@ -72,8 +72,6 @@
     bool any_worker_in_doubt = false;
     /// Its progress has changed since it was last written.
     bool dirty = false;
-    /// Being dropped from the log.
-    bool forgetting = false;
     /// Where the log has it: jobs of one priority are served in the order of acceptance.
     std::uint64_t intake_offset = 0;
     /// When it was handed in; when this coordinator came to know it, if the job doesn't tell.
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -21,6 +21,10 @@
     };
 
     run_number number;
+    /// The task's name as workers know it; empty before the order to start.
+    std::string name;
+    /// The newest report of its worker that shows it.
+    std::uint64_t shown_in = 0;
     phase now = phase::starting;
     instant ordered_at{};
     /// Since when no order of ours that concerns the run is on its way. A report asked for later
--- a/src/cell/worker_work.h
+++ b/src/cell/worker_work.h
@@ -3,6 +3,7 @@
 #include "cell/sharing_control.h"
 #include "cell/worker_clock.h"
 #include "figwinch/cell/worker_listing.h"
+#include "figwinch/placement/candidate_index.h"
 
 #include <map>
 #include <optional>
@@ -14,6 +15,7 @@
 
 /// A worker in the coordinator's hands.
 struct worker_work {
+    worker_slot slot = 0;
     worker_listing listing;
     bool listed = false;
     /// The life that reported last; 0 before the first report.
@@ -33,6 +35,10 @@
     bool silent = false;
     instant next_hold{};
     instant reported_at{};
+    /// A report had a run that its number doesn't tell.
+    bool wants_names = false;
+    /// Reports taken in.
+    std::uint64_t reports = 0;
     /// Since when its lease must have been over; none: it may not be.
     instant over_since{};
     /// Ends up to `seen` were taken in, up to `noted` recorded in the log.
@@ -59,6 +65,12 @@
     /// For placement: what fills here at full speed, and how many tasks of each image serve here.
     std::vector<image_share> filling_images;
     std::map<image_number, int> serving;
+    /// As `candidate_index` has it while the worker takes starts.
+    worker_offer offer;
+    /// Of its labels and its rack; the first ones of `offer.tags`.
+    std::vector<tag_number> label_tags;
+    /// The search for candidates that met it last.
+    std::uint64_t met_in_search = 0;
 };
 
 } // namespace figwinch
--- /dev/null
+++ b/tests/placement/candidate_index_test.cpp
@@ -0,0 +1,139 @@
+#include "figwinch/placement.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace figwinch {
+namespace {
+
+class candidate_index_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(candidate_index_test);
+    CPPUNIT_TEST(workers_with_most_room_come_first);
+    CPPUNIT_TEST(workers_of_other_services_arent_shown);
+    CPPUNIT_TEST(workers_alike_take_turns);
+    CPPUNIT_TEST(a_tag_shows_its_workers_only);
+    CPPUNIT_TEST(a_sample_spans_all_classes);
+    CPPUNIT_TEST(a_sample_of_few_shows_all);
+    CPPUNIT_TEST(what_is_removed_isnt_shown);
+    CPPUNIT_TEST(changes_in_any_order_leave_the_same_index);
+    CPPUNIT_TEST_SUITE_END();
+
+    using slots = std::vector<worker_slot>;
+    const service_id service_{"yard"};
+    candidate_index index_;
+
+    void put(worker_slot worker, std::int64_t free, std::vector<tag_number> tags = {}) {
+        index_.put(worker, {service_, free, free, std::move(tags)});
+    }
+    static candidate_index::visitor into(slots& seen) {
+        return [&seen](worker_slot worker) {
+            seen.push_back(worker);
+            return true;
+        };
+    }
+    slots free_from(std::int64_t least, std::uint64_t turn = 0) const {
+        slots seen;
+        index_.visit_free(service_, least, turn, into(seen));
+        return seen;
+    }
+    slots sample(std::size_t most, std::uint64_t turn) const {
+        slots seen;
+        index_.visit_fill(service_, 0, most, turn, into(seen));
+        return seen;
+    }
+
+public:
+    /// Guards against tasks that pile up on some workers while others have room.
+    void workers_with_most_room_come_first() {
+        put(0, 1000);
+        put(1, 9000);
+        put(2, 4000);
+        CPPUNIT_ASSERT((free_from(2000) == slots{1, 2}));
+    }
+    /// Guards against a start on a worker of another pool.
+    void workers_of_other_services_arent_shown() {
+        put(0, 1000);
+        index_.put(1, {service_id("other"), 1000, 1000, {}});
+        CPPUNIT_ASSERT(free_from(0) == slots{0});
+        put(1, 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, free_from(0).size());
+    }
+    /// Guards against one worker that gets the first task of every step.
+    void workers_alike_take_turns() {
+        for (worker_slot worker = 0; worker < 4; ++worker)
+            put(worker, 1000);
+        std::set<worker_slot> first;
+        for (std::uint64_t turn = 0; turn < 4; ++turn)
+            first.insert(free_from(0, turn).front());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, first.size());
+    }
+    /// Guards against tasks that need a label or a rack and are looked for among all workers.
+    void a_tag_shows_its_workers_only() {
+        const tag_number rack = index_.tag("rack r1");
+        CPPUNIT_ASSERT_EQUAL(rack, index_.tag("rack r1"));
+        put(0, 1000, {rack});
+        put(1, 2000);
+        put(2, 3000, {rack});
+        slots seen;
+        index_.visit_tagged(service_, rack, 0, 0, into(seen));
+        CPPUNIT_ASSERT((seen == slots{2, 0}));
+        put(2, 3000);
+        seen.clear();
+        index_.visit_tagged(service_, rack, 0, 0, into(seen));
+        CPPUNIT_ASSERT(seen == slots{0});
+    }
+    /// Guards against filling tasks that never reach workers with little left, where the neighbours
+    /// may be those that they slow least.
+    void a_sample_spans_all_classes() {
+        for (worker_slot worker = 0; worker < 100; ++worker)
+            put(worker, worker < 50 ? 1000 : 9000);
+        const slots seen = sample(10, 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, seen.size());
+        const auto low = std::ranges::count_if(seen, [](worker_slot worker) { return worker < 50; });
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{5}, low);
+    }
+    /// Guards against a small cell in which a worker is overlooked.
+    void a_sample_of_few_shows_all() {
+        for (worker_slot worker = 0; worker < 7; ++worker)
+            put(worker, 1000 * worker);
+        for (std::uint64_t turn = 0; turn < 9; ++turn)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{7}, sample(7, turn).size());
+    }
+    /// Guards against starts on a worker that has left.
+    void what_is_removed_isnt_shown() {
+        put(0, 1000);
+        put(1, 1000);
+        index_.remove(0);
+        index_.remove(0);
+        CPPUNIT_ASSERT(free_from(0) == slots{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, index_.size());
+    }
+    /// Guards against workers that are lost from the index, or stand in it twice, after many moves
+    /// between classes.
+    void changes_in_any_order_leave_the_same_index() {
+        constexpr worker_slot workers = 40;
+        std::uint64_t drawn = 1;
+        for (int change = 0; change < 5000; ++change) {
+            drawn = drawn * 6364136223846793005U + 1442695040888963407U;
+            const auto worker = static_cast<worker_slot>((drawn >> 33U) % workers);
+            if ((drawn >> 60U) == 0)
+                index_.remove(worker);
+            else
+                put(worker, static_cast<std::int64_t>((drawn >> 40U) % 16'000));
+        }
+        for (worker_slot worker = 0; worker < workers; ++worker)
+            put(worker, 500 * worker);
+        slots seen = free_from(0);
+        std::ranges::sort(seen);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{workers}, seen.size());
+        CPPUNIT_ASSERT(std::ranges::adjacent_find(seen) == seen.end());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, free_from(10'000).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(candidate_index_test);
+
+} // namespace
+} // namespace figwinch
