Pass orders on by way of hosts beside the workers

At 1,800 workers it is some 12,000 calls a second.

Change: library link. A host offers the coordinator that the log names to carry workers of its data centre (processor and link say how many). Where a cell has more workers than its coordinator carries, orders go by way of as many of these hosts as carry them half as often again, the strongest first, in exchanges each 20 ms: payloads once a job, runs by number, ends once. A host passes on what the session of the highest epoch orders and decides nothing. Fences, lease ends and starts' own times are absolute on the worker's clock, so that a slow host is a slow network; a start that can't be sent within 300 ms isn't. A lane whose exchange gets no reply within 700 ms is lost: what was handed over is unknown, the rest not sent, and its workers go by way of others. Small cells are called directly, as before.

--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -58,6 +58,8 @@
     void stand(bool standing) { standing_ = standing; }
 
     bool leads() const { return leads_; }
+    /// Whether this host has given up for good.
+    bool has_resigned() const { return resigned_; }
     lease_epoch epoch() const { return epoch_; }
     /// Whether the reign before this one ended by resignation.
     bool follows_resignation() const { return follows_resignation_; }
--- a/include/figwinch/simulation.h
+++ b/include/figwinch/simulation.h
@@ -7,6 +7,7 @@
 #include "figwinch/simulation/sim_advisor.h"
 #include "figwinch/simulation/sim_candidate.h"
 #include "figwinch/simulation/sim_orders.h"
+#include "figwinch/simulation/sim_peers.h"
 #include "figwinch/simulation/sim_store.h"
 #include "figwinch/simulation/sim_time.h"
 #include "figwinch/simulation/sim_worker.h"
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -95,8 +95,7 @@
             continue;
         if (any_worker && (!found || found->empty()))
             found = search(job, step, rack_id());
-        worker_work* const worker =
-            any_worker ? best_of(*found, task) : choose_recorded(job, task);
+        worker_work* const worker = any_worker ? best_of(*found, task) : choose_recorded(job, task);
         if (worker == nullptr) {
             ask_advice(job, task);
             return false;
--- a/src/cell_host/bus_writer.cpp
+++ b/src/cell_host/bus_writer.cpp
@@ -1,6 +1,7 @@
 #include "cell_host/bus_writer.h"
 
 #include "cell_host/handover_codec.h"
+#include "figwinch/link/peer_message.h"
 
 #include <utility>
 
@@ -27,7 +28,8 @@
     done_ = std::move(done);
     asked_ = where_().value_or("");
     next_probe_ = time_.now();
-    peers_.ask(asked_, encode_handover({patience, records}), patience,
+    const std::string body = encode_handover({patience, records});
+    peers_.ask(asked_, encode_peer_message(peer_message::handover, body), patience,
                [this, round = ++round_, weak = std::weak_ptr(alive_)](const auto& reply) {
                    if (!weak.expired())
                        take(round, reply);
@@ -41,7 +43,8 @@
 
 void bus_writer::probe() {
     next_probe_ = time_.now() + probe_period;
-    peers_.ask(asked_, encode_handover({}), probe_patience,
+    peers_.ask(asked_, encode_peer_message(peer_message::handover, encode_handover({})),
+               probe_patience,
                [this, round = round_, weak = std::weak_ptr(alive_)](const auto& reply) {
                    if (!weak.expired() && !reply.ok())
                        give_up(round);
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -1,6 +1,7 @@
 #include "cell_host/cell_host.h"
 
 #include "cell_host/cell_status.h"
+#include "figwinch/link/peer_message.h"
 
 #include <utility>
 
@@ -23,12 +24,17 @@
     return limits;
 }
 
+member_place place_of(const cell_host_settings& with) {
+    return {to_string(with.bus), data_centre_id(with.data_centre),
+            workers_carried(with.cpu_share, with.link_mbps)};
+}
+
 } // namespace
 
 cell_host::cell_host(event_loop& loop, cell_platform& platform, const cell_host_settings& with,
                      incarnation_id self)
-    : loop_(loop), platform_(platform), with_(with), self_(std::move(self)),
-      member_(time_, platform, with.cell, self_, to_string(with.bus), with.cpu_share),
+    : loop_(loop), platform_(platform), with_(with), self_(std::move(self)), asker_(loop),
+      member_(time_, platform, asker_, with.cell, self_, place_of(with), with.cpu_share),
       front_({time_, platform.dialect(), member_.config(), member_.state(), member_.writer(),
               [this](const std::function<void(bool)>& done) { member_.sync_intake(done); },
               [this] { return member_.log_answers(); },
@@ -76,14 +82,30 @@
     if (!peers.ok())
         return peers.status();
     peers_ = std::move(*peers);
-    peers_->on_request([this](const bus_sender&, std::string_view body, const auto& reply) {
-        handovers_.handle(body, reply);
+    peers_->on_request([this](const bus_sender&, std::string_view message, const auto& reply) {
+        answer_peer(message, reply);
     });
+    asker_.use(*peers_);
     writer_ = std::make_unique<bus_writer>(time_, *peers_, [this] { return writer_address(); });
     member_.writer().hand_to(writer_.get());
     return absl::OkStatus();
 }
 
+void cell_host::answer_peer(std::string_view message,
+                            const std::function<void(std::string)>& reply) {
+    if (message.empty())
+        return;
+    const std::string_view body = message.substr(1);
+    switch (static_cast<peer_message>(message.front())) {
+    case peer_message::handover:
+        return handovers_.handle(body, reply);
+    case peer_message::offer:
+        return reply(member_.take_offer(body));
+    case peer_message::exchange:
+        return reply(member_.take_exchange(body));
+    }
+}
+
 std::optional<std::string> cell_host::writer_address() const {
     const std::optional<reign_view>& reign = member_.election().current();
     if (!reign || reign->holder == self_)
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell_host/bus_asker.h"
 #include "cell_host/bus_writer.h"
 #include "cell_host/cell_host_settings.h"
 #include "cell_host/cell_member.h"
@@ -25,6 +26,7 @@
     void tick();
     bool is_ready() const { return !stopping_ && member_.is_loaded() && member_.log_answers(); }
     absl::Status listen_to_peers();
+    void answer_peer(std::string_view message, const std::function<void(std::string)>& reply);
     /// The bus address of the host that appends for all: the coordinator's.
     std::optional<std::string> writer_address() const;
     void answer_ready(const std::shared_ptr<http_responder>& answer) const;
@@ -37,6 +39,7 @@
     cell_host_settings with_;
     incarnation_id self_;
     cell_metrics metrics_;
+    bus_asker asker_;
     cell_member member_;
     job_front front_;
     handover_server handovers_;
--- a/src/cell_host/cell_host_settings.cpp
+++ b/src/cell_host/cell_host_settings.cpp
@@ -12,6 +12,7 @@
 ABSL_FLAG(std::string, advisor, "",
           "IP number and port of the advisor on workers; empty: no queue asks for one");
 ABSL_FLAG(double, cpu_share, 1, "share of a core that this process may use; 1: a whole one");
+ABSL_FLAG(double, link_mbps, 1000, "what this host's own link carries, megabits/s");
 ABSL_FLAG(int, grace_s, 6, "from SIGTERM until the platform kills the process, s");
 ABSL_FLAG(int, max_hold_ms, 6000, "longest lease that a worker grants, ms");
 ABSL_FLAG(int, stop_ms, 900, "longest time that a stop takes on a worker, ms");
@@ -47,6 +48,8 @@
         reader.require_endpoint("advisor", absl::GetFlag(FLAGS_advisor));
     const double share = absl::GetFlag(FLAGS_cpu_share);
     reader.require(share > 0 && share <= 1024, "cpu_share", std::to_string(share), "0 to 1024");
+    const double link = absl::GetFlag(FLAGS_link_mbps);
+    reader.require(link > 0 && link <= 1e6, "link_mbps", std::to_string(link), "0 to 1000000");
     reader.require_range("grace_s", absl::GetFlag(FLAGS_grace_s), 1, 600, "s");
     reader.require_range("max_hold_ms", absl::GetFlag(FLAGS_max_hold_ms), 1000, 600'000, "ms");
     reader.require_range("stop_ms", absl::GetFlag(FLAGS_stop_ms), 1, 60'000, "ms");
@@ -69,6 +72,7 @@
     with.log = read_endpoint(FLAGS_log);
     with.advisor = parse_endpoint(absl::GetFlag(FLAGS_advisor));
     with.cpu_share = absl::GetFlag(FLAGS_cpu_share);
+    with.link_mbps = absl::GetFlag(FLAGS_link_mbps);
     with.grace = std::chrono::seconds(absl::GetFlag(FLAGS_grace_s));
     with.cell.max_hold = read_ms(FLAGS_max_hold_ms);
     with.cell.stop_bound = read_ms(FLAGS_stop_ms);
--- a/src/cell_host/cell_host_settings.h
+++ b/src/cell_host/cell_host_settings.h
@@ -24,6 +24,8 @@
     std::optional<endpoint> advisor;
     /// The share of a core that this process may use.
     double cpu_share = 1;
+    /// What the host's own link carries, megabits a second.
+    double link_mbps = 1000;
     duration grace{};
     cell_settings cell;
     log_level level = log_level::info;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -1,6 +1,7 @@
 #include "cell_host/cell_member.h"
 
 #include "figwinch/cell/record_codec.h"
+#include "figwinch/link/peer_message.h"
 #include "figwinch/observe.h"
 
 #include <utility>
@@ -31,6 +32,7 @@
 constexpr duration longest_unused = std::chrono::milliseconds(4000);
 constexpr duration time_aside = std::chrono::milliseconds(3000);
 constexpr duration forget_patience = std::chrono::seconds(30);
+constexpr duration offer_period = std::chrono::milliseconds(500);
 
 reign_times times_of(double cpu_share) {
     reign_times times;
@@ -40,9 +42,11 @@
 
 } // namespace
 
-cell_member::cell_member(const clock& time, cell_platform& platform, const cell_settings& settings,
-                         incarnation_id self, std::string bus_address, double cpu_share)
-    : time_(time), platform_(platform), settings_(settings), listing_(platform),
+cell_member::cell_member(const clock& time, cell_platform& platform, peer_asker& peers,
+                         const cell_settings& settings, incarnation_id self, member_place place,
+                         double cpu_share)
+    : time_(time), platform_(platform), peers_(peers), settings_(settings), self_(std::move(self)),
+      place_(std::move(place)), listing_(platform),
       operators_(time, platform.log(), cell_stream::operators, operators_pace,
                  [this](const stored_record& record) { take_operators(record); }),
       workers_(time, platform.log(), cell_stream::workers, workers_pace,
@@ -62,7 +66,8 @@
                },
                [this] { return log_answers(); },
                [this](const std::function<void(bool)>& done) { sync_intake(done); }}),
-      reign_(time, platform.log(), std::move(self), std::move(bus_address), times_of(cpu_share)) {
+      reign_(time, platform.log(), self_, place_.bus_address, times_of(cpu_share)),
+      link_server_(time, platform.orders()) {
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
             held_back_.push_back(job.id);
@@ -87,6 +92,8 @@
         end_reign();
     if (reign_.leads())
         lead();
+    else
+        offer_link();
     return journal_ ? leading_tick : following_tick;
 }
 
@@ -139,6 +146,31 @@
     note_view();
     coordinator_->tick();
     journal_->tick();
+    orders_->tick();
+}
+
+/// Tells the coordinator that this host can pass orders on, or that it is about to stop.
+void cell_member::offer_link() {
+    const std::optional<reign_view>& reign = reign_.current();
+    if (!reign || reign->holder == self_)
+        return;
+    const instant now = time_.now();
+    const bool is_news =
+        reign->bus_address != offered_to_ || reign_.has_resigned() != offered_leaving_;
+    if (!is_news && now < next_offer_)
+        return;
+    offered_to_ = reign->bus_address;
+    offered_leaving_ = reign_.has_resigned();
+    next_offer_ = now + offer_period;
+    const link_offer offer{self_, place_.bus_address, place_.data_centre, place_.carries,
+                           offered_leaving_};
+    peers_.ask(offered_to_, encode_peer_message(peer_message::offer, encode_offer(offer)),
+               offer_period, [](const std::optional<std::string>&) {});
+}
+
+std::string cell_member::take_offer(std::string_view bytes) {
+    const std::optional<link_offer> offer = decode_offer(bytes);
+    return encode_offer_reply(offer && orders_ && orders_->take_offer(*offer));
 }
 
 bool cell_member::sees_notices() const {
@@ -197,10 +229,12 @@
         deposed_ = true;
         return;
     }
+    orders_ = std::make_unique<linked_orders>(
+        linked_orders::parts{time_, platform_.orders(), peers_},
+        self_.str() + "/" + std::to_string(prepared_.value()), prepared_, place_.carries);
     coordinator_ = coordinator::create(
-        {time_, platform_.orders(), platform_.advisor(), *journal_,
-         [this] { return reign_.confirmed_at(); }, [this] { return sees_notices(); },
-         [this] { deposed_ = true; },
+        {time_, *orders_, platform_.advisor(), *journal_, [this] { return reign_.confirmed_at(); },
+         [this] { return sees_notices(); }, [this] { deposed_ = true; },
          [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
         settings_, prepared_, {reign_.follows_resignation(), reign_.predecessors_acted_until()},
         state_);
@@ -217,6 +251,7 @@
     if (reign_.epoch() == prepared_)
         reign_.yield();
     coordinator_.reset();
+    orders_.reset();
     held_back_.clear();
     journal_.reset();
     intake_.set_pace(following_intake);
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -4,18 +4,29 @@
 #include "cell_host/intake_writer.h"
 #include "cell_host/worker_list.h"
 #include "figwinch/cell.h"
+#include "figwinch/link.h"
 
 #include <optional>
 
 namespace figwinch {
 
+/// What a host offers to the coordinator of its cell.
+struct member_place {
+    std::string bus_address;
+    data_centre_id data_centre;
+    /// Workers whose calls it can make.
+    std::uint32_t carries = 0;
+};
+
 /// One host's part in a cell, without sockets and timers: keeps a copy of the cell's state, stands
 /// for the reign and, while it holds it, runs the coordinator. Driven by `tick` and the platform's
 /// answers. Owned by `cell_host`.
 class cell_member {
 public:
-    cell_member(const clock& time, cell_platform& platform, const cell_settings& settings,
-                incarnation_id self, std::string bus_address, double cpu_share);
+    /// `peers` outlives it.
+    cell_member(const clock& time, cell_platform& platform, peer_asker& peers,
+                const cell_settings& settings, incarnation_id self, member_place place,
+                double cpu_share);
 
     /// Does what is due; returns how long the next call may wait.
     duration tick();
@@ -24,6 +35,9 @@
     void resign();
     /// The process ends.
     void abandon_resignation() { reign_.abandon_resignation(); }
+    /// A message of another host; returns the reply.
+    std::string take_offer(std::string_view bytes);
+    std::string take_exchange(std::string_view bytes) { return link_server_.exchange(bytes); }
 
     const std::optional<cell_config>& config() const { return config_; }
     const cell_state& state() const { return state_; }
@@ -32,6 +46,9 @@
     const intake_writer& writer() const { return writer_; }
     /// Nothing while another host coordinates.
     const coordinator* coordinating() const { return coordinator_.get(); }
+    /// Hosts by way of which this one's orders go.
+    std::size_t links() const { return orders_ ? orders_->lanes() : 0; }
+    std::uint64_t passed_on() const { return link_server_.passed_on(); }
     bool is_loaded() const { return config_ && intake_.is_loaded(); }
     /// Whether the log has answered this host lately.
     bool log_answers() const;
@@ -57,11 +74,15 @@
     bool sees_notices() const;
     void note_view();
     void pass_intake();
+    void offer_link();
     void forget_job(const job_id& id, const std::function<void()>& done);
 
     const clock& time_;
     cell_platform& platform_;
+    peer_asker& peers_;
     cell_settings settings_;
+    incarnation_id self_;
+    member_place place_;
     std::optional<cell_config> config_;
     absl::flat_hash_set<data_centre_id> evacuated_;
     worker_list listing_;
@@ -73,7 +94,14 @@
     intake_writer writer_;
     reign reign_;
     std::unique_ptr<progress_writer> journal_;
+    /// While this host coordinates: its way to the workers.
+    std::unique_ptr<linked_orders> orders_;
     std::unique_ptr<coordinator> coordinator_;
+    link_server link_server_;
+    /// To whom this host offered itself last, and when it does again.
+    std::string offered_to_;
+    bool offered_leaving_ = false;
+    instant next_offer_{};
     /// The reign that `journal_` is for; a reign is prepared once.
     lease_epoch prepared_;
     bool deposed_ = false;
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -38,6 +38,8 @@
     set("figwinch_cell_jobs_cancelled", front.cancelled, "cancellations stored here");
     set("figwinch_cell_log_calls", platform.log_calls(), "calls to the log since the start");
     set("figwinch_cell_order_calls", platform.order_calls(), "calls to workers since the start");
+    set("figwinch_cell_links", member.links(), "hosts that pass this coordinator's orders on");
+    set("figwinch_cell_passed_on", member.passed_on(), "orders passed on for coordinators");
     set("figwinch_cell_leads", member.election().leads() ? 1 : 0, "1 on the coordinator");
     set("figwinch_cell_epoch", member.election().epoch().value(), "this host's last epoch");
     set("figwinch_cell_log_answers", member.log_answers() ? 1 : 0, "0 while the log is silent");
--- /dev/null
+++ b/src/link/link_offer.cpp
@@ -0,0 +1,56 @@
+#include "figwinch/link/link_offer.h"
+
+#include "link.pb.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// What a worker costs the host that calls it: some seven calls a second, of a few KiB in all.
+constexpr double core_per_worker = 0.0005;
+constexpr double mbps_per_worker = 0.06;
+// Left to callers and to the copy of the log.
+constexpr double share_for_calls = 0.5;
+constexpr double most_carried = 100'000;
+
+} // namespace
+
+std::uint32_t workers_carried(double cpu_share, double link_mbps) {
+    const double by_processor = cpu_share * share_for_calls / core_per_worker;
+    const double by_link = link_mbps * share_for_calls / mbps_per_worker;
+    return static_cast<std::uint32_t>(
+        std::clamp(std::min(by_processor, by_link), 1.0, most_carried));
+}
+
+std::string encode_offer(const link_offer& offer) {
+    pb::LinkOffer message;
+    message.set_incarnation(offer.incarnation.str());
+    message.set_bus_address(offer.bus_address);
+    message.set_data_centre(offer.data_centre.str());
+    message.set_carries(offer.carries);
+    message.set_leaving(offer.leaving);
+    return message.SerializeAsString();
+}
+
+std::optional<link_offer> decode_offer(std::string_view bytes) {
+    pb::LinkOffer message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        message.bus_address().empty())
+        return std::nullopt;
+    return link_offer{incarnation_id(message.incarnation()), message.bus_address(),
+                      data_centre_id(message.data_centre()), message.carries(), message.leaving()};
+}
+
+std::string encode_offer_reply(bool used) {
+    pb::LinkOfferReply message;
+    message.set_used(used);
+    return message.SerializeAsString();
+}
+
+bool decode_offer_reply(std::string_view bytes) {
+    pb::LinkOfferReply message;
+    return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) && message.used();
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/src/link/link_session.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "figwinch/link/link_server.h"
+#include "link.pb.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <deque>
+
+namespace figwinch {
+
+/// One coordinator's orders at the host that passes them on. Ends when another session begins;
+/// answers that come later are dropped. Owned by `link_server`.
+class link_server::session : public std::enable_shared_from_this<session> {
+public:
+    session(const clock& time, worker_orders& orders, std::string name, lease_epoch epoch)
+        : time_(time), orders_(orders), name_(std::move(name)), epoch_(epoch) {}
+
+    const std::string& name() const { return name_; }
+    lease_epoch epoch() const { return epoch_; }
+    /// Whether an exchange is the next of this session.
+    bool continues(const pb::LinkExchange& exchange) const {
+        return exchange.session() == name_ && exchange.number() == exchanges_ + 1;
+    }
+    void take(const pb::LinkExchange& exchange);
+    /// What orders came to since the last call.
+    pb::LinkReply take_results();
+
+private:
+    struct worker {
+        worker_listing listing;
+        /// Runs that the coordinator knows by their numbers alone.
+        absl::flat_hash_set<std::uint64_t> known_runs;
+    };
+
+    void take_worker(const pb::LinkWorker& message);
+    void take_payload(const pb::LinkPayload& message);
+    void pass_on(const pb::LinkOrder& order);
+    void start(worker& to, const pb::LinkOrder& order);
+    void stop(const worker& to, const pb::LinkOrder& order);
+    void pace(const worker& to, const pb::LinkOrder& order);
+    void hold(const worker& to, const pb::LinkOrder& order);
+    void forget(const worker& to, const pb::LinkOrder& order);
+    worker_orders::answer_handler answer_to(const pb::LinkOrder& order);
+    void add_report(const pb::LinkOrder& order, order_outcome outcome, const worker_report& report);
+    static void put_running(worker& of, const worker_report& report, bool names,
+                            pb::LinkReport& message);
+
+    const clock& time_;
+    worker_orders& orders_;
+    std::string name_;
+    lease_epoch epoch_;
+    std::uint64_t exchanges_ = 0;
+    absl::flat_hash_map<std::uint32_t, worker> workers_;
+    absl::flat_hash_map<std::uint64_t, std::string> payloads_;
+    /// The oldest in front.
+    std::deque<std::uint64_t> payload_order_;
+    pb::LinkReply results_;
+};
+
+} // namespace figwinch
--- a/src/simulation/sim_host.h
+++ b/src/simulation/sim_host.h
@@ -2,6 +2,7 @@
 
 #include "cell_host/cell_member.h"
 #include "figwinch/simulation/sim_orders.h"
+#include "figwinch/simulation/sim_peers.h"
 #include "figwinch/simulation/sim_store.h"
 
 #include <memory>
@@ -9,18 +10,35 @@
 
 namespace figwinch::sim {
 
-/// One host of a cell with its ways to the store and to the workers.
+/// How a host takes part in passing orders on; without `peers` it doesn't.
+struct sim_link {
+    sim_peers* peers = nullptr;
+    std::string address = "10.0.0.1:7000";
+    data_centre_id data_centre;
+    std::uint32_t carries = 0;
+};
+
+/// One host of a cell with its ways to the store, to the workers and to other hosts.
 class sim_host final : public cell_platform {
 public:
     sim_host(sim_time& time, sim_store& store, sim_fleet& fleet,
              const std::function<double()>& random, const std::string& name,
-             const cell_settings& settings, cell_config config)
-        : time_(time), fleet_(fleet), config_(std::move(config)), log_(time, store, random),
-          orders_(time, fleet, random), advisor_(time, fleet.policy),
-          member_(time.clock(), *this, settings, incarnation_id(name), "10.0.0.1:7000", 1) {
+             const cell_settings& settings, cell_config config, const sim_link& link = {})
+        : time_(time), fleet_(fleet), config_(std::move(config)), link_(link),
+          log_(time, store, random), orders_(time, fleet, random), advisor_(time, fleet.policy),
+          asker_(time, link.peers, link.address),
+          member_(time.clock(), *this, asker_, settings, incarnation_id(name),
+                  {link.address, link.data_centre, link.carries}, 1) {
+        if (link_.peers != nullptr)
+            link_.peers->join(link_.address,
+                              {[this](std::string_view message) { return answer(message); },
+                               [this] { return is_frozen(); }});
         schedule();
     }
     ~sim_host() override {
+        if (link_.peers != nullptr)
+            link_.peers->leave(link_.address);
+        asker_.kill();
         log_.kill();
         orders_.kill();
         advisor_.kill();
@@ -54,6 +72,12 @@
     std::uint64_t order_calls() const override { return 0; }
 
 private:
+    std::string answer(std::string_view message) {
+        const std::string_view body = message.substr(1);
+        if (static_cast<peer_message>(message.front()) == peer_message::offer)
+            return member_.take_offer(body);
+        return member_.take_exchange(body);
+    }
     void schedule() {
         time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
             if (weak.expired())
@@ -67,9 +91,11 @@
     sim_time& time_;
     sim_fleet& fleet_;
     cell_config config_;
+    sim_link link_;
     sim_log log_;
     sim_orders orders_;
     sim_advisor advisor_;
+    sim_asker asker_;
     cell_member member_;
     instant frozen_until_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/cell_host/shared_writer_test.cpp
+++ b/tests/cell_host/shared_writer_test.cpp
@@ -230,7 +230,7 @@
         const handed_over ended = hand_over(
             [&](const bus_sender&, std::string_view body, const auto& reply) {
                 handover_server server(time_.clock(), host.writer, [] { return true; });
-                server.handle(body, reply);
+                server.handle(body.substr(1), reply);
                 time_.run_for(milliseconds(50));
             },
             seconds(20));
--- /dev/null
+++ b/tests/link/fake_workers.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "figwinch/cell.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figwinch {
+
+/// Workers that note what they are ordered and answer when a test says so.
+class fake_workers final : public worker_orders {
+public:
+    struct noted_start {
+        worker_id worker;
+        start_order order;
+        answer_handler done;
+    };
+    struct noted_hold {
+        worker_id worker;
+        hold_order order;
+        hold_handler done;
+    };
+
+    std::vector<noted_start> starts;
+    std::vector<noted_hold> holds;
+    std::vector<worker_id> stops;
+    std::vector<int> paces;
+    std::vector<worker_id> forgotten;
+
+    void start(const worker_listing& where, const start_order& order,
+               answer_handler done) override {
+        starts.push_back({where.id, order, std::move(done)});
+    }
+    void stop(const worker_listing& where, const std::string&, run_number, lease_epoch,
+              answer_handler done) override {
+        stops.push_back(where.id);
+        done({order_outcome::done, 7});
+    }
+    void pace(const worker_listing&, const pace_order& order, answer_handler done) override {
+        paces.push_back(order.percent);
+        done({order_outcome::refused, std::nullopt});
+    }
+    void hold(const worker_listing& where, const hold_order& order, hold_handler done) override {
+        holds.push_back({where.id, order, std::move(done)});
+    }
+    void forget(const worker_id& worker) override { forgotten.push_back(worker); }
+};
+
+inline worker_listing listing_of(const std::string& id, const std::string& data_centre = "a") {
+    worker_listing worker;
+    worker.id = worker_id(id);
+    worker.address = {"10.0.1.1", 8000};
+    worker.data_centre = data_centre_id(data_centre);
+    return worker;
+}
+
+inline start_order start_of(const std::string& task, std::uint64_t run) {
+    start_order order;
+    order.task = task;
+    order.run = run_number(run);
+    order.payload = "payload of " + task.substr(0, task.find('.'));
+    order.until_ms = 1500;
+    return order;
+}
+
+} // namespace figwinch
--- /dev/null
+++ b/tests/link/link_lane_test.cpp
@@ -0,0 +1,195 @@
+#include "figwinch/link.h"
+#include "tests/link/fake_peers.h"
+#include "tests/link/fake_workers.h"
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A lane of a coordinator and the host that it goes by way of.
+class link_lane_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(link_lane_test);
+    CPPUNIT_TEST(orders_reach_their_workers_and_answers_come_back);
+    CPPUNIT_TEST(a_lost_lane_leaves_handed_over_orders_unknown);
+    CPPUNIT_TEST(a_payload_is_handed_over_once_a_job);
+    CPPUNIT_TEST(a_payload_that_both_ends_forgot_is_handed_over_again);
+    CPPUNIT_TEST(known_runs_arent_named);
+    CPPUNIT_TEST(runs_that_share_a_number_are_named);
+    CPPUNIT_TEST(ends_that_are_known_arent_told_again);
+    CPPUNIT_TEST(a_start_isnt_sent_late);
+    CPPUNIT_TEST(a_host_that_was_restarted_ends_the_lane);
+    CPPUNIT_TEST_SUITE_END();
+
+    manual_clock time_;
+    fake_workers workers_;
+    fake_peers peers_;
+    link_server server_{time_, workers_};
+    link_lane lane_{time_, peers_, "b:1", "host#1/5/1", lease_epoch(5)};
+    const worker_listing worker_ = listing_of("w1");
+
+    void exchange() {
+        time_.advance(milliseconds(25));
+        lane_.tick();
+        peers_.deliver();
+    }
+    /// The report that a hold comes back with.
+    worker_report told(const worker_report& report, const hold_order& order) {
+        worker_report seen;
+        lane_.hold(worker_, order, [&](order_outcome outcome, const worker_report& answer) {
+            CPPUNIT_ASSERT(outcome == order_outcome::done);
+            seen = answer;
+        });
+        exchange();
+        workers_.holds.back().done(order_outcome::done, report);
+        exchange();
+        return seen;
+    }
+
+public:
+    void setUp() override {
+        peers_.hosts["b:1"] = [this](std::string_view body) { return server_.exchange(body); };
+    }
+    void orders_reach_their_workers_and_answers_come_back() {
+        std::vector<order_outcome> outcomes;
+        const auto note = [&](const order_answer& answer) { outcomes.push_back(answer.outcome); };
+        start_order start = start_of("job1.0.0.3", 9);
+        start.checkpoint = "c";
+        start.ticket = "t";
+        lane_.start(worker_, start, note);
+        lane_.stop(worker_, "job1.0.0.3", run_number(9), note);
+        lane_.pace(worker_, {"job1.0.0.3", run_number(9), 40, lease_epoch(5)}, note);
+        exchange();
+        const start_order& sent = workers_.starts.at(0).order;
+        CPPUNIT_ASSERT_EQUAL(std::string("payload of job1"), sent.payload);
+        CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.3"), sent.task);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), sent.checkpoint);
+        CPPUNIT_ASSERT_EQUAL(std::string("t"), sent.ticket);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1500}, sent.until_ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, sent.epoch.value());
+        CPPUNIT_ASSERT_EQUAL(40, workers_.paces.at(0));
+        workers_.starts.at(0).done({order_outcome::no_room, 11});
+        exchange();
+        CPPUNIT_ASSERT((outcomes == std::vector{order_outcome::done, order_outcome::refused,
+                                                order_outcome::no_room}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, lane_.open());
+    }
+    /// Guards against a task that is started elsewhere while a host that is out of reach may still
+    /// start it.
+    void a_lost_lane_leaves_handed_over_orders_unknown() {
+        std::vector<order_outcome> outcomes;
+        const auto note = [&](const order_answer& answer) { outcomes.push_back(answer.outcome); };
+        lane_.start(worker_, start_of("job1.0.0.0", 1), note);
+        exchange();
+        peers_.hosts.clear();
+        lane_.start(worker_, start_of("job1.0.0.1", 2), note);
+        time_.advance(milliseconds(25));
+        lane_.tick();
+        lane_.start(worker_, start_of("job1.0.0.2", 3), note);
+        peers_.deliver();
+        CPPUNIT_ASSERT(lane_.is_lost());
+        lane_.end_open();
+        std::ranges::sort(outcomes);
+        CPPUNIT_ASSERT((outcomes == std::vector{order_outcome::not_sent, order_outcome::unknown,
+                                                order_outcome::unknown}));
+    }
+    /// Guards against a narrow link that carries the same payload for each task of a step.
+    void a_payload_is_handed_over_once_a_job() {
+        start_order start = start_of("job1.0.0.0", 1);
+        start.payload = std::string(4000, 's');
+        for (int index = 0; index < 40; ++index)
+            lane_.start(worker_, start, [](const order_answer&) {});
+        exchange();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{40}, workers_.starts.size());
+        CPPUNIT_ASSERT(peers_.bytes < 2 * start.payload.size() + 40 * 60);
+        CPPUNIT_ASSERT(workers_.starts.back().order.payload == start.payload);
+    }
+    /// Guards against a start with another job's payload, or with none.
+    void a_payload_that_both_ends_forgot_is_handed_over_again() {
+        for (int job = 0; job < 1200; ++job)
+            lane_.start(worker_, start_of(absl::StrCat("job", job, ".0.0.0"), 1),
+                        [](const order_answer&) {});
+        for (int job = 0; job < 1200; job += 100)
+            lane_.start(worker_, start_of(absl::StrCat("job", job, ".0.0.1"), 2),
+                        [](const order_answer&) {});
+        exchange();
+        for (const fake_workers::noted_start& start : workers_.starts)
+            CPPUNIT_ASSERT_EQUAL(
+                "payload of " + start.order.task.substr(0, start.order.task.find('.')),
+                start.order.payload);
+    }
+    /// Guards against reports that a narrow link can't carry, and against runs that nobody can tell.
+    void known_runs_arent_named() {
+        lane_.start(worker_, start_of("job1.0.0.0", 1), [](const order_answer&) {});
+        worker_report report;
+        report.running = {{"job1.0.0.0", run_number(1), "", 5, 640},
+                          {"job2.0.0.0", run_number(2), "c2", 9, -3}};
+        worker_report seen = told(report, {});
+        CPPUNIT_ASSERT_EQUAL(std::string(), seen.running.at(0).task);
+        CPPUNIT_ASSERT_EQUAL(std::string("job2.0.0.0"), seen.running.at(1).task);
+        CPPUNIT_ASSERT_EQUAL(std::string("c2"), seen.running.at(1).checkpoint);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{-3}, seen.running.at(1).recent);
+        CPPUNIT_ASSERT_EQUAL(9, seen.running.at(1).percent);
+        seen = told(report, {});
+        CPPUNIT_ASSERT_EQUAL(std::string(), seen.running.at(1).task);
+        hold_order named;
+        named.names = true;
+        seen = told(report, named);
+        CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.0"), seen.running.at(0).task);
+    }
+    /// Guards against members of a gang that are taken for one another.
+    void runs_that_share_a_number_are_named() {
+        worker_report report;
+        report.running = {{"job1.0.0.0", run_number(1), "", 5, 640},
+                          {"job1.0.0.1", run_number(1), "", 6, 640}};
+        for (int time = 0; time < 2; ++time) {
+            const worker_report seen = told(report, {});
+            CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.0"), seen.running.at(0).task);
+            CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.1"), seen.running.at(1).task);
+        }
+    }
+    /// Guards against ends of a new life that are taken for those of the one before.
+    void ends_that_are_known_arent_told_again() {
+        worker_report report;
+        report.born_ms = 100;
+        report.ended = {{1, "job1.0.0.0", run_number(1), run_end::done, ""},
+                        {2, "job1.0.0.1", run_number(2), run_end::failed, "c"}};
+        hold_order order;
+        order.seen = 1;
+        order.born_ms = 100;
+        worker_report seen = told(report, order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.ended.size());
+        CPPUNIT_ASSERT(seen.ended.front().how == run_end::failed);
+        CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.1"), seen.ended.front().task);
+        order.born_ms = 99;
+        seen = told(report, order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.ended.size());
+    }
+    /// Guards against a start on a worker whose notice was read while the host's link was full.
+    void a_start_isnt_sent_late() {
+        lane_.start(worker_, start_of("job1.0.0.0", 1), [](const order_answer&) {});
+        exchange();
+        const start_order& sent = workers_.starts.at(0).order;
+        CPPUNIT_ASSERT(sent.still_wanted());
+        time_.advance(order_way);
+        CPPUNIT_ASSERT(!sent.still_wanted());
+    }
+    /// Guards against answers that are waited for from a process that is gone.
+    void a_host_that_was_restarted_ends_the_lane() {
+        lane_.start(worker_, start_of("job1.0.0.0", 1), [](const order_answer&) {});
+        exchange();
+        link_server other(time_, workers_);
+        peers_.hosts["b:1"] = [&other](std::string_view body) { return other.exchange(body); };
+        exchange();
+        CPPUNIT_ASSERT(lane_.is_lost());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(link_lane_test);
+
+} // namespace
+} // namespace figwinch
--- /dev/null
+++ b/tests/link/linked_orders_test.cpp
@@ -0,0 +1,165 @@
+#include "figwinch/link.h"
+#include "tests/link/fake_peers.h"
+#include "tests/link/fake_workers.h"
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace figwinch {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Twenty workers in two data centres and a coordinator that carries ten.
+class linked_orders_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(linked_orders_test);
+    CPPUNIT_TEST(a_small_cell_is_called_directly);
+    CPPUNIT_TEST(hosts_of_a_workers_data_centre_pass_its_orders_on);
+    CPPUNIT_TEST(no_more_hosts_are_used_than_carry_the_workers);
+    CPPUNIT_TEST(workers_of_a_host_that_is_silent_go_to_others);
+    CPPUNIT_TEST(workers_of_a_host_that_leaves_go_to_others_at_once);
+    CPPUNIT_TEST(a_restarted_host_is_used_anew);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct host {
+        fake_workers workers;
+        std::unique_ptr<link_server> server;
+    };
+
+    manual_clock time_;
+    fake_workers direct_;
+    fake_peers peers_;
+    std::map<std::string, host> hosts_;
+    linked_orders orders_{{time_, direct_, peers_}, "c#1/5", lease_epoch(5), 10};
+    std::vector<order_outcome> held_;
+
+    void add_host(const std::string& address) {
+        host& made = hosts_[address];
+        made.server = std::make_unique<link_server>(time_, made.workers);
+        peers_.hosts[address] = [&made](std::string_view body) {
+            return made.server->exchange(body);
+        };
+    }
+    void offer(const std::string& address, std::uint32_t carries, bool leaving = false,
+               const std::string& life = "1") {
+        orders_.take_offer({incarnation_id(address + "#" + life), address,
+                            data_centre_id(address.substr(0, 1)), carries, leaving});
+    }
+    void hold(int workers) {
+        for (int index = 0; index < workers; ++index)
+            orders_.hold(listing_of(absl::StrCat("w", index), index % 2 == 0 ? "a" : "b"), {},
+                         [this](order_outcome outcome, const worker_report&) {
+                             held_.push_back(outcome);
+                         });
+    }
+    void turn() {
+        time_.advance(milliseconds(25));
+        orders_.tick();
+        peers_.deliver();
+    }
+    std::size_t held_by(const std::string& address) { return hosts_.at(address).workers.holds.size(); }
+    /// Two hosts a data centre, used once the workers are known.
+    void begin() {
+        for (const char* const address : {"a:1", "a:2", "b:1", "b:2"}) {
+            add_host(address);
+            offer(address, 100);
+        }
+        hold(20);
+        time_.advance(milliseconds(600));
+        for (const char* const address : {"a:1", "a:2", "b:1", "b:2"})
+            offer(address, 100);
+        turn();
+        turn();
+    }
+
+public:
+    /// Guards against orders that take a longer way than they need.
+    void a_small_cell_is_called_directly() {
+        add_host("a:1");
+        offer("a:1", 100);
+        hold(10);
+        time_.advance(milliseconds(600));
+        turn();
+        hold(10);
+        turn();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, direct_.holds.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, orders_.lanes());
+    }
+    /// Guards against a coordinator that calls more workers than its processor and link carry.
+    void hosts_of_a_workers_data_centre_pass_its_orders_on() {
+        begin();
+        const std::size_t before = direct_.holds.size();
+        hold(20);
+        turn();
+        CPPUNIT_ASSERT_EQUAL(before, direct_.holds.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, held_by("a:1") + held_by("a:2"));
+        CPPUNIT_ASSERT(held_by("a:1") > 0 && held_by("a:2") > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, held_by("b:1") + held_by("b:2"));
+    }
+    /// Guards against exchanges with every host of a large cell.
+    void no_more_hosts_are_used_than_carry_the_workers() {
+        begin();
+        for (int more = 3; more < 30; ++more)
+            offer(absl::StrCat("a:", more), 99);
+        time_.advance(milliseconds(600));
+        for (const char* const address : {"a:1", "a:2", "b:1", "b:2"})
+            offer(address, 100);
+        turn();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, orders_.lanes());
+    }
+    /// Guards against workers whose leases lapse because the host that holds them is gone.
+    void workers_of_a_host_that_is_silent_go_to_others() {
+        begin();
+        turn();
+        hold(20);
+        turn();
+        const std::size_t lost = held_by("a:1");
+        peers_.hosts.erase("a:1");
+        turn();
+        turn();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(lost),
+                             std::ranges::count(held_, order_outcome::unknown));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, orders_.lanes());
+        const std::size_t before = held_by("a:2");
+        hold(20);
+        turn();
+        CPPUNIT_ASSERT_EQUAL(before + 10, held_by("a:2"));
+    }
+    /// Guards against orders that are lost in a planned restart.
+    void workers_of_a_host_that_leaves_go_to_others_at_once() {
+        begin();
+        turn();
+        hold(20);
+        turn();
+        const std::size_t open = held_by("a:1");
+        offer("a:1", 100, true);
+        turn();
+        hold(20);
+        turn();
+        CPPUNIT_ASSERT_EQUAL(open, held_by("a:1"));
+        for (const fake_workers::noted_hold& one : hosts_.at("a:1").workers.holds)
+            one.done(order_outcome::done, {});
+        turn();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(open), std::ranges::count(held_, order_outcome::done));
+    }
+    /// Guards against orders to a process that doesn't know the session.
+    void a_restarted_host_is_used_anew() {
+        begin();
+        hold(20);
+        turn();
+        add_host("a:1");
+        offer("a:1", 100, false, "2");
+        turn();
+        turn();
+        hold(20);
+        turn();
+        CPPUNIT_ASSERT(held_by("a:1") > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, orders_.lanes());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(linked_orders_test);
+
+} // namespace
+} // namespace figwinch
--- a/tests/placement/candidate_index_test.cpp
+++ b/tests/placement/candidate_index_test.cpp
@@ -91,7 +91,8 @@
             put(worker, worker < 50 ? 1000 : 9000);
         const slots seen = sample(10, 3);
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, seen.size());
-        const auto low = std::ranges::count_if(seen, [](worker_slot worker) { return worker < 50; });
+        const auto low =
+            std::ranges::count_if(seen, [](worker_slot worker) { return worker < 50; });
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{5}, low);
     }
     /// Guards against a small cell in which a worker is overlooked.
