--- a/include/figwinch/link/link_lane.h
+++ b/include/figwinch/link/link_lane.h
@@ -12,7 +12,7 @@
 
 namespace pb {
 class LinkExchange;
-class LinkReply;
+class LinkResult;
 } // namespace pb
 
 /// A coordinator's orders by way of one other host, in one session: gathers them, hands them over
@@ -43,6 +43,8 @@
     bool is_lost() const { return lost_; }
     /// Ends what is open, of a lane that is lost.
     void end_open();
+    /// Holds that came back without a report since the last one that brought one.
+    std::size_t silent_in_row() const { return silent_in_row_; }
     /// Orders that haven't come to anything yet.
     std::size_t open() const { return open_.size(); }
 
@@ -61,6 +63,7 @@
     std::uint64_t add_open(open_order order);
     void exchange();
     void take(const std::optional<std::string>& bytes);
+    void take_result(const pb::LinkResult& result);
     void end(std::uint64_t number, const open_order& order) const;
 
     const clock& time_;
@@ -73,6 +76,7 @@
     bool in_flight_ = false;
     bool lost_ = false;
     instant next_exchange_{};
+    std::size_t silent_in_row_ = 0;
     std::uint64_t last_order_ = 0;
     /// The newest order that was handed over.
     std::uint64_t handed_over_ = 0;
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -13,6 +13,7 @@
 constexpr duration drain_period = std::chrono::milliseconds(20);
 // Beside the metrics, for figwinchctl.
 constexpr std::string_view status_path = "/cell";
+constexpr duration load_period = std::chrono::seconds(5);
 constexpr duration stop_margin = std::chrono::milliseconds(700);
 // Before the stop's bound, so that answers still reach their callers.
 constexpr duration last_answers = std::chrono::milliseconds(200);
@@ -42,6 +43,7 @@
       handovers_(time_, member_.writer(), [this] {
           return !stopping_ && member_.election().leads() && member_.log_answers();
       }) {
+    telling_load_ = loop_.every(load_period, [this] { log_load(); });
     tick();
 }
 
@@ -114,13 +116,23 @@
 }
 
 void cell_host::tick() {
+    load_.note_turn(time_.now());
     const duration next = member_.tick();
     if (writer_)
         writer_->tick();
     front_.tick();
+    load_.expect_turn(time_.now() + next);
     ticking_ = loop_.after(next, [this] { tick(); });
 }
 
+/// What this host's time and calls went into since the line before.
+void cell_host::log_load() {
+    const host_load_totals totals{platform_.log_calls(), platform_.order_calls(),
+                                  member_.passed_on(), front_.counts().asked,
+                                  front_.counts().accepted};
+    load_.log(totals, member_.links(), member_.coordinating() != nullptr);
+}
+
 void cell_host::answer_ready(const std::shared_ptr<http_responder>& answer) const {
     constexpr int unavailable = 503;
     http_response response;
--- a/src/cell_host/cell_host.h
+++ b/src/cell_host/cell_host.h
@@ -6,6 +6,7 @@
 #include "cell_host/cell_member.h"
 #include "cell_host/cell_metrics.h"
 #include "cell_host/handover_server.h"
+#include "cell_host/host_load.h"
 #include "cell_host/job_front.h"
 
 namespace figwinch {
@@ -29,6 +30,7 @@
     void answer_peer(std::string_view message, const std::function<void(std::string)>& reply);
     /// The bus address of the host that appends for all: the coordinator's.
     std::optional<std::string> writer_address() const;
+    void log_load();
     void answer_ready(const std::shared_ptr<http_responder>& answer) const;
     void finish_stop();
     void end();
@@ -50,6 +52,8 @@
     std::unique_ptr<http_server> ready_server_;
     std::unique_ptr<http_server> metrics_server_;
     std::unique_ptr<event_handle> ticking_;
+    std::unique_ptr<event_handle> telling_load_;
+    host_load load_;
     std::unique_ptr<event_handle> notice_;
     std::unique_ptr<event_handle> bound_;
     std::unique_ptr<event_handle> draining_;
--- /dev/null
+++ b/src/cell_host/host_load.cpp
@@ -0,0 +1,50 @@
+#include "cell_host/host_load.h"
+
+#include "figwinch/observe.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace figwinch {
+namespace {
+
+duration span_of(const timeval& value) {
+    return std::chrono::seconds(value.tv_sec) + std::chrono::microseconds(value.tv_usec);
+}
+
+duration processor_time() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    return span_of(used.ru_utime) + span_of(used.ru_stime);
+}
+
+std::int64_t since(std::uint64_t now, std::uint64_t before) {
+    return static_cast<std::int64_t>(now - before);
+}
+
+} // namespace
+
+void host_load::note_turn(instant now) {
+    if (due_ != instant{})
+        latest_ = std::max(latest_, now - due_);
+}
+
+void host_load::log(const host_load_totals& totals, std::size_t links, bool coordinates) {
+    const host_load_totals before = std::exchange(told_, totals);
+    const duration processor = processor_time();
+    const duration used = processor - std::exchange(processor_told_, processor);
+    log_event(log_level::info, "host_load",
+              {{"processor_ms", used / std::chrono::milliseconds(1)},
+               {"loop_late_ms", std::exchange(latest_, {}) / std::chrono::milliseconds(1)},
+               {"log_calls", since(totals.log_calls, before.log_calls)},
+               {"worker_calls", since(totals.worker_calls, before.worker_calls)},
+               {"passed_on", since(totals.passed_on, before.passed_on)},
+               {"questions", since(totals.questions, before.questions)},
+               {"jobs_accepted", since(totals.jobs_accepted, before.jobs_accepted)},
+               {"links", static_cast<std::int64_t>(links)},
+               {"coordinates", coordinates}});
+}
+
+} // namespace figwinch
--- a/src/link/link_lane.cpp
+++ b/src/link/link_lane.cpp
@@ -159,16 +159,20 @@
         lost_ = true;
         return;
     }
-    for (const pb::LinkResult& result : reply.results()) {
-        const auto found = open_.extract(result.order());
-        if (found.empty())
-            continue;
-        const open_order& order = found.mapped();
-        if (order.held)
-            order.held(outcome_of(result), report_of(result.report()));
-        else
-            order.answered(answer_of(result));
-    }
+    for (const pb::LinkResult& result : reply.results())
+        take_result(result);
+}
+
+void link_lane::take_result(const pb::LinkResult& result) {
+    const auto found = open_.extract(result.order());
+    if (found.empty())
+        return;
+    const open_order& order = found.mapped();
+    if (!order.held)
+        return order.answered(answer_of(result));
+    const order_outcome outcome = outcome_of(result);
+    silent_in_row_ = outcome == order_outcome::unknown ? silent_in_row_ + 1 : 0;
+    order.held(outcome, report_of(result.report()));
 }
 
 void link_lane::end_open() {
