--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -44,7 +44,6 @@
     slowdowns_.restore(known.slowdowns());
     for (const auto& [id, entry] : known.jobs())
         add_job(entry, true);
-    sort_jobs();
     log_event(log_level::info, "reign_begun",
               {{"epoch", static_cast<std::int64_t>(epoch_.value())},
                {"jobs", static_cast<std::int64_t>(jobs_.size())},
@@ -56,7 +55,7 @@
     config_ = config;
     for (const auto& [id, job] : jobs_)
         apply_queue(*job);
-    sort_jobs();
+    sort_due_ = true;
     placement_due_ = true;
 }
 
@@ -72,8 +71,7 @@
     if (known == nullptr) {
         // A predecessor that doesn't know yet that it is one may take up jobs for a little longer.
         const bool early = with_.time.now() - began_ < fresh_reign;
-        add_job(entry, early);
-        return sort_jobs();
+        return add_job(entry, early);
     }
     job_work& job = *known;
     if (entry.cancel_wanted && job.phase == job_phase::open)
@@ -99,7 +97,7 @@
             make_due_occurrences(*job);
         for (job_work* const job : order_)
             look_ahead(*job);
-        sort_jobs();
+        sort_due_ = true;
         record_slowdowns();
         if (now >= next_stragglers_) {
             next_stragglers_ = now + stragglers_period;
@@ -109,6 +107,8 @@
         if (current_log_level() == log_level::debug)
             log_waiting();
     }
+    if (std::exchange(sort_due_, false))
+        sort_jobs();
     if (placement_due_ || now >= next_placement_) {
         placement_due_ = false;
         next_placement_ = now + placement_period;
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -260,6 +260,8 @@
     std::uint64_t last_run_ = 0;
     bool deposed_ = false;
     bool placement_due_ = true;
+    /// Jobs have come, or their prospects have changed: `order_` isn't in order.
+    bool sort_due_ = true;
     instant next_placement_{};
     instant next_sweep_{};
     instant next_stragglers_{};
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -88,6 +88,7 @@
         return end_job(job, job_phase::cancelled);
     make_due_occurrences(job);
     look_ahead(job);
+    sort_due_ = true;
     placement_due_ = true;
 }
 
