--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,9 @@
 HOSTS = 5
 WORKERS = 6
 JOBS_PER_S = 4
+# From this seed on hosts are told that their links carry one worker, so that all pass orders on.
+FIRST_LINKED_SEED = 4000
+NARROW_MBPS = 0.1
 # A lease, the longest that a coordinator acts without the store, and the wait for what is left.
 CALM_S = 40
 
@@ -63,8 +66,9 @@
             self.worker_type(f"w-{i}", ZONES[i % 3], self.store, self.rules) for i in range(WORKERS)
         ]
         self.worker_links = [Link() for _ in self.workers]
+        mbps = NARROW_MBPS if seed >= FIRST_LINKED_SEED else 1000
         self.cells = [
-            Cell(program, f"host-{i}", ZONES[i % 3], Link(), folder / f"host-{i}.jsonl")
+            Cell(program, f"host-{i}", ZONES[i % 3], Link(), folder / f"host-{i}.jsonl", mbps)
             for i in range(HOSTS)
         ]
         self.faults = [
