Take out the closing of blind lanes and the longer rounds of starts

Closing lanes: six holds in a row without a report were to say that a host reaches no worker. Workers that are lost at one moment were asked at one moment, so that their holds come back unanswered one after the other: hosts that are well are closed just when workers are lost, and what they have under way is unknown.

--- a/include/figwinch/link/link_lane.h
+++ b/include/figwinch/link/link_lane.h
@@ -43,8 +43,6 @@
     bool is_lost() const { return lost_; }
     /// Ends what is open, of a lane that is lost.
     void end_open();
-    /// Holds that came back without a report since the last one that brought one.
-    std::size_t silent_in_row() const { return silent_in_row_; }
     /// Orders that haven't come to anything yet.
     std::size_t open() const { return open_.size(); }
 
@@ -60,7 +58,7 @@
 
     std::uint32_t number_of(const worker_listing& where);
     std::uint64_t payload_of(const start_order& order);
-    std::uint64_t add_open(open_order order);
+    std::uint64_t add_open(open_order&& order);
     void exchange();
     void take(const std::optional<std::string>& bytes);
     void take_result(const pb::LinkResult& result);
@@ -76,7 +74,6 @@
     bool in_flight_ = false;
     bool lost_ = false;
     instant next_exchange_{};
-    std::size_t silent_in_row_ = 0;
     std::uint64_t last_order_ = 0;
     /// The newest order that was handed over.
     std::uint64_t handed_over_ = 0;
--- a/include/figwinch/link/linked_orders.h
+++ b/include/figwinch/link/linked_orders.h
@@ -43,8 +43,6 @@
     struct offered_host {
         link_offer offer;
         instant heard_at{};
-        /// Not used before then: it reached none of its workers.
-        instant aside_until{};
     };
     struct used_host {
         std::unique_ptr<link_lane> way;
@@ -65,7 +63,6 @@
     void open_lane(const link_offer& offer);
     void close_lane(const std::string& address, std::string_view why);
     void drop_lost_lanes();
-    void close_blind_lanes();
     void end_closing();
     void assign_all();
 
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Starts in one go; the rest follows at the next tick, so that reports are read in between.
-constexpr std::size_t most_starts_at_once = 120;
+constexpr std::size_t most_starts_at_once = 40;
 // Serving tasks of one image on one worker leave the others to the filling images that hurt them
 // less; worth more than an even spread.
 constexpr double other_image_penalty = 1;
--- a/src/link/link_lane.cpp
+++ b/src/link/link_lane.cpp
@@ -59,7 +59,7 @@
     return number;
 }
 
-std::uint64_t link_lane::add_open(open_order order) {
+std::uint64_t link_lane::add_open(open_order&& order) {
     open_.emplace(++last_order_, std::move(order));
     return last_order_;
 }
@@ -168,11 +168,10 @@
     if (found.empty())
         return;
     const open_order& order = found.mapped();
-    if (!order.held)
-        return order.answered(answer_of(result));
-    const order_outcome outcome = outcome_of(result);
-    silent_in_row_ = outcome == order_outcome::unknown ? silent_in_row_ + 1 : 0;
-    order.held(outcome, report_of(result.report()));
+    if (order.held)
+        order.held(outcome_of(result), report_of(result.report()));
+    else
+        order.answered(answer_of(result));
 }
 
 void link_lane::end_open() {
--- a/src/link/linked_orders.cpp
+++ b/src/link/linked_orders.cpp
@@ -16,10 +16,6 @@
 // So that the others carry the workers of one that is lost.
 constexpr double spare_factor = 1.5;
 constexpr std::size_t least_lanes = 2;
-// Workers that a host asked one after the other and that were all silent: it is the host that
-// doesn't reach them.
-constexpr std::size_t silent_workers_to_tell = 6;
-constexpr duration time_aside = std::chrono::seconds(5);
 
 std::uint32_t carried_by(const link_offer& offer) {
     return offer.leaving ? 0 : offer.carries;
@@ -101,10 +97,7 @@
     const bool is_new = known == offers_.end() ||
                         known->second.offer.incarnation != offer.incarnation ||
                         known->second.offer.leaving != offer.leaving;
-    const bool same_life =
-        known != offers_.end() && known->second.offer.incarnation == offer.incarnation;
-    const instant aside_until = same_life ? known->second.aside_until : instant{};
-    offers_[offer.bus_address] = {offer, with_.time.now(), aside_until};
+    offers_[offer.bus_address] = {offer, with_.time.now()};
     if (is_new)
         next_choice_ = with_.time.now();
     return lanes_.contains(offer.bus_address);
@@ -112,7 +105,6 @@
 
 void linked_orders::tick() {
     drop_lost_lanes();
-    close_blind_lanes();
     if (std::exchange(changed_, false))
         assign_all();
     end_closing();
@@ -137,18 +129,6 @@
     }
 }
 
-/// A host that others reach may be cut off from its workers, which another one may reach.
-void linked_orders::close_blind_lanes() {
-    std::vector<std::string> blind;
-    for (const auto& [address, lane] : lanes_)
-        if (lane.way->silent_in_row() >= silent_workers_to_tell)
-            blind.push_back(address);
-    for (const std::string& address : blind) {
-        offers_[address].aside_until = with_.time.now() + time_aside;
-        close_lane(address, "its workers are silent");
-    }
-}
-
 /// What is open on a lost lane ends only when its workers have gone over to others: the ends bring
 /// new orders.
 void linked_orders::end_closing() {
@@ -180,8 +160,7 @@
 void linked_orders::choose_lanes_of(const data_centre_id& data_centre, std::size_t workers) {
     std::vector<const link_offer*> hosts;
     for (const auto& [address, host] : offers_)
-        if (host.offer.data_centre == data_centre && carried_by(host.offer) > 0 &&
-            with_.time.now() >= host.aside_until)
+        if (host.offer.data_centre == data_centre && carried_by(host.offer) > 0)
             hosts.push_back(&host.offer);
     std::ranges::stable_sort(hosts, [this](const link_offer* one, const link_offer* other) {
         const auto key = [this](const link_offer* offer) {
