--- a/include/figwinch/simulation/sim_peers.h
+++ b/include/figwinch/simulation/sim_peers.h
@@ -77,7 +77,7 @@
             return;
         peers_->deliver(
             self_, where, until,
-            [=, this, peers = peers_, self = self_, body = std::move(body)](sim_peers::host& at) {
+            [=, peers = peers_, self = self_, body = std::move(body)](sim_peers::host& at) {
                 const std::string reply = at.take(body);
                 peers->deliver(where, self, until, [end, reply](sim_peers::host&) { end(reply); });
             });
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -71,6 +71,8 @@
     struct due_hold {
         instant at{};
         worker_slot worker = 0;
+        // clang-tidy takes the 0 of a rewritten `<` for a null pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const due_hold&, const due_hold&) = default;
     };
     void hold_due();
