Let few hosts read the jobs, and the others ask them

Cause: the log sends a bounded number of bytes a second to all hosts together (readMbS, 80 MB) and each host read all jobs and their progress for itself, so that the sum grew with hosts times jobs. Over the bound every read is late at the same time, is given up after 500 ms and asked again, while what was given up still takes its share: the load stays over the bound by its own retries. The configuration, a few bytes, waits behind it. A restart of all hosts is the same in less time.

Change: the coordinator chooses three hosts a data centre, those that carry most, from the offers that hosts send anyway, and tells the others to ask these (reader_roster, reading_role). A host that asks keeps no copy (peer_jobs, question_server). Without a coordinator, or when no reader answers, a host reads for itself, each at another time. Weak hosts load later after a start, and none loads while a coordinator is about to tell its part; a page of a load that gets no answer is asked for again with twice the patience. Log lines and metrics tell bytes, time and reads given up by stream.

--- a/include/figwinch/cell/cell_state.h
+++ b/include/figwinch/cell/cell_state.h
@@ -18,6 +18,9 @@
     /// Folds one record. Records that can't be read are counted and passed over.
     void apply(cell_stream stream, const stored_record& record);
 
+    /// Forgets everything.
+    void clear();
+
     const job_entry* find(const job_id& id) const;
     const absl::flat_hash_map<job_id, job_entry>& jobs() const { return jobs_; }
     /// Workers that may have tasks.
--- a/include/figwinch/cell/durable_log.h
+++ b/include/figwinch/cell/durable_log.h
@@ -2,6 +2,7 @@
 
 #include "figwinch/base.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -24,6 +25,10 @@
     workers,
 };
 
+inline constexpr std::array all_streams = {cell_stream::intake, cell_stream::progress,
+                                           cell_stream::reigns, cell_stream::operators,
+                                           cell_stream::workers};
+
 /// "intake" and so on, for logs.
 const char* to_string(cell_stream stream);
 
@@ -98,6 +103,9 @@
                       std::function<void(read_result)> done) = 0;
     virtual void newest(cell_stream stream, const std::string& after_key,
                         std::function<void(newest_result)> done) = 0;
+    /// How long calls that read a stream wait without a byte, beyond the wait that they ask for.
+    /// One that is given up may still be answered, and takes its share of what the log can send.
+    virtual void wait_for_reads(cell_stream, duration) {}
     /// An append that has been sent for longer isn't done any more: appends wait in the log, and
     /// one that would wait longer is refused.
     virtual duration longest_queue() const { return duration::zero(); }
--- a/include/figwinch/cell/keyed_follower.h
+++ b/include/figwinch/cell/keyed_follower.h
@@ -31,6 +31,11 @@
     void sync(std::function<void(bool)> done);
     /// A record that this process appended itself and has applied.
     void skip(const stored_record& record);
+    /// Forgets what has been read. The next load begins once `from` has come.
+    void reset(instant from);
+    /// Of a load, a call that gets no answer is followed by one that waits twice as long, up to
+    /// `longest`: what many hosts load together may be more than the log can send at once.
+    void wait_longer(duration longest) { longest_silence_ = longest; }
 
     /// Whether every key has been read once.
     bool is_loaded() const { return loaded_; }
@@ -44,6 +49,8 @@
     bool is_failing() const { return failing_; }
 
 private:
+    static constexpr duration least_silence = std::chrono::milliseconds(500);
+
     void load();
     void begin_load();
     void take_page(const newest_result& page);
@@ -58,6 +65,7 @@
     static void note_key(absl::flat_hash_set<std::string>& keys, const stored_record& record);
     void retry_later(log_fault fault);
     void note_answer();
+    void set_silence(duration silence);
     void finish_syncs(bool good);
 
     const clock& time_;
@@ -82,6 +90,8 @@
     instant current_at_{};
     instant load_began_{};
     bool failing_ = false;
+    duration silence_ = least_silence;
+    duration longest_silence_ = least_silence;
     /// Since when the log hasn't answered for this stream.
     instant failing_since_{};
     /// Syncs that the next read to begin will answer, and those that the present one will.
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -58,6 +58,8 @@
     void stand(bool standing) { standing_ = standing; }
 
     bool leads() const { return leads_; }
+    /// Whether the log shows no coordinator.
+    bool is_vacant() const { return claim_now_; }
     /// Whether this host has given up for good.
     bool has_resigned() const { return resigned_; }
     lease_epoch epoch() const { return epoch_; }
--- a/include/figwinch/link.h
+++ b/include/figwinch/link.h
@@ -9,3 +9,5 @@
 #include "figwinch/link/linked_orders.h"
 #include "figwinch/link/peer_asker.h"
 #include "figwinch/link/peer_message.h"
+#include "figwinch/link/reader_list.h"
+#include "figwinch/link/reader_roster.h"
--- a/include/figwinch/link/link_offer.h
+++ b/include/figwinch/link/link_offer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figwinch/base.h"
+#include "figwinch/link/reader_list.h"
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,24 @@
     std::uint32_t carries = 0;
     /// It is about to stop.
     bool leaving = false;
+    /// It keeps a whole copy of the cell's jobs.
+    bool reads = false;
+    /// Of the readers that it knows: `reader_list::digest`.
+    std::uint64_t readers_digest = 0;
+};
+
+/// Whether a host keeps a copy of the cell's jobs or asks hosts that do.
+enum class reading_part { undecided, reader, asker };
+
+/// The coordinator's answer to an offer.
+struct offer_reply {
+    /// Whether orders go by way of the host.
+    bool used = false;
+    reading_part part = reading_part::undecided;
+    /// Whether the host that replies coordinates.
+    bool coordinates = false;
+    /// Nothing: as the host knows them already.
+    std::optional<reader_list> readers;
 };
 
 /// Workers whose calls a host can make beside its other work.
@@ -28,8 +47,8 @@
 /// Nothing on bytes that aren't one.
 std::optional<link_offer> decode_offer(std::string_view bytes);
 
-/// The coordinator's answer: whether orders go by way of the host.
-std::string encode_offer_reply(bool used);
-bool decode_offer_reply(std::string_view bytes);
+std::string encode_offer_reply(const offer_reply& reply);
+/// Nothing on bytes that aren't one.
+std::optional<offer_reply> decode_offer_reply(std::string_view bytes);
 
 } // namespace figwinch
--- a/include/figwinch/link/peer_message.h
+++ b/include/figwinch/link/peer_message.h
@@ -13,6 +13,8 @@
     offer = 'o',
     /// A coordinator's orders.
     exchange = 'x',
+    /// A caller's question about jobs.
+    question = 'q',
 };
 
 inline std::string encode_peer_message(peer_message kind, std::string_view body) {
--- a/include/figwinch/simulation/sim_peers.h
+++ b/include/figwinch/simulation/sim_peers.h
@@ -14,8 +14,7 @@
 /// cut off neither gets nor sends anything; what waits for longer than its asker is dropped.
 class sim_peers {
 public:
-    /// Returns the reply.
-    using taker = std::function<std::string(std::string_view)>;
+    using taker = std::function<void(std::string_view, std::function<void(std::string)> reply)>;
     struct host {
         taker take;
         std::function<bool()> is_frozen;
@@ -78,8 +77,10 @@
         peers_->deliver(
             self_, where, until,
             [=, peers = peers_, self = self_, body = std::move(body)](sim_peers::host& at) {
-                const std::string reply = at.take(body);
-                peers->deliver(where, self, until, [end, reply](sim_peers::host&) { end(reply); });
+                at.take(body, [=](const std::string& reply) {
+                    peers->deliver(where, self, until,
+                                   [end, reply](sim_peers::host&) { end(reply); });
+                });
             });
     }
     void kill() { alive_.reset(); }
--- a/include/figwinch/simulation/sim_store.h
+++ b/include/figwinch/simulation/sim_store.h
@@ -39,6 +39,27 @@
         return free - now;
     }
 
+    /// What all reads together bring a second, in bytes; nothing: no bound.
+    std::optional<double> read_rate;
+    /// Bytes that reads have asked for.
+    std::uint64_t bytes_read = 0;
+
+    /// What an answer of `records` waits for those before it and takes itself. One that its reader
+    /// has given up takes as long.
+    duration admit_read(const std::vector<stored_record>& records, instant now) {
+        constexpr std::size_t record_overhead = 16;
+        std::size_t bytes = 0;
+        for (const stored_record& record : records)
+            bytes +=
+                record_overhead + record.key.size() + (record.value ? record.value->size() : 0);
+        bytes_read += bytes;
+        if (!read_rate)
+            return duration::zero();
+        const std::chrono::duration<double> takes(static_cast<double>(bytes) / *read_rate);
+        read_free_at_ = std::max(read_free_at_, now) + std::chrono::duration_cast<duration>(takes);
+        return read_free_at_ - now;
+    }
+
     stream& of(cell_stream name) { return streams_[name]; }
 
     append_result append(cell_stream name, std::vector<stored_record> records,
@@ -101,6 +122,7 @@
 
     std::map<cell_stream, stream> streams_;
     std::map<cell_stream, instant> free_at_;
+    instant read_free_at_{};
 };
 
 /// One host's way to the store, which a test can block, slow or make lossy.
@@ -191,9 +213,12 @@
                 }
                 page.records.push_back(at->second);
             }
-            deliver(alive, done, page);
+            answer_read(stream, page, done);
         });
     }
+    void wait_for_reads(cell_stream stream, duration longest_silence) override {
+        read_silence_[stream] = longest_silence;
+    }
     duration longest_queue() const override { return sim_store::most_queued; }
     /// The host is gone: nothing is answered any more.
     void kill() { alive_.reset(); }
@@ -253,12 +278,28 @@
         // What waited while the way was blocked is lost with its connection.
         if (state != way::open)
             answer = read_result{log_fault::silent, {}, 0, 0};
-        done(answer);
+        answer_read(stream, answer, done);
+    }
+    template <class Result, class Done>
+    void answer_read(cell_stream stream, const Result& result, const Done& done) {
+        constexpr duration least_silence = std::chrono::milliseconds(500);
+        const duration longest_silence = std::max(least_silence, read_silence_[stream]);
+        const duration takes = store_.admit_read(result.records, time_.now());
+        if (takes <= duration::zero())
+            return done(result);
+        Result answer = result;
+        if (takes > longest_silence) {
+            answer = {};
+            answer.fault = log_fault::silent;
+        }
+        time_.after(std::min(takes, longest_silence), [alive = std::weak_ptr(alive_), done,
+                                                       answer] { deliver(alive, done, answer); });
     }
 
     sim_time& time_;
     sim_store& store_;
     std::function<double()> random_;
+    std::map<cell_stream, duration> read_silence_;
     int pages_asked_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/cell/cell_state.cpp
+++ b/src/cell/cell_state.cpp
@@ -154,6 +154,14 @@
         jobs_.erase(known);
 }
 
+void cell_state::clear() {
+    // Swapped out, so that their memory goes as well.
+    absl::flat_hash_map<job_id, job_entry>().swap(jobs_);
+    absl::flat_hash_map<worker_id, worker_entry>().swap(workers_);
+    absl::flat_hash_map<std::string, std::uint64_t>().swap(newest_);
+    slowdowns_.clear();
+}
+
 const job_entry* cell_state::find(const job_id& id) const {
     const auto known = jobs_.find(id);
     return known == jobs_.end() ? nullptr : &known->second;
--- a/src/cell/keyed_follower.cpp
+++ b/src/cell/keyed_follower.cpp
@@ -54,6 +54,17 @@
     note_key(keys_, record);
 }
 
+void keyed_follower::reset(instant from) {
+    // Answers on their way are dropped.
+    alive_ = std::make_shared<bool>(true);
+    busy_ = false;
+    loaded_ = false;
+    loaded_to_.clear();
+    keys_.clear();
+    next_read_ = from;
+    finish_syncs(false);
+}
+
 /// Reads the next page. A page that fails is read again by itself: a host on a slow link may never
 /// get all pages of a large stream in a row.
 void keyed_follower::load() {
@@ -130,6 +141,7 @@
             apply_({key, std::nullopt, load_end_ - 1});
     keys_ = std::exchange(loading_keys_, {});
     loaded_ = true;
+    set_silence(least_silence);
     current_at_ = std::max(current_at_, load_began_);
     tick();
 }
@@ -205,8 +217,15 @@
         keys.erase(record.key);
 }
 
+void keyed_follower::set_silence(duration silence) {
+    silence = std::clamp(silence, least_silence, longest_silence_);
+    if (std::exchange(silence_, silence) != silence)
+        log_.wait_for_reads(stream_, silence);
+}
+
 void keyed_follower::note_answer() {
     answered_at_ = time_.now();
+    set_silence(silence_ / 2);
     if (!std::exchange(failing_, false))
         return;
     const std::int64_t after_ms = (answered_at_ - failing_since_) / std::chrono::milliseconds(1);
@@ -223,6 +242,8 @@
                    {"loaded", loaded_},
                    {"next", static_cast<std::int64_t>(next_)}});
     }
+    if (fault == log_fault::silent && !loaded_)
+        set_silence(silence_ * 2);
     next_read_ = time_.now() + retry_period;
     if (!loaded_)
         finish_syncs(false);
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -36,9 +36,8 @@
                      incarnation_id self)
     : loop_(loop), platform_(platform), with_(with), self_(std::move(self)), asker_(loop),
       member_(time_, platform, asker_, with.cell, self_, place_of(with), with.cpu_share),
-      front_({time_, platform.dialect(), member_.config(), member_.state(), member_.writer(),
-              [this](const std::function<void(bool)>& done) { member_.sync_intake(done); },
-              [this] { return member_.log_answers(); },
+      front_({time_, platform.dialect(), member_.config(), member_.state(), member_.jobs(),
+              member_.writer(), [this] { return member_.log_answers(); },
               [this](duration waited) { metrics_.observe_acceptance(waited); }}),
       handovers_(time_, member_.writer(), [this] {
           return !stopping_ && member_.election().leads() && member_.log_answers();
@@ -105,6 +104,8 @@
         return reply(member_.take_offer(body));
     case peer_message::exchange:
         return reply(member_.take_exchange(body));
+    case peer_message::question:
+        return member_.take_question(body, reply);
     }
 }
 
@@ -120,16 +121,16 @@
     const duration next = member_.tick();
     if (writer_)
         writer_->tick();
-    front_.tick();
     load_.expect_turn(time_.now() + next);
     ticking_ = loop_.after(next, [this] { tick(); });
 }
 
 /// What this host's time and calls went into since the line before.
 void cell_host::log_load() {
-    const host_load_totals totals{platform_.log_calls(), platform_.order_calls(),
-                                  member_.passed_on(), front_.counts().asked,
-                                  front_.counts().accepted};
+    host_load_totals totals{platform_.log_calls(), platform_.order_calls(),  member_.passed_on(),
+                            front_.counts().asked, front_.counts().accepted, {}};
+    for (const cell_stream stream : all_streams)
+        totals.reads.at(static_cast<std::size_t>(stream)) = platform_.log_reads(stream);
     load_.log(totals, member_.links(), member_.coordinating() != nullptr);
 }
 
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -4,6 +4,7 @@
 #include "figwinch/link/peer_message.h"
 #include "figwinch/observe.h"
 
+#include <cmath>
 #include <utility>
 
 namespace figwinch {
@@ -15,6 +16,9 @@
 // Operators' changes are rare, so a read waits for the next; but an outage can leave a read without
 // an answer for good, and a change has to be in force within 2 s all the same.
 constexpr follow_pace operators_pace{std::chrono::milliseconds(800), std::chrono::milliseconds(10)};
+// A host that keeps no copy reads little else, and learns by these reads whether the log answers.
+constexpr follow_pace asking_operators{std::chrono::milliseconds(250),
+                                       std::chrono::milliseconds(10)};
 // Workers write about once a second each; reading on every record would cost a call for each.
 constexpr follow_pace workers_pace{duration::zero(), std::chrono::milliseconds(200)};
 // The coordinator takes up jobs as they come.
@@ -31,9 +35,25 @@
 // with the time for which it leaves the reign to others this is well below a worker's lease.
 constexpr duration longest_unused = std::chrono::milliseconds(4000);
 constexpr duration time_aside = std::chrono::milliseconds(3000);
+// A page of jobs may wait so long behind those of other hosts.
+constexpr duration longest_silence = std::chrono::seconds(2);
 constexpr duration forget_patience = std::chrono::seconds(30);
+// How long others are asked for a late append's records.
+constexpr duration look_patience = std::chrono::milliseconds(450);
 constexpr duration offer_period = std::chrono::milliseconds(500);
 
+/// Hosts that may coordinate load first, so that the others find some to ask. The more hosts there
+/// are, the fewer of them begin at once; one of a few begins before a vacant reign can be claimed.
+duration load_delay(double cpu_share, const incarnation_id& self) {
+    constexpr double most_delayed = 3;
+    constexpr double range = 18446744073709551616.0;
+    if (modesty_of(cpu_share) == duration::zero())
+        return duration::zero();
+    const double drawn = static_cast<double>(stable_hash(self.str())) / range;
+    const std::chrono::duration<double> delay(most_delayed * std::sqrt(drawn));
+    return std::chrono::duration_cast<duration>(delay);
+}
+
 reign_times times_of(double cpu_share) {
     reign_times times;
     times.modesty = modesty_of(cpu_share);
@@ -59,15 +79,30 @@
       progress_(
           time, platform.log(), cell_stream::progress, following_progress,
           [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
+      role_(time, self_),
+      own_jobs_(time, state_,
+                [this](const std::function<void(bool)>& done) { intake_.sync(done); }),
+      others_jobs_({time, peers, role_, place_.data_centre}),
+      jobs_(own_jobs_, others_jobs_,
+            [this] { return has_copy() || role_.readers().places().empty(); }),
+      questions_(time, own_jobs_, [this] { return has_copy(); }),
       writer_({time, platform.log(),
                [this](const stored_record& record) {
+                   if (!keeps_copy())
+                       return;
                    state_.apply(cell_stream::intake, record);
                    intake_.skip(record);
                },
                [this] { return log_answers(); },
-               [this](const std::function<void(bool)>& done) { sync_intake(done); }}),
+               [this](const std::vector<std::string>& keys, const std::function<void()>& done) {
+                   look_for(keys, done);
+               }}),
       reign_(time, platform.log(), self_, place_.bus_address, times_of(cpu_share)),
       link_server_(time, platform.orders()) {
+    for (keyed_follower* const follower : {&intake_, &progress_}) {
+        follower->wait_longer(longest_silence);
+        follower->reset(time.now() + load_delay(cpu_share, self_));
+    }
     state_.on_intake([this](const job_entry& job) {
         if (coordinator_)
             held_back_.push_back(job.id);
@@ -76,11 +111,8 @@
 
 duration cell_member::tick() {
     operators_.tick();
-    intake_.tick();
-    // A coordinator writes the stream itself; until it has begun, a read may have to be tried
-    // again.
-    if (!coordinator_)
-        follow_progress();
+    follow_jobs();
+    jobs_.tick();
     writer_.tick();
     reign_.stand(can_coordinate());
     reign_.tick();
@@ -97,11 +129,70 @@
     return journal_ ? leading_tick : following_tick;
 }
 
+void cell_member::follow_jobs() {
+    role_.tick(reign_.is_vacant());
+    if (!keeps_copy()) {
+        drop_copy();
+        operators_.set_pace(asking_operators);
+        return note_late_read(operators_, asking_operators.wait);
+    }
+    operators_.set_pace(operators_pace);
+    if (!has_copy() && role_.awaits_word())
+        return;
+    has_state_ = true;
+    intake_.tick();
+    // A coordinator writes the stream itself; until it has begun, a read may have to be tried
+    // again.
+    if (!coordinator_)
+        follow_progress();
+}
+
 void cell_member::follow_progress() {
     progress_.tick();
-    const duration since_answer = time_.now() - progress_.answered_at();
-    if (progress_.is_loaded() && !progress_.is_failing())
-        writer_.note_late_read(since_answer - following_progress.period);
+    note_late_read(progress_, following_progress.period);
+}
+
+void cell_member::note_late_read(const keyed_follower& follower, duration period) {
+    const duration since_answer = time_.now() - follower.answered_at();
+    if (follower.is_loaded() && !follower.is_failing())
+        writer_.note_late_read(since_answer - period);
+}
+
+bool cell_member::keeps_copy() const {
+    return role_.reads() || reign_.leads() || journal_ != nullptr;
+}
+
+void cell_member::drop_copy() {
+    if (!has_state_)
+        return;
+    has_state_ = false;
+    intake_.reset(time_.now());
+    progress_.reset(time_.now());
+    state_.clear();
+}
+
+/// What a late append's records became: this host's copy shows it, or another's.
+void cell_member::look_for(const std::vector<std::string>& keys,
+                           const std::function<void()>& done) {
+    if (!keeps_copy())
+        return ask_for(keys, done);
+    intake_.sync([done](bool) { done(); });
+}
+
+void cell_member::ask_for(const std::vector<std::string>& keys, const std::function<void()>& done) {
+    const auto left = std::make_shared<std::size_t>(keys.size());
+    for (const std::string& key : keys) {
+        const bool is_job = key.front() == static_cast<char>(record_kind::job);
+        others_jobs_.find(job_id(key.substr(1)), time_.now() + look_patience,
+                          [this, key, is_job, left, done](const job_answer& told) {
+                              const bool found = told.known == job_answer::kind::found &&
+                                                 (is_job || told.job.cancel_wanted);
+                              if (found)
+                                  writer_.note_read({key, "", 0});
+                              if (--*left == 0)
+                                  done();
+                          });
+    }
 }
 
 void cell_member::resign() {
@@ -162,15 +253,30 @@
     offered_to_ = reign->bus_address;
     offered_leaving_ = reign_.has_resigned();
     next_offer_ = now + offer_period;
-    const link_offer offer{self_, place_.bus_address, place_.data_centre, place_.carries,
-                           offered_leaving_};
+    const link_offer offer{
+        self_,      place_.bus_address,      place_.data_centre, place_.carries, offered_leaving_,
+        has_copy(), role_.readers().digest()};
     peers_.ask(offered_to_, encode_peer_message(peer_message::offer, encode_offer(offer)),
-               offer_period, [](const std::optional<std::string>&) {});
+               offer_period, [this, weak = std::weak_ptr(alive_)](const auto& reply) {
+                   if (!weak.expired())
+                       take_offer_reply(reply);
+               });
+}
+
+void cell_member::take_offer_reply(const std::optional<std::string>& bytes) {
+    if (!bytes)
+        return;
+    if (const std::optional<offer_reply> reply = decode_offer_reply(*bytes))
+        role_.take(*reply);
 }
 
 std::string cell_member::take_offer(std::string_view bytes) {
     const std::optional<link_offer> offer = decode_offer(bytes);
-    return encode_offer_reply(offer && orders_ && orders_->take_offer(*offer));
+    if (!offer || !orders_)
+        return encode_offer_reply({});
+    offer_reply reply = roster_->take_offer(*offer);
+    reply.used = orders_->take_offer(*offer);
+    return encode_offer_reply(reply);
 }
 
 bool cell_member::sees_notices() const {
@@ -232,6 +338,7 @@
     orders_ = std::make_unique<linked_orders>(
         linked_orders::parts{time_, platform_.orders(), peers_},
         self_.str() + "/" + std::to_string(prepared_.value()), prepared_, place_.carries);
+    roster_ = std::make_unique<reader_roster>(time_, place_.data_centre);
     coordinator_ = coordinator::create(
         {time_, *orders_, platform_.advisor(), *journal_, [this] { return reign_.confirmed_at(); },
          [this] { return sees_notices(); }, [this] { deposed_ = true; },
@@ -252,6 +359,7 @@
         reign_.yield();
     coordinator_.reset();
     orders_.reset();
+    roster_.reset();
     held_back_.clear();
     journal_.reset();
     intake_.set_pace(following_intake);
@@ -293,15 +401,12 @@
 }
 
 bool cell_member::log_answers() const {
-    const keyed_follower& newest =
+    const keyed_follower& of_jobs =
         progress_.answered_at() > intake_.answered_at() ? progress_ : intake_;
+    const keyed_follower& newest = has_copy() ? of_jobs : operators_;
     return !newest.is_failing() && time_.now() - newest.answered_at() < log_silence;
 }
 
-void cell_member::sync_intake(const std::function<void(bool)>& done) {
-    intake_.sync(done);
-}
-
 void cell_member::forget_job(const job_id& id, const std::function<void()>& done) {
     std::vector<stored_record> drops;
     drops.push_back({record_key(record_kind::job, id.str()), std::nullopt, 0});
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -2,6 +2,11 @@
 
 #include "cell_host/cell_platform.h"
 #include "cell_host/intake_writer.h"
+#include "cell_host/local_jobs.h"
+#include "cell_host/peer_jobs.h"
+#include "cell_host/question_server.h"
+#include "cell_host/reading_role.h"
+#include "cell_host/routed_jobs.h"
 #include "cell_host/worker_list.h"
 #include "figwinch/cell.h"
 #include "figwinch/link.h"
@@ -18,9 +23,9 @@
     std::uint32_t carries = 0;
 };
 
-/// One host's part in a cell, without sockets and timers: keeps a copy of the cell's state, stands
-/// for the reign and, while it holds it, runs the coordinator. Driven by `tick` and the platform's
-/// answers. Owned by `cell_host`.
+/// One host's part in a cell, without sockets and timers: keeps a copy of the cell's state or asks
+/// hosts that do, stands for the reign and, while it holds it, runs the coordinator. Driven by
+/// `tick` and the platform's answers. Owned by `cell_host`.
 class cell_member {
 public:
     /// `peers` outlives it.
@@ -38,6 +43,9 @@
     /// A message of another host; returns the reply.
     std::string take_offer(std::string_view bytes);
     std::string take_exchange(std::string_view bytes) { return link_server_.exchange(bytes); }
+    void take_question(std::string_view bytes, const std::function<void(std::string)>& reply) {
+        questions_.handle(bytes, reply);
+    }
 
     const std::optional<cell_config>& config() const { return config_; }
     const cell_state& state() const { return state_; }
@@ -49,15 +57,22 @@
     /// Hosts by way of which this one's orders go.
     std::size_t links() const { return orders_ ? orders_->lanes() : 0; }
     std::uint64_t passed_on() const { return link_server_.passed_on(); }
-    bool is_loaded() const { return config_ && intake_.is_loaded(); }
+    /// Whether it can serve callers.
+    bool is_loaded() const {
+        return config_ && (intake_.is_loaded() || !role_.readers().places().empty());
+    }
+    /// Answers callers' questions about jobs.
+    job_source& jobs() { return jobs_; }
+    /// Whether this host keeps a copy of the cell's jobs, and has all of it.
+    bool has_copy() const { return intake_.is_loaded() && progress_.is_loaded(); }
+    bool reads() const { return role_.reads(); }
+    std::uint64_t questions_answered() const { return questions_.answered(); }
     /// Whether the log has answered this host lately.
     bool log_answers() const;
     /// How long ago the newest moment is up to which all notices of workers, or of operators, are
     /// known. Workers are followed by the coordinator alone.
     duration workers_age() const { return time_.now() - workers_.current_at(); }
     duration operators_age() const { return time_.now() - operators_.current_at(); }
-    /// Reads the intake stream to its present end; tells whether it could.
-    void sync_intake(const std::function<void(bool)>& done);
 
 private:
     /// Whether this host could coordinate if it were elected.
@@ -65,7 +80,14 @@
     void lead();
     bool is_useful() const;
     void step_aside();
+    void follow_jobs();
     void follow_progress();
+    bool keeps_copy() const;
+    void drop_copy();
+    void note_late_read(const keyed_follower& follower, duration period);
+    void look_for(const std::vector<std::string>& keys, const std::function<void()>& done);
+    void ask_for(const std::vector<std::string>& keys, const std::function<void()>& done);
+    void take_offer_reply(const std::optional<std::string>& bytes);
     void begin_reign();
     void start_coordinator(bool state_read);
     void end_reign();
@@ -91,11 +113,18 @@
     keyed_follower workers_;
     keyed_follower intake_;
     keyed_follower progress_;
+    reading_role role_;
+    local_jobs own_jobs_;
+    peer_jobs others_jobs_;
+    routed_jobs jobs_;
+    question_server questions_;
     intake_writer writer_;
     reign reign_;
     std::unique_ptr<progress_writer> journal_;
     /// While this host coordinates: its way to the workers.
     std::unique_ptr<linked_orders> orders_;
+    /// While this host coordinates: who keeps copies.
+    std::unique_ptr<reader_roster> roster_;
     std::unique_ptr<coordinator> coordinator_;
     link_server link_server_;
     /// To whom this host offered itself last, and when it does again.
@@ -113,6 +142,9 @@
     bool view_is_old_ = false;
     /// Jobs that came in and that the coordinator hasn't been told of.
     std::vector<job_id> held_back_;
+    /// Whether `state_` holds, or begins to hold, a copy.
+    bool has_state_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace figwinch
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -38,6 +38,8 @@
     set("figwinch_cell_jobs_cancelled", front.cancelled, "cancellations stored here");
     set("figwinch_cell_log_calls", platform.log_calls(), "calls to the log since the start");
     set("figwinch_cell_order_calls", platform.order_calls(), "calls to workers since the start");
+    for (const cell_stream stream : all_streams)
+        set_reads(stream, platform.log_reads(stream));
     set("figwinch_cell_links", member.links(), "hosts that pass this coordinator's orders on");
     set("figwinch_cell_passed_on", member.passed_on(), "orders passed on for coordinators");
     set("figwinch_cell_leads", member.election().leads() ? 1 : 0, "1 on the coordinator");
@@ -58,6 +60,14 @@
     return registry_.expose();
 }
 
+void cell_metrics::set_reads(cell_stream stream, const stream_reads& reads) {
+    const std::string prefix = std::string("figwinch_cell_reads_") + to_string(stream);
+    set(prefix + "_calls", reads.calls, "reads of this stream since the start");
+    set(prefix + "_bytes", reads.bytes, "bytes that these brought");
+    set(prefix + "_given_up", reads.given_up, "of these without a whole answer in time");
+    set_ms(prefix + "_ms", reads.taken, "what these took in all, their waits included");
+}
+
 void cell_metrics::set_intake(const intake_writer& writer) {
     set_ms("figwinch_cell_append_ms", writer.pace().latest(),
            "newest append of callers' jobs: its wait in the log and its service");
--- a/src/cell_host/cell_metrics.h
+++ b/src/cell_host/cell_metrics.h
@@ -29,6 +29,7 @@
 private:
     void set(const std::string& name, std::uint64_t value, const std::string& help);
     void set_ms(const std::string& name, duration span, const std::string& help);
+    void set_reads(cell_stream stream, const stream_reads& reads);
     void set_intake(const intake_writer& writer);
     void set_coordinator(const coordinator_counts& counts);
 
--- a/src/cell_host/cell_platform.h
+++ b/src/cell_host/cell_platform.h
@@ -31,6 +31,7 @@
 
     /// Calls that were made, for metrics.
     virtual std::uint64_t log_calls() const = 0;
+    virtual stream_reads log_reads(cell_stream) const { return {}; }
     virtual std::uint64_t order_calls() const = 0;
 };
 
--- a/src/cell_host/host_load.cpp
+++ b/src/cell_host/host_load.cpp
@@ -24,6 +24,17 @@
     return static_cast<std::int64_t>(now - before);
 }
 
+void log_reads(cell_stream stream, const stream_reads& now, const stream_reads& before) {
+    if (now.calls == before.calls && now.given_up == before.given_up)
+        return;
+    log_event(log_level::info, "stream_reads",
+              {{"stream", std::string(to_string(stream))},
+               {"calls", since(now.calls, before.calls)},
+               {"bytes", since(now.bytes, before.bytes)},
+               {"given_up", since(now.given_up, before.given_up)},
+               {"taken_ms", (now.taken - before.taken) / std::chrono::milliseconds(1)}});
+}
+
 } // namespace
 
 void host_load::note_turn(instant now) {
@@ -45,6 +56,10 @@
                {"jobs_accepted", since(totals.jobs_accepted, before.jobs_accepted)},
                {"links", static_cast<std::int64_t>(links)},
                {"coordinates", coordinates}});
+    for (const cell_stream stream : all_streams) {
+        const auto at = static_cast<std::size_t>(stream);
+        log_reads(stream, totals.reads.at(at), before.reads.at(at));
+    }
 }
 
 } // namespace figwinch
--- a/src/cell_host/host_load.h
+++ b/src/cell_host/host_load.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "figwinch/base.h"
+#include "figwinch/cell.h"
 
+#include <array>
 #include <cstdint>
 
 namespace figwinch {
@@ -14,6 +15,7 @@
     std::uint64_t passed_on = 0;
     std::uint64_t questions = 0;
     std::uint64_t jobs_accepted = 0;
+    std::array<stream_reads, all_streams.size()> reads{};
 };
 
 /// Tells in the log what a host's processor time and calls go into, and how late its loop is.
@@ -23,7 +25,7 @@
     /// The loop's next turn is due at `when`.
     void expect_turn(instant when) { due_ = when; }
     void note_turn(instant now);
-    /// One line on what has changed since the last one.
+    /// One line on what has changed since the last one, and one on each stream that was read.
     void log(const host_load_totals& totals, std::size_t links, bool coordinates);
 
 private:
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -162,7 +162,11 @@
 /// A lost answer is found in the stream; nothing has to be appended twice for it.
 void intake_writer::look_for_append() {
     next_look_ = with_.time.now() + late_after;
-    with_.read_on([this, round = round_, weak = std::weak_ptr(alive_)](bool) {
+    std::vector<std::string> keys;
+    for (const intake_entry& entry : batch_)
+        for (const stored_record& record : entry.records)
+            keys.push_back(record.key);
+    with_.look_for(keys, [this, round = round_, weak = std::weak_ptr(alive_)] {
         if (weak.expired() || round != round_ || !in_flight_)
             return;
         if (std::ranges::all_of(batch_, &intake_entry::seen))
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -45,8 +45,9 @@
         std::function<void(const stored_record&)> applied;
         /// Whether the log has answered anything to this host lately.
         std::function<bool()> log_answers;
-        /// Reads the intake stream to its present end; tells whether it could.
-        std::function<void(std::function<void(bool)>)> read_on;
+        /// Looks in the log for what the records of these keys became, and has told `note_read` of
+        /// those that it found when it calls back.
+        std::function<void(const std::vector<std::string>& keys, std::function<void()>)> look_for;
     };
 
     explicit intake_writer(parts with);
--- a/src/cell_host/job_front.cpp
+++ b/src/cell_host/job_front.cpp
@@ -41,7 +41,7 @@
         return refuse(answer, result_code::unknown_path, "no such queue", "");
     const std::string rest = request.path.substr(queue->path_prefix.size());
     if (rest.empty() && request.method == http_method::get)
-        return show_queue(*queue, answer);
+        return show_queue(*queue, request, answer);
     if (!with_.dialect.is_job_id(rest))
         return refuse(answer, result_code::invalid_value, "no job id", rest);
     const job_id id(rest);
@@ -109,33 +109,16 @@
 
 void job_front::find(const job_id& id, const http_request& request, const responder& answer,
                      std::function<void(const job_entry&)> found) {
-    const job_entry* const known = with_.state.find(id);
-    if (known != nullptr && known->spec)
-        return found(*known);
-    const instant end = deadline_of(request);
-    const auto asked = std::make_shared<question>(question{id, answer, std::move(found), end});
-    questions_.push_back(asked);
-    with_.sync([this, asked](bool current) { settle(*asked, current ? "" : "can't tell"); });
-}
-
-void job_front::settle(question& asked, std::string_view doubt) {
-    if (std::exchange(asked.settled, true))
-        return;
-    const job_entry* const job = with_.state.find(asked.id);
-    if (job != nullptr && job->spec)
-        return asked.found(*job);
-    if (!doubt.empty())
-        return refuse(asked.answer, result_code::log_unavailable, doubt, asked.id.str());
-    log_event(log_level::info, "job_unknown", {{"job", asked.id.str()}});
-    asked.answer->respond(json_response(status_gone, "{}"));
-}
-
-void job_front::tick() {
-    const instant now = with_.time.now();
-    for (const auto& asked : questions_)
-        if (now >= asked->end)
-            settle(*asked, "can't tell in time");
-    std::erase_if(questions_, [](const auto& asked) { return asked->settled; });
+    with_.jobs.find(id, deadline_of(request),
+                    [this, id, answer, found = std::move(found)](const job_answer& told) {
+                        if (told.known == job_answer::kind::found)
+                            return found(told.job);
+                        if (told.known == job_answer::kind::cant_tell)
+                            return refuse(answer, result_code::log_unavailable,
+                                          "can't tell in time", id.str());
+                        log_event(log_level::info, "job_unknown", {{"job", id.str()}});
+                        answer->respond(json_response(status_gone, "{}"));
+                    });
 }
 
 void job_front::show(const job_id& id, const http_request& request, const responder& answer) {
@@ -168,10 +151,15 @@
                        });
 }
 
-void job_front::show_queue(const queue_config& queue, const responder& answer) {
+void job_front::show_queue(const queue_config& queue, const http_request& request,
+                           const responder& answer) {
     ++counts_.asked;
-    answer->respond(
-        json_response(status_ok, with_.dialect.encode_waiting(with_.state.waiting(queue.name))));
+    with_.jobs.count_waiting(
+        queue.name, deadline_of(request), [this, answer](std::optional<std::size_t> waiting) {
+            if (!waiting)
+                return refuse(answer, result_code::log_unavailable, "can't tell in time", "");
+            answer->respond(json_response(status_ok, with_.dialect.encode_waiting(*waiting)));
+        });
 }
 
 void job_front::refuse(const responder& answer, result_code code, std::string_view why,
@@ -208,8 +196,7 @@
 
 void job_front::end_by(instant latest) {
     latest_end_ = latest;
-    for (const auto& asked : questions_)
-        asked->end = std::min(asked->end, latest);
+    with_.jobs.end_by(latest);
     with_.writer.end_by(latest);
 }
 
--- /dev/null
+++ b/src/cell_host/local_jobs.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cell_host/job_source.h"
+
+#include <memory>
+#include <vector>
+
+namespace figwinch {
+
+/// Answers from this host's copy of the log. A job is called unknown only after the log was read to
+/// its end. Owned by `cell_member`.
+class local_jobs final : public job_source {
+public:
+    /// `sync`: reads the intake stream to its present end; tells whether it could. `time` and
+    /// `state` outlive it.
+    local_jobs(const clock& time, const cell_state& state,
+               std::function<void(std::function<void(bool)>)> sync)
+        : time_(time), state_(state), sync_(std::move(sync)) {}
+
+    void find(const job_id& id, instant end, job_handler done) override;
+    void count_waiting(const queue_name& queue, instant end, waiting_handler done) override;
+    void tick() override;
+    void end_by(instant latest) override;
+
+private:
+    /// About a job that this host doesn't know yet.
+    struct question {
+        job_id id;
+        job_handler done;
+        instant end{};
+        bool settled = false;
+    };
+
+    const job_entry* known(const job_id& id) const;
+    void settle(question& asked, bool current) const;
+
+    const clock& time_;
+    const cell_state& state_;
+    std::function<void(std::function<void(bool)>)> sync_;
+    std::vector<std::shared_ptr<question>> questions_;
+};
+
+} // namespace figwinch
--- /dev/null
+++ b/src/cell_host/question_server.cpp
@@ -0,0 +1,30 @@
+#include "cell_host/question_server.h"
+
+#include "cell_host/question_codec.h"
+
+#include <algorithm>
+
+namespace figwinch {
+namespace {
+
+// So that an answer that can't be given reaches the asker while it can still ask elsewhere.
+constexpr duration answer_way = std::chrono::milliseconds(30);
+
+} // namespace
+
+void question_server::handle(std::string_view body, const std::function<void(std::string)>& reply) {
+    const std::optional<job_question> question = decode_question(body);
+    if (!question || !reads_())
+        return reply(encode_job_answer({}));
+    ++answered_;
+    const instant end =
+        time_.now() + std::max(question->patience - answer_way, question->patience / 2);
+    if (const job_id* const id = std::get_if<job_id>(&question->about))
+        return jobs_.find(*id, end,
+                          [reply](const job_answer& answer) { reply(encode_job_answer(answer)); });
+    jobs_.count_waiting(
+        std::get<queue_name>(question->about), end,
+        [reply](std::optional<std::size_t> waiting) { reply(encode_waiting_answer(waiting)); });
+}
+
+} // namespace figwinch
--- a/src/link/link_offer.cpp
+++ b/src/link/link_offer.cpp
@@ -30,6 +30,8 @@
     message.set_data_centre(offer.data_centre.str());
     message.set_carries(offer.carries);
     message.set_leaving(offer.leaving);
+    message.set_reads(offer.reads);
+    message.set_readers_digest(offer.readers_digest);
     return message.SerializeAsString();
 }
 
@@ -38,19 +40,49 @@
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
         message.bus_address().empty())
         return std::nullopt;
-    return link_offer{incarnation_id(message.incarnation()), message.bus_address(),
-                      data_centre_id(message.data_centre()), message.carries(), message.leaving()};
+    return link_offer{incarnation_id(message.incarnation()),
+                      message.bus_address(),
+                      data_centre_id(message.data_centre()),
+                      message.carries(),
+                      message.leaving(),
+                      message.reads(),
+                      message.readers_digest()};
 }
 
-std::string encode_offer_reply(bool used) {
+std::string encode_offer_reply(const offer_reply& reply) {
     pb::LinkOfferReply message;
-    message.set_used(used);
+    message.set_used(reply.used);
+    message.set_coordinates(reply.coordinates);
+    message.set_part(static_cast<pb::LinkOfferReply::Part>(reply.part));
+    if (reply.readers) {
+        message.set_readers_digest(reply.readers->digest());
+        for (const reader_place& reader : reply.readers->places()) {
+            pb::LinkReader& row = *message.add_readers();
+            row.set_bus_address(reader.bus_address);
+            row.set_data_centre(reader.data_centre.str());
+        }
+    }
     return message.SerializeAsString();
 }
 
-bool decode_offer_reply(std::string_view bytes) {
+std::optional<offer_reply> decode_offer_reply(std::string_view bytes) {
     pb::LinkOfferReply message;
-    return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) && message.used();
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    offer_reply reply;
+    reply.used = message.used();
+    reply.coordinates = message.coordinates();
+    if (message.part() == pb::LinkOfferReply::READER)
+        reply.part = reading_part::reader;
+    if (message.part() == pb::LinkOfferReply::ASKER)
+        reply.part = reading_part::asker;
+    if (message.readers_digest() == 0)
+        return reply;
+    std::vector<reader_place> places;
+    for (const pb::LinkReader& row : message.readers())
+        places.push_back({row.bus_address(), data_centre_id(row.data_centre())});
+    reply.readers = reader_list(std::move(places));
+    return reply;
 }
 
 } // namespace figwinch
--- a/src/simulation/sim_host.h
+++ b/src/simulation/sim_host.h
@@ -16,6 +16,7 @@
     std::string address = "10.0.0.1:7000";
     data_centre_id data_centre;
     std::uint32_t carries = 0;
+    double cpu_share = 1;
 };
 
 /// One host of a cell with its ways to the store, to the workers and to other hosts.
@@ -28,11 +29,12 @@
           log_(time, store, random), orders_(time, fleet, random), advisor_(time, fleet.policy),
           asker_(time, link.peers, link.address),
           member_(time.clock(), *this, asker_, settings, incarnation_id(name),
-                  {link.address, link.data_centre, link.carries}, 1) {
+                  {link.address, link.data_centre, link.carries}, link.cpu_share) {
         if (link_.peers != nullptr)
-            link_.peers->join(link_.address,
-                              {[this](std::string_view message) { return answer(message); },
-                               [this] { return is_frozen(); }});
+            link_.peers->join(link_.address, {[this](std::string_view message, const auto& reply) {
+                                                  answer(message, reply);
+                                              },
+                                              [this] { return is_frozen(); }});
         schedule();
     }
     ~sim_host() override {
@@ -56,7 +58,12 @@
     worker_advisor& advisor() override { return advisor_; }
     const job_dialect& dialect() const override { std::abort(); }
     bool is_config_key(std::string_view key) const override { return key == "config"; }
-    std::optional<cell_config> decode_config(std::string_view) const override { return config_; }
+    /// The value is the version.
+    std::optional<cell_config> decode_config(std::string_view value) const override {
+        cell_config config = config_;
+        config.version = config_version(std::stoull(std::string(value)));
+        return config;
+    }
     std::optional<data_centre_id> evacuated_by(std::string_view key) const override {
         if (key.starts_with("out/"))
             return data_centre_id(key.substr(4));
@@ -72,11 +79,14 @@
     std::uint64_t order_calls() const override { return 0; }
 
 private:
-    std::string answer(std::string_view message) {
+    void answer(std::string_view message, const std::function<void(std::string)>& reply) {
         const std::string_view body = message.substr(1);
-        if (static_cast<peer_message>(message.front()) == peer_message::offer)
-            return member_.take_offer(body);
-        return member_.take_exchange(body);
+        const auto kind = static_cast<peer_message>(message.front());
+        if (kind == peer_message::offer)
+            return reply(member_.take_offer(body));
+        if (kind == peer_message::question)
+            return member_.take_question(body, reply);
+        reply(member_.take_exchange(body));
     }
     void schedule() {
         time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -13,10 +13,13 @@
 /// is drawn from one seed.
 class cell_world {
 public:
-    /// `linked`: hosts pass on orders of the coordinator, which itself carries no worker.
+    /// `linked`: hosts pass on orders of the coordinator, which itself carries no worker. `strong`:
+    /// how many of the hosts have more than a small share of a core.
     cell_world(std::uint64_t seed, std::size_t hosts, std::size_t workers,
-               const cell_settings& settings = {}, bool linked = false)
-        : settings_(settings), linked_(linked), random_(seed), watch_(time_, seed + 1) {
+               const cell_settings& settings = {}, bool linked = false,
+               std::optional<std::size_t> strong = {})
+        : settings_(settings), linked_(linked), strong_(strong.value_or(hosts)), random_(seed),
+          watch_(time_, seed + 1) {
         store_.append(cell_stream::operators, {{"config", "1", 0}}, {});
         for (std::size_t index = 0; index < workers; ++index)
             add_worker("w" + std::to_string(index));
@@ -128,8 +131,10 @@
         if (!linked_)
             return {};
         constexpr std::uint32_t carried = 3;
+        constexpr double small_share = 0.12;
+        const bool is_strong = host < strong_;
         return {&peers_, address_of(host), data_centre_id("dc-" + std::to_string(host % 2)),
-                carried};
+                is_strong ? carried : 1, is_strong ? 1 : small_share};
     }
     static cell_config make_config() {
         cell_config config;
@@ -176,6 +181,7 @@
 
     cell_settings settings_;
     bool linked_;
+    std::size_t strong_;
     std::mt19937_64 random_;
     sim_time time_;
     sim_peers peers_{time_};
--- a/tests/cell_host/caller_patience_test.cpp
+++ b/tests/cell_host/caller_patience_test.cpp
@@ -1,4 +1,6 @@
 #include "cell_host/job_front.h"
+
+#include "cell_host/local_jobs.h"
 #include "tests/cell_host/fake_platform.h"
 
 #include <cppunit/TestFixture.h>
@@ -30,11 +32,11 @@
     cell_state state_;
     std::optional<cell_config> config_ = platform_.decode_config("");
     intake_writer writer_{{time_, platform_.log(), [](const stored_record&) {}, [] { return true; },
-                           [](const std::function<void(bool)>&) {}}};
+                           [](const auto&, const auto&) {}}};
     // No read of the log ends.
-    job_front front_{{time_, platform_.dialect(), config_, state_, writer_,
-                      [](const std::function<void(bool)>&) {}, [] { return true; },
-                      [](duration) {}}};
+    local_jobs jobs_{time_, state_, [](const std::function<void(bool)>&) {}};
+    job_front front_{{time_, platform_.dialect(), config_, state_, jobs_, writer_,
+                      [] { return true; }, [](duration) {}}};
 
     /// What a caller with `patience` has been told `after` its request.
     std::optional<http_response> ask(http_method method, milliseconds patience,
@@ -49,7 +51,7 @@
         front_.handle(request, answer);
         time_.advance(after);
         writer_.tick();
-        front_.tick();
+        jobs_.tick();
         return answer->sent;
     }
 
--- a/tests/cell_host/sim_intake.h
+++ b/tests/cell_host/sim_intake.h
@@ -27,7 +27,9 @@
           writer({time.clock(), log,
                   [this](const stored_record& record) { follower_.skip(record); },
                   [this] { return log.state == sim_log::way::open; },
-                  [this](const std::function<void(bool)>& done) { follower_.sync(done); }}) {
+                  [this](const std::vector<std::string>&, const std::function<void()>& done) {
+                      follower_.sync([done](bool) { done(); });
+                  }}) {
         schedule();
     }
     ~intake_host() { log.kill(); }
