--- a/tests/net/slow_link.cpp
+++ b/tests/net/slow_link.cpp
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace figwinch {
 namespace {
 
@@ -22,6 +24,10 @@
     passing_ = loop_.every(turn, [this] { pass_on(); });
 }
 
+void slow_link::set_rate(std::size_t bytes_per_s) {
+    bytes_a_turn_ = bytes_per_s / turns_per_s;
+}
+
 slow_link::~slow_link() {
     for (const pair& one : pairs_) {
         close(one.client);
@@ -39,6 +45,8 @@
 void slow_link::pass_on() {
     if (pairs_.empty())
         return;
+    // No connection is always served before the others.
+    std::ranges::rotate(pairs_, pairs_.begin() + 1);
     const std::size_t share = bytes_a_turn_ / pairs_.size();
     std::size_t up = bytes_a_turn_;
     std::size_t down = bytes_a_turn_;
--- a/tests/net/slow_link.h
+++ b/tests/net/slow_link.h
@@ -20,6 +20,7 @@
     slow_link& operator=(const slow_link&) = delete;
 
     std::uint16_t port() const { return port_; }
+    void set_rate(std::size_t bytes_per_s);
 
 private:
     struct pair {
--- a/tests/platform/worker_calls_test.cpp
+++ b/tests/platform/worker_calls_test.cpp
@@ -16,11 +16,19 @@
     CPPUNIT_TEST_SUITE(worker_calls_test);
     CPPUNIT_TEST(a_new_coordinator_hears_of_all_workers_over_a_slow_link);
     CPPUNIT_TEST(a_burst_of_starts_is_answered_over_a_slow_link);
+    CPPUNIT_TEST(a_burst_of_stops_is_answered_over_a_slow_link);
+    CPPUNIT_TEST(a_burst_of_paces_is_answered_over_a_slow_link);
+    CPPUNIT_TEST(bursts_of_starts_and_stops_are_answered_together);
+    CPPUNIT_TEST(a_later_burst_is_answered_over_a_link_that_became_slow);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 98;
     static constexpr std::size_t parts = 14;
     static constexpr std::size_t bytes_per_s = 250'000;
+    static constexpr std::size_t fast_bytes_per_s = 25'000'000;
+    /// Stops or paces for a worker, fewer than its room for tasks.
+    static constexpr std::size_t small_orders = 8;
+    static constexpr const char* task = "5c0e7a21d94b36f8.0.1.13";
 
     event_loop loop_;
     std::unique_ptr<http_server> server_;
@@ -60,18 +68,37 @@
     /// Calls every worker in the same moment; how many calls were done.
     template <class Call>
     std::size_t call_all(const Call& call) {
+        return call_all_often(1, call);
+    }
+    /// The same, each worker so many times.
+    template <class Call>
+    std::size_t call_all_often(std::size_t times, const Call& call) {
         std::size_t ended = 0;
         std::size_t done = 0;
-        for (std::size_t index = 0; index < workers; ++index) {
-            call(listing(index), [&](order_outcome outcome) {
+        for (std::size_t index = 0; index < workers * times; ++index) {
+            call(listing(index % workers), [&, times](order_outcome outcome) {
                 done += outcome == order_outcome::done ? 1 : 0;
-                if (++ended == workers)
+                if (++ended == workers * times)
                     loop_.stop();
             });
         }
         loop_.run();
         return done;
     }
+    auto stop_order() {
+        return [this](const worker_listing& where, const auto& end) {
+            calls_.stop(where, task, run_number(7), lease_epoch(3),
+                        [end](const order_answer& answer) { end(answer.outcome); });
+        };
+    }
+    auto start_order_of(std::size_t payload_bytes) {
+        return [this, payload_bytes](const worker_listing& where, const auto& end) {
+            start_order order;
+            order.task = task;
+            order.payload = std::string(payload_bytes, 's');
+            calls_.start(where, order, [end](const order_answer& answer) { end(answer.outcome); });
+        };
+    }
 
 public:
     /// Guards against a coordinator that asks all workers for their reports, gives all of them up
@@ -96,6 +123,44 @@
         });
         CPPUNIT_ASSERT_EQUAL(workers, done);
     }
+    /// Guards against the same of stops: jobs of many tasks are cancelled together.
+    void a_burst_of_stops_is_answered_over_a_slow_link() {
+        start(0, 0);
+        CPPUNIT_ASSERT_EQUAL(small_orders * workers, call_all_often(small_orders, stop_order()));
+    }
+    /// Guards against the same of paces: all filling tasks beside serving ones change together.
+    void a_burst_of_paces_is_answered_over_a_slow_link() {
+        start(0, 0);
+        const auto pace = [this](const worker_listing& where, const auto& end) {
+            calls_.pace(where, {task, run_number(7), 50, lease_epoch(3)},
+                        [end](const order_answer& answer) { end(answer.outcome); });
+        };
+        CPPUNIT_ASSERT_EQUAL(small_orders * workers, call_all_often(small_orders, pace));
+    }
+    /// Guards against bounds that hold for each kind of order and not for both together.
+    void bursts_of_starts_and_stops_are_answered_together() {
+        start(0, 0);
+        std::size_t turn = 0;
+        const auto either = [&](const worker_listing& where, const auto& end) {
+            if (++turn <= workers)
+                start_order_of(2400)(where, end);
+            else
+                stop_order()(where, end);
+        };
+        CPPUNIT_ASSERT_EQUAL((1 + small_orders) * workers,
+                             call_all_often(1 + small_orders, either));
+    }
+    /// Guards against a bound that has grown on a fast link and is kept when the link is slow.
+    void a_later_burst_is_answered_over_a_link_that_became_slow() {
+        start(0, 0);
+        for (const auto& link : links_)
+            link->set_rate(fast_bytes_per_s);
+        for (int burst = 0; burst < 6; ++burst)
+            CPPUNIT_ASSERT_EQUAL(workers, call_all(start_order_of(2400)));
+        for (const auto& link : links_)
+            link->set_rate(bytes_per_s / parts);
+        CPPUNIT_ASSERT_EQUAL(workers, call_all(start_order_of(2400)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_calls_test);
