--- a/tests/cell/cell_history.cpp
+++ b/tests/cell/cell_history.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t host_count = 3;
 constexpr std::size_t linked_host_count = 5;
+constexpr std::size_t asking_host_count = 9;
 constexpr std::size_t worker_count = 5;
 constexpr duration short_lease = seconds(6);
 constexpr duration long_lease = seconds(10);
@@ -28,6 +29,9 @@
 /// From this one on hosts pass the coordinator's orders on, and suffer from faults of their own.
 constexpr std::uint64_t first_linked = 20'000'000;
 
+/// From this one on there are hosts that keep no copy of the jobs.
+constexpr std::uint64_t first_asking = 22'000'000;
+
 bool is_beside_dark(std::uint64_t seed) {
     return seed >= first_beside_dark;
 }
@@ -36,6 +40,12 @@
     return seed >= first_linked;
 }
 
+std::size_t hosts_of(std::uint64_t seed) {
+    if (seed >= first_asking)
+        return asking_host_count;
+    return is_linked(seed) ? linked_host_count : host_count;
+}
+
 /// Long leases make a successor wait for long where it has to; short ones run out beside faults.
 cell_settings settings_for(std::uint64_t seed) {
     cell_settings settings;
@@ -47,8 +57,7 @@
 class history {
 public:
     history(std::uint64_t seed, std::size_t faults)
-        : world_(seed, is_linked(seed) ? linked_host_count : host_count, worker_count,
-                 settings_for(seed), is_linked(seed)),
+        : world_(seed, hosts_of(seed), worker_count, settings_for(seed), is_linked(seed)),
           fault_count_(faults), beside_dark_(is_beside_dark(seed)), linked_(is_linked(seed)) {}
 
     history_outcome play() {
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(histories_beside_dark_workers);
     CPPUNIT_TEST(histories_with_orders_passed_on);
     CPPUNIT_TEST(histories_with_orders_passed_on_and_six_faults);
+    CPPUNIT_TEST(histories_of_hosts_that_ask);
+    CPPUNIT_TEST(histories_of_hosts_that_ask_and_six_faults);
     CPPUNIT_TEST(lasting_tasks_that_were_recorded_without_an_order_run_in_time);
     CPPUNIT_TEST(a_lasting_task_recorded_beside_two_partings_runs_in_time);
     CPPUNIT_TEST_SUITE_END();
@@ -78,6 +80,10 @@
     /// followed: each history has as many faults of such hosts besides.
     void histories_with_orders_passed_on() { play(1, 20'000'000); }
     void histories_with_orders_passed_on_and_six_faults() { play(6, 21'000'000); }
+    /// Guards against hosts that keep no copy of the jobs and answer wrong, or take the reign
+    /// without one.
+    void histories_of_hosts_that_ask() { play(1, 22'000'000); }
+    void histories_of_hosts_that_ask_and_six_faults() { play(6, 23'000'000); }
     /// Guards against leases so long that a task which was recorded on a lost worker is down for
     /// more than its bound.
     void lasting_tasks_that_were_recorded_without_an_order_run_in_time() {
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -103,9 +103,22 @@
         const auto told = write(host, {{record_key(record_kind::cancellation, id), "1", 0}});
         watch_cancel(id, told);
     }
+    /// What a host that keeps a copy has of a job.
     const job_entry* job(std::size_t host, const std::string& id) {
         return hosts_.at(host)->member().state().find(job_id(id));
     }
+    /// What a host that keeps no copy tells a caller who waits for 3 s.
+    std::optional<job_entry> ask(std::size_t host, const std::string& id) {
+        constexpr duration patience = std::chrono::seconds(3);
+        const auto told = std::make_shared<std::optional<job_entry>>();
+        hosts_.at(host)->member().jobs().find(job_id(id), time_.now() + patience,
+                                              [told](const job_answer& answer) {
+                                                  if (answer.known == job_answer::kind::found)
+                                                      *told = answer.job;
+                                              });
+        time_.run_for(patience);
+        return *told;
+    }
 
     static job_spec make_job(std::vector<step_spec> steps) {
         job_spec job;
--- a/tests/cell/history_judge.cpp
+++ b/tests/cell/history_judge.cpp
@@ -23,7 +23,9 @@
 
 std::string history_judge::judge_job(const std::string& id) {
     for (std::size_t host = 0; host < world_.hosts(); ++host) {
-        const job_entry* const job = world_.job(host, id);
+        const bool asks = !world_.host(host)->member().has_copy();
+        const std::optional<job_entry> asked = asks ? world_.ask(host, id) : std::nullopt;
+        const job_entry* const job = asked ? &*asked : world_.job(host, id);
         if (job == nullptr || !job->spec)
             return "LOST " + id + " at host " + std::to_string(host);
         const bool open = job->phase == job_phase::open && !job->cancel_wanted;
