--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -47,6 +47,10 @@
     set("figwinch_cell_log_answers", member.log_answers() ? 1 : 0, "0 while the log is silent");
     set("figwinch_cell_records_unreadable", member.state().unreadable(),
         "records of the log that were passed over");
+    set("figwinch_cell_has_copy", member.has_copy() ? 1 : 0,
+        "1 where this host has a copy of the cell's jobs");
+    set("figwinch_cell_questions_answered", member.questions_answered(),
+        "questions of hosts without a copy that this one took");
     set("figwinch_cell_jobs_known", member.state().jobs().size(), "jobs that the log keeps");
     set("figwinch_cell_log_lines_lost", log_lines_lost(), "log lines that no reader took in time");
     const bool coordinates = member.coordinating() != nullptr;
@@ -61,11 +65,16 @@
 }
 
 void cell_metrics::set_reads(cell_stream stream, const stream_reads& reads) {
-    const std::string prefix = std::string("figwinch_cell_reads_") + to_string(stream);
-    set(prefix + "_calls", reads.calls, "reads of this stream since the start");
-    set(prefix + "_bytes", reads.bytes, "bytes that these brought");
-    set(prefix + "_given_up", reads.given_up, "of these without a whole answer in time");
-    set_ms(prefix + "_ms", reads.taken, "what these took in all, their waits included");
+    const metrics::labels of_stream = {{"stream", to_string(stream)}};
+    const auto set_one = [this, &of_stream](const char* name, double value, const char* help) {
+        registry_.gauge(name, help, of_stream).Set(value);
+    };
+    set_one("figwinch_cell_reads", static_cast<double>(reads.calls), "reads since the start");
+    set_one("figwinch_cell_read_bytes", static_cast<double>(reads.bytes), "that these brought");
+    set_one("figwinch_cell_reads_given_up", static_cast<double>(reads.given_up),
+            "reads without a whole answer in time");
+    set_one("figwinch_cell_reads_seconds", std::chrono::duration<double>(reads.taken).count(),
+            "what reads took in all, their waits for records included");
 }
 
 void cell_metrics::set_intake(const intake_writer& writer) {
--- a/tests/cell/worker_loss_test.cpp
+++ b/tests/cell/worker_loss_test.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST_SUITE(worker_loss_test);
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_within_its_lease);
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator);
+    CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_the_coordinators_host_is_lost);
+    CPPUNIT_TEST(tasks_of_a_worker_that_is_lost_with_the_coordinators_host_run_again);
     CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
     CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
@@ -35,6 +37,19 @@
         world_.store().compact();
     }
 
+    /// A worker is lost, and `later` the coordinator's host, for good.
+    void lose_worker_and_coordinator(duration later) {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        lose("w1");
+        world_.time().run_for(later);
+        world_.kill_host(*world_.coordinator());
+        world_.time().run_for(longest_after_loss - later);
+        all_run("a", 8);
+        kept_the_rules();
+    }
+
 public:
     /// Story: a worker that grants leases of 10 s is lost for good. Its lasting tasks had no run
     /// for 10 s, though the others had room.
@@ -62,6 +77,15 @@
         all_run("a", 8);
         kept_the_rules();
     }
+    /// Guards against tasks of a lost worker that wait for all that a lost coordinator may have
+    /// done on its own.
+    void tasks_of_a_dark_worker_run_again_after_the_coordinators_host_is_lost() {
+        lose_worker_and_coordinator(seconds(1));
+    }
+    /// Guards against the same where nobody has noticed yet that the worker is silent.
+    void tasks_of_a_worker_that_is_lost_with_the_coordinators_host_run_again() {
+        lose_worker_and_coordinator(duration::zero());
+    }
     /// Story: a worker is lost, and a moment later a lasting task fails on another. It was started
     /// again on the lost one, which had the most room and wasn't known to be silent, and had no run
     /// until that start could have no effect any more, 10 s later: among workers that look usable
--- a/tests/link/linked_orders_test.cpp
+++ b/tests/link/linked_orders_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(hosts_of_a_workers_data_centre_pass_its_orders_on);
     CPPUNIT_TEST(no_more_hosts_are_used_than_carry_the_workers);
     CPPUNIT_TEST(workers_of_a_host_that_is_silent_go_to_others);
+    CPPUNIT_TEST(workers_of_a_host_that_reaches_none_go_to_others);
     CPPUNIT_TEST(workers_of_a_host_that_leaves_go_to_others_at_once);
     CPPUNIT_TEST(a_restarted_host_is_used_anew);
     CPPUNIT_TEST_SUITE_END();
@@ -60,6 +61,11 @@
     std::size_t held_by(const std::string& address) {
         return hosts_.at(address).workers.holds.size();
     }
+    void answer_holds(const std::string& address, order_outcome outcome) {
+        for (fake_workers::noted_hold& one : hosts_.at(address).workers.holds)
+            if (const auto done = std::exchange(one.done, nullptr))
+                done(outcome, {});
+    }
     /// Two hosts a data centre, used once the workers are known.
     void begin() {
         for (const char* const address : {"a:1", "a:2", "b:1", "b:2"}) {
@@ -127,6 +133,24 @@
         turn();
         CPPUNIT_ASSERT_EQUAL(before + 10, held_by("a:2"));
     }
+    /// Guards against workers whose leases lapse because the host that holds them answers the
+    /// coordinator and reaches none of them.
+    void workers_of_a_host_that_reaches_none_go_to_others() {
+        begin();
+        constexpr int turns_a_second = 40;
+        for (int count = 0; count < turns_a_second; ++count) {
+            if (count % 10 == 0)
+                hold(20);
+            turn();
+            answer_holds("a:1", order_outcome::unknown);
+            for (const char* const address : {"a:2", "b:1", "b:2"})
+                answer_holds(address, order_outcome::done);
+        }
+        const std::size_t before = held_by("a:2");
+        hold(20);
+        turn();
+        CPPUNIT_ASSERT_EQUAL(before + 10, held_by("a:2"));
+    }
     /// Guards against orders that are lost in a planned restart.
     void workers_of_a_host_that_leaves_go_to_others_at_once() {
         begin();
