--- a/src/cell_host/peer_jobs.cpp
+++ b/src/cell_host/peer_jobs.cpp
@@ -58,9 +58,10 @@
     const instant now = with_.time.now();
     absl::erase_if(absent_, [now](const auto& entry) { return now >= entry.second; });
     std::vector<reader_place> readers = with_.role.readers().places();
-    if (!readers.empty())
-        std::ranges::rotate(readers, readers.begin() +
-                                         static_cast<std::ptrdiff_t>(turn_++ % readers.size()));
+    if (!readers.empty()) {
+        const auto turn = static_cast<std::ptrdiff_t>(turn_++ % readers.size());
+        std::rotate(readers.begin(), readers.begin() + turn, readers.end());
+    }
     std::ranges::stable_sort(readers, {}, [this](const reader_place& reader) {
         return std::tuple(absent_.contains(reader.bus_address),
                           reader.data_centre != with_.data_centre);
--- a/tests/cell/reading_load_test.cpp
+++ b/tests/cell/reading_load_test.cpp
@@ -76,7 +76,7 @@
     /// give up what they wait for and ask again, so that configurations and jobs wait as well.
     void reads_of_many_hosts_dont_collapse() {
         begin();
-        for (const std::uint64_t version : {2, 3, 4})
+        for (const std::uint64_t version : {2U, 3U, 4U})
             config_is_in_force_everywhere(version);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, not_stored());
         kept_the_rules();
--- a/tests/net/slow_link.cpp
+++ b/tests/net/slow_link.cpp
@@ -46,7 +46,7 @@
     if (pairs_.empty())
         return;
     // No connection is always served before the others.
-    std::ranges::rotate(pairs_, pairs_.begin() + 1);
+    std::rotate(pairs_.begin(), pairs_.begin() + 1, pairs_.end());
     const std::size_t share = bytes_a_turn_ / pairs_.size();
     std::size_t up = bytes_a_turn_;
     std::size_t down = bytes_a_turn_;
