--- a/src/cell_host/peer_jobs.cpp
+++ b/src/cell_host/peer_jobs.cpp
@@ -69,6 +69,7 @@
     if (readers.size() > most_readers_asked)
         readers.resize(most_readers_asked);
     std::vector<std::string> addresses;
+    addresses.reserve(readers.size());
     for (const reader_place& reader : readers)
         addresses.push_back(reader.bus_address);
     std::ranges::reverse(addresses);
