--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -65,7 +65,6 @@
     job_source& jobs() { return jobs_; }
     /// Whether this host keeps a copy of the cell's jobs, and has all of it.
     bool has_copy() const { return intake_.is_loaded() && progress_.is_loaded(); }
-    bool reads() const { return role_.reads(); }
     std::uint64_t questions_answered() const { return questions_.answered(); }
     /// Whether the log has answered this host lately.
     bool log_answers() const;
