End leases that are prolonged without the log sooner

Callers saw: lasting tasks of a worker that was lost together with the coordinator's host had no run for 10 s and more.

Cause: a successor has to wait for all that the lost coordinator may have done on its own: 5 s from its last record, and a lease that it may have asked for at the end of that.

Change: leases are asked for in full for 3 s without a confirmation by the log; later ones end when the last of these does. Both sides reckon it (`prolonging_limit`), so that the successor waits 8.4 s from the last record instead of 10.4. The coordinator still orders and paces for its 5 s; starts are counted up to that (`start_validity`).

New beside it: an outage of the log of 7.5 s ends no task.

--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -34,6 +34,10 @@
 /// How long a coordinator goes on when the log doesn't confirm it. Bounds what a successor has to
 /// wait for workers that it can't reach; long enough to sit out the short outages of the log.
 inline constexpr duration silence_limit = std::chrono::seconds(5);
+/// For how long of that it prolongs leases: later ones end when the last of these does. A successor
+/// starts tasks of workers that it can't reach once this time and a lease are over, while outages
+/// of the log that are shorter than both end no task.
+inline constexpr duration prolonging_limit = std::chrono::seconds(3);
 /// A worker's clock may be this much slow: a lease of 6 s can last 6.12 s.
 inline constexpr double slowest_clock = 0.98;
 /// Beyond a lease's end by the slowest clock, for what rounding and timers add.
@@ -42,6 +46,9 @@
 /// a successor knows which jobs its predecessor can't have started.
 inline constexpr duration fresh_reign = std::chrono::seconds(1);
 
+/// How long after it was given an order to start can have an effect: 10 times the usual way, and
+/// short enough that a start that was held up for seconds is dead when it arrives.
+inline constexpr duration start_validity = std::chrono::milliseconds(1500);
 /// Left of a notice for an order's way to its worker.
 inline constexpr duration order_way = std::chrono::milliseconds(700);
 
--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -63,6 +63,8 @@
         bool resigned = false;
         /// Neither it nor any before it ordered anything later than that.
         instant acted_until{};
+        /// Nor asked for a lease that ends later than one whole lease after that.
+        instant prolonged_until{};
     };
 
     /// `epoch` is this reign's.
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -68,6 +68,8 @@
     /// Until when coordinators before this reign may have acted: up to their resignation, or for
     /// `silence_limit` after their last record.
     instant predecessors_acted_until() const { return acted_until_; }
+    /// Until when they may have prolonged leases in full: as above, with `prolonging_limit`.
+    instant predecessors_prolonged_until() const { return prolonged_until_; }
     /// When the newest confirmation of this reign was asked for.
     instant confirmed_at() const { return confirmed_at_; }
     /// Whether the log has confirmed this reign within `fresh_reign`.
@@ -111,6 +113,7 @@
     /// When the newest record was written at the latest.
     instant heard_at_{};
     instant acted_until_{};
+    instant prolonged_until_{};
     lease_epoch epoch_;
     std::uint64_t end_ = 0;
     instant next_try_{};
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -35,9 +35,10 @@
     };
     whole_leases_over_ = before.acted_until + over_after(settings_.max_hold);
     for (const auto& [id, worker] : known.workers()) {
-        const instant held_until =
-            worker.silent ? std::min(began_, before.acted_until) : before.acted_until;
-        unresolved_[id] = held_until + over_after(settings_.lease());
+        const instant prolonged_until =
+            worker.silent ? std::min(began_, before.prolonged_until) : before.prolonged_until;
+        unresolved_[id] = std::max(prolonged_until + over_after(settings_.lease()),
+                                   before.acted_until + over_after(start_validity));
         held_lives_[id] = worker.born_ms;
     }
     mark_unresolved();
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -78,6 +78,7 @@
     void hold_due();
     void hold_at(worker_work& worker, instant when);
     void hold(worker_work& worker);
+    duration lease_to_ask(instant now) const;
     void take_report(const worker_id& id, instant asked, order_outcome outcome,
                      const worker_report& report);
     bool is_other_life(const worker_id& id, std::uint64_t born_ms) const;
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -7,9 +7,6 @@
 namespace figwinch {
 namespace {
 
-// A start that the worker sees later than this has no effect: 10 times the usual way, and short
-// enough that a start that was held up for seconds is dead when it arrives.
-constexpr duration start_validity = std::chrono::milliseconds(1500);
 constexpr duration rest_after_refusal = std::chrono::milliseconds(700);
 constexpr duration rest_without_room = std::chrono::milliseconds(300);
 constexpr duration pause_per_failure = std::chrono::milliseconds(100);
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -97,7 +97,7 @@
     // the order may still arrive, and then they live on unseen.
     const auto clock_ms = worker.clock.at_least(now);
     if (clock_ms && !worker.silent && worker.unanswered == 0) {
-        order.until_ms = *clock_ms + settings_.lease().count() / 1000;
+        order.until_ms = *clock_ms + lease_to_ask(now).count() / 1000;
         worker.latest_until_ms = std::max(worker.latest_until_ms, *order.until_ms);
         const bool shared = worker.filling_cpu > 0 && worker.lasting_cpu > 0;
         order.wait = worker.noted < worker.seen ? duration::zero()
@@ -114,6 +114,13 @@
                       });
 }
 
+/// Shorter the longer the log hasn't confirmed this reign: a successor takes it that no lease ends
+/// later than one that was asked for `prolonging_limit` after the last confirmation.
+duration cell_coordinator::lease_to_ask(instant now) const {
+    const duration beyond = now - (with_.confirmed_at() + prolonging_limit);
+    return settings_.lease() - std::max(duration::zero(), beyond);
+}
+
 void cell_coordinator::take_report(const worker_id& id, instant asked, order_outcome outcome,
                                    const worker_report& report) {
     worker_work* const worker = find_worker(id);
--- a/src/cell/reign_records.cpp
+++ b/src/cell/reign_records.cpp
@@ -67,8 +67,10 @@
     const bool resigned = record.what == reign_record::kind::resignation;
     if (record.what == reign_record::kind::claim && current_)
         count_current();
-    if (resigned)
+    if (resigned) {
         acted_until_ = std::max(acted_until_, written_by);
+        prolonged_until_ = std::max(prolonged_until_, written_by);
+    }
     vacant_ = resigned;
     heard_at_ = written_by;
 }
@@ -76,8 +78,9 @@
 /// The present holder is followed. One that is known to have ended ordered nothing after its last
 /// record.
 void reign::count_current() {
-    const duration on_its_own = vacant_ ? duration::zero() : silence_limit;
-    acted_until_ = std::max(acted_until_, heard_at_ + on_its_own);
+    acted_until_ = std::max(acted_until_, heard_at_ + (vacant_ ? duration::zero() : silence_limit));
+    prolonged_until_ =
+        std::max(prolonged_until_, heard_at_ + (vacant_ ? duration::zero() : prolonging_limit));
 }
 
 } // namespace figwinch
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -217,7 +217,9 @@
         {time_, *orders_, platform_.advisor(), *journal_, [this] { return reign_.confirmed_at(); },
          [this] { return sees_notices(); }, [this] { deposed_ = true; },
          [this](const job_id& id, const std::function<void()>& done) { forget_job(id, done); }},
-        settings_, prepared_, {reign_.follows_resignation(), reign_.predecessors_acted_until()},
+        settings_, prepared_,
+        {reign_.follows_resignation(), reign_.predecessors_acted_until(),
+         reign_.predecessors_prolonged_until()},
         state_);
     if (config_)
         coordinator_->take_config(*config_);
--- a/tests/cell/worker_loss_test.cpp
+++ b/tests/cell/worker_loss_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_a_change_of_coordinator);
     CPPUNIT_TEST(tasks_of_a_dark_worker_run_again_after_the_coordinators_host_is_lost);
     CPPUNIT_TEST(tasks_of_a_worker_that_is_lost_with_the_coordinators_host_run_again);
+    CPPUNIT_TEST(an_outage_of_the_log_ends_no_task);
     CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
     CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
@@ -86,6 +87,21 @@
     void tasks_of_a_worker_that_is_lost_with_the_coordinators_host_run_again() {
         lose_worker_and_coordinator(duration::zero());
     }
+    /// Guards against leases that end because the log is away for a while.
+    void an_outage_of_the_log_ends_no_task() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.host(host)->way_to_log().state = sim_log::way::silent;
+        world_.time().run_for(milliseconds(7500));
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.host(host)->way_to_log().state = sim_log::way::open;
+        world_.time().run_for(seconds(5));
+        all_run("a", 8);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, world_.watch().starts);
+        kept_the_rules();
+    }
     /// Story: a worker is lost, and a moment later a lasting task fails on another. It was started
     /// again on the lost one, which had the most room and wasn't known to be silent, and had no run
     /// until that start could have no effect any more, 10 s later: among workers that look usable
