Hold a worker by way of another host when one gets no answer

Cause: a lane was given up only when its host was silent.

Change: a worker whose hold had no answer goes to the next best lane of its data centre, beside a single lane to the coordinator's own calls, and tries its best lane again after 30 s or when lanes come or go. Workers that are really gone alternate between lanes.

--- a/include/figwinch/link/linked_orders.h
+++ b/include/figwinch/link/linked_orders.h
@@ -12,8 +12,9 @@
 /// A coordinator's way to its workers during one reign. While the workers are no more than the
 /// host itself carries, it calls all of them; else hosts of each worker's data centre that have
 /// offered it pass the orders on, as many of them as carry its workers with some to spare. Workers
-/// of a data centre without such a host are called directly. Driven by `tick`. Owned by
-/// `cell_member`.
+/// of a data centre without such a host are called directly. A worker that leaves a hold unanswered
+/// is held by way of another host next, since the host may have lost its own way to it. Driven by
+/// `tick`. Owned by `cell_member`.
 class linked_orders final : public worker_orders {
 public:
     /// What it works with; all outlive it.
@@ -54,10 +55,15 @@
         data_centre_id data_centre;
         /// The bus address of the lane; empty: called directly.
         std::string by;
+        /// How many lanes better than this one were left for want of answers.
+        std::size_t passed_over = 0;
+        /// When the best one is tried again.
+        instant retry_best_at{};
     };
 
     link_lane* lane_to(const worker_listing& where);
-    std::string best_lane(const worker_id& worker, const data_centre_id& data_centre) const;
+    std::string choose_lane(const worker_id& id, const known_worker& worker) const;
+    void pass_over(const worker_id& id, const std::string& lane);
     void choose_lanes();
     void choose_lanes_of(const data_centre_id& data_centre, std::size_t workers);
     void open_lane(const link_offer& offer);
@@ -78,6 +84,8 @@
     bool changed_ = false;
     instant next_choice_{};
     std::uint64_t opened_ = 0;
+    /// Expires with this object: answers that come later change no lane.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace figwinch
--- a/src/link/linked_orders.cpp
+++ b/src/link/linked_orders.cpp
@@ -16,6 +16,7 @@
 // So that the others carry the workers of one that is lost.
 constexpr double spare_factor = 1.5;
 constexpr std::size_t least_lanes = 2;
+constexpr duration passed_over_for = std::chrono::seconds(30);
 
 std::uint32_t carried_by(const link_offer& offer) {
     return offer.leaving ? 0 : offer.carries;
@@ -58,9 +59,16 @@
 }
 
 void linked_orders::hold(const worker_listing& where, const hold_order& order, hold_handler done) {
-    if (link_lane* const lane = lane_to(where))
-        return lane->hold(where, order, std::move(done));
-    with_.direct.hold(where, order, std::move(done));
+    link_lane* const lane = lane_to(where);
+    auto noted = [this, weak = std::weak_ptr(alive_), id = where.id, by = workers_.at(where.id).by,
+                  done = std::move(done)](order_outcome outcome, const worker_report& report) {
+        if (!weak.expired() && outcome == order_outcome::unknown)
+            pass_over(id, by);
+        done(outcome, report);
+    };
+    if (lane != nullptr)
+        return lane->hold(where, order, std::move(noted));
+    with_.direct.hold(where, order, std::move(noted));
 }
 
 void linked_orders::forget(const worker_id& worker) {
@@ -72,22 +80,41 @@
 
 link_lane* linked_orders::lane_to(const worker_listing& where) {
     const auto [known, is_new] = workers_.try_emplace(where.id);
-    if (is_new || known->second.data_centre != where.data_centre)
-        known->second = {where.data_centre, best_lane(where.id, where.data_centre)};
-    const auto lane = lanes_.find(known->second.by);
+    known_worker& worker = known->second;
+    const bool retries = worker.passed_over > 0 && with_.time.now() >= worker.retry_best_at;
+    if (is_new || retries || worker.data_centre != where.data_centre) {
+        worker.data_centre = where.data_centre;
+        worker.passed_over = 0;
+        worker.by = choose_lane(where.id, worker);
+    }
+    const auto lane = lanes_.find(worker.by);
     return lane == lanes_.end() ? nullptr : lane->second.way.get();
 }
 
-std::string linked_orders::best_lane(const worker_id& worker,
-                                     const data_centre_id& data_centre) const {
-    const link_offer* best = nullptr;
-    for (const auto& [address, lane] : lanes_) {
-        if (lane.offer.data_centre != data_centre)
-            continue;
-        if (best == nullptr || distance(lane.offer, worker) < distance(*best, worker))
-            best = &lane.offer;
-    }
-    return best == nullptr ? "" : best->bus_address;
+/// The best lane of those in the worker's data centre, after those that were passed over. Beside a
+/// single one the coordinator's own calls count as another.
+std::string linked_orders::choose_lane(const worker_id& id, const known_worker& worker) const {
+    std::vector<std::pair<double, std::string>> ways;
+    for (const auto& [address, lane] : lanes_)
+        if (lane.offer.data_centre == worker.data_centre)
+            ways.emplace_back(distance(lane.offer, id), address);
+    std::ranges::sort(ways);
+    if (ways.size() < least_lanes)
+        ways.emplace_back(0, "");
+    return ways[worker.passed_over % ways.size()].second;
+}
+
+void linked_orders::pass_over(const worker_id& id, const std::string& lane) {
+    const auto known = workers_.find(id);
+    if (known == workers_.end() || known->second.by != lane)
+        return;
+    known_worker& worker = known->second;
+    if (worker.passed_over == 0)
+        worker.retry_best_at = with_.time.now() + passed_over_for;
+    ++worker.passed_over;
+    worker.by = choose_lane(id, worker);
+    if (worker.by != lane)
+        log_event(log_level::debug, "worker_passed_over", {{"worker", id.str()}, {"host", lane}});
 }
 
 bool linked_orders::take_offer(const link_offer& offer) {
@@ -217,8 +244,10 @@
 }
 
 void linked_orders::assign_all() {
-    for (auto& [id, worker] : workers_)
-        worker.by = best_lane(id, worker.data_centre);
+    for (auto& [id, worker] : workers_) {
+        worker.passed_over = 0;
+        worker.by = choose_lane(id, worker);
+    }
 }
 
 } // namespace figwinch
