Pace runs that are being stopped

Callers saw: a serving task over its target by a filling run whose job was cancelled, for as long as the order to stop it was held up.

Cause: only runs in the phase `running` were looked at, so that one that was being stopped kept the pace it had, and counted for nothing beside the serving tasks.

Change: a run that is being stopped and shows in the worker's newest report is seen and paced like any other, until it is gone.

--- a/include/figwinch/simulation/sim_orders.h
+++ b/include/figwinch/simulation/sim_orders.h
@@ -24,6 +24,8 @@
     /// The same for orders to pace, where it is more.
     double late_paces = 0;
     double lost_pace_answers = 0;
+    /// And to stop.
+    double late_stops = 0;
     /// Sees every order to start as it is sent; whether it arrives is open.
     std::function<void(const std::string& worker, const std::string& task)> on_start_sent;
 };
@@ -57,7 +59,9 @@
     }
     void stop(const worker_listing& where, const std::string& task, run_number run,
               lease_epoch epoch, answer_handler done) override {
-        send(where, draw(where), done, [task, run, epoch](sim_worker& worker, bool) {
+        const order_fate fate =
+            draw(where, std::max(fleet_.late_orders, fleet_.late_stops), fleet_.lost_answers);
+        send(where, fate, done, [task, run, epoch](sim_worker& worker, bool) {
             return worker.stop(task, run, epoch);
         });
     }
--- a/include/figwinch/simulation/sim_worker.h
+++ b/include/figwinch/simulation/sim_worker.h
@@ -143,12 +143,14 @@
         return std::ranges::any_of(runs_, [&](const auto& run) { return run.first.first == task; });
     }
     /// Its run of a task, which it has, fails now.
-    void fail_run(const std::string& task) {
+    void fail_run(const std::string& task) { end_run(task, run_end::failed); }
+    /// The same with another end.
+    void end_run(const std::string& task, run_end how) {
         const auto run = std::ranges::find_if(
             runs_, [&](const auto& entry) { return entry.first.first == task; });
         const run_key key = run->first;
         runs_.erase(run);
-        finish(key, run_end::failed);
+        finish(key, how);
     }
     /// The pace at which a task's run works, per cent; nothing when there is no run.
     std::optional<int> pace_of(const std::string& task) const {
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -9,6 +9,13 @@
 // Busier than that the tails say nothing about the pairs: processors are short.
 constexpr double learn_below = 0.95;
 
+/// A run that is being stopped works on until its end, if it ever began.
+bool is_at_work(const worker_work& worker, const task_run& run) {
+    if (run.now == task_run::phase::stopping)
+        return run.shown_in == worker.reports;
+    return run.now == task_run::phase::running;
+}
+
 } // namespace
 
 /// For studies of sharing: what every task on a worker asked for, did and suffered.
@@ -34,7 +41,7 @@
     std::vector<task_work*> filling_tasks;
     for (task_work* const task : worker.tasks) {
         const step_spec& spec = *task->step->spec;
-        if (task->run.now != task_run::phase::running)
+        if (!is_at_work(worker, task->run))
             continue;
         if (spec.filling) {
             filling.push_back(
--- a/src/cell/coordinator_stops.cpp
+++ b/src/cell/coordinator_stops.cpp
@@ -86,7 +86,7 @@
     task_run& run = task.run;
     const instant now = with_.time.now();
     const bool again = run.pace_doubted_until && now - run.pace_sent_at >= pace_again;
-    if (run.now != task_run::phase::running || run.pace_in_flight ||
+    if (run.now == task_run::phase::starting || run.pace_in_flight ||
         (run.pace_wanted == run.pace_set && !again))
         return;
     run.pace_in_flight = true;
--- a/tests/cell/pace_test.cpp
+++ b/tests/cell/pace_test.cpp
@@ -55,7 +55,9 @@
         world_.submit(0, job, cell_world::make_job({filling}));
     }
     void run_for(duration span) { world_.time().run_for(span); }
+    void cancel(const std::string& job) { world_.cancel(0, job); }
     bool begun(const std::string& task) { return world_.watch().begun(task); }
+    bool has(const std::string& task) { return worker().has(task); }
 
     sim_worker& worker() { return *world_.fleet().workers.at("w0").worker; }
     sim_fleet& fleet() { return world_.fleet(); }
@@ -63,10 +65,10 @@
     std::uint64_t orders() {
         return world_.host(*world_.coordinator())->member().coordinating()->counts().paces;
     }
-    /// Runs until `reached`, 5 s at most.
+    /// Runs until `reached`, so long at most.
     template <class Reached>
-    bool run_until(const Reached& reached) {
-        for (duration span{}; span < seconds(5); span += step) {
+    bool run_until(const Reached& reached, duration longest = seconds(5)) {
+        for (duration span{}; span < longest; span += step) {
             world_.time().run_for(step);
             if (reached())
                 return true;
@@ -113,6 +115,8 @@
     CPPUNIT_TEST(a_lost_answer_leaves_no_task_standing_still);
     CPPUNIT_TEST(a_pace_is_ordered_again_in_doubt_only);
     CPPUNIT_TEST(nothing_that_fills_starts_beside_a_task_over_its_target);
+    CPPUNIT_TEST(a_run_that_is_being_stopped_harms_no_task);
+    CPPUNIT_TEST(a_new_run_waits_for_one_that_is_being_stopped);
     CPPUNIT_TEST_SUITE_END();
 
     /// Plays a story with many seeds: none may come to harm.
@@ -207,6 +211,29 @@
         cell.run_for(seconds(4));
         CPPUNIT_ASSERT(cell.begun("g.0.0.0"));
     }
+    /// Guards against a run at full speed for as long as the order to stop it is held up.
+    void a_run_that_is_being_stopped_harms_no_task() {
+        play([](shared_cell& cell) {
+            cell.fleet().late_stops = 1;
+            cell.cancel("f");
+            cell.run_for(milliseconds(100));
+            cell.worker().serving_load = high_load;
+            return cell.harm_within(seconds(20));
+        });
+    }
+    /// Guards against two runs beside a serving task where one was admitted: the one that is being
+    /// stopped works on until its end.
+    void a_new_run_waits_for_one_that_is_being_stopped() {
+        play([](shared_cell& cell) {
+            cell.fleet().late_stops = 1;
+            cell.cancel("f");
+            cell.submit_filling("g", 3000);
+            const auto either = [&] { return cell.begun("g.0.0.0") || !cell.has("f.0.0.0"); };
+            CPPUNIT_ASSERT(cell.run_until(either, longest_doubt));
+            CPPUNIT_ASSERT(!cell.has("f.0.0.0"));
+            return cell.harm_within(seconds(20));
+        });
+    }
     /// Each order is a call to a worker: without a lost answer none is the same as the one before,
     /// and a lost one is made up for once no late order can come any more.
     void a_pace_is_ordered_again_in_doubt_only() {
