--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -5,7 +5,7 @@
 target_compile_options(figwinch_flags INTERFACE
   -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wnon-virtual-dtor -Werror)
 if(FIGWINCH_SANITIZE)
-  add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  add_compile_options(-O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
   add_link_options(-fsanitize=address,undefined)
 endif()
 
