--- /dev/null
+++ b/tests/cell/repeats_test.cpp
@@ -0,0 +1,130 @@
+#include "tests/cell/recovery_fixture.h"
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Jobs whose steps run several times, each occurrence at its own time.
+class repeats_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(repeats_test);
+    CPPUNIT_TEST(occurrences_start_when_they_are_due);
+    CPPUNIT_TEST(occurrences_overlap);
+    CPPUNIT_TEST(occurrences_go_on_after_a_change_of_coordinator);
+    CPPUNIT_TEST(occurrences_that_were_missed_run_once_each);
+    CPPUNIT_TEST(steps_of_an_occurrence_keep_their_order);
+    CPPUNIT_TEST(no_occurrence_starts_after_a_cancellation);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::int64_t first_after_ms = 2000;
+    static constexpr std::int64_t interval_ms = 1500;
+    /// How much earlier than due an occurrence may start, and how much later it may as a rule.
+    static constexpr std::int64_t early_ms = 250;
+    static constexpr std::int64_t late_ms = 500;
+
+    std::int64_t submitted_ms_ = 0;
+
+    std::int64_t now_ms() { return world_.time().clock().wall_now().time_since_epoch().count(); }
+    job_spec repeated(std::uint32_t times, std::vector<step_spec> steps) {
+        job_spec job = cell_world::make_job(std::move(steps));
+        submitted_ms_ = now_ms();
+        job.repeats = times;
+        job.first_ms = submitted_ms_ + first_after_ms;
+        job.interval_ms = interval_ms;
+        return job;
+    }
+    static std::string task_of(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) {
+        return to_string(task_name{job_id("a"), occurrence, step, index});
+    }
+    /// Runs up to this long after the job was handed in.
+    void run_to(std::int64_t after_ms) {
+        world_.time().run_for(milliseconds(submitted_ms_ + after_ms - now_ms()));
+    }
+    bool begun(std::uint32_t occurrence) { return world_.watch().begun(task_of(occurrence, 0, 0)); }
+
+public:
+    /// Guards against occurrences before their time, and against ones that wait for the next look.
+    void occurrences_start_when_they_are_due() {
+        begin();
+        world_.submit(0, "a", repeated(3, {cell_world::make_step(2, 500)}));
+        for (std::uint32_t number = 0; number < 3; ++number) {
+            const std::int64_t due_ms = first_after_ms + number * interval_ms;
+            run_to(due_ms - early_ms);
+            CPPUNIT_ASSERT(!begun(number));
+            run_to(due_ms + late_ms);
+            CPPUNIT_ASSERT(begun(number));
+        }
+        world_.time().run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, world_.watch().starts);
+        kept_the_rules();
+    }
+    /// Guards against an occurrence that waits for the one before.
+    void occurrences_overlap() {
+        begin();
+        step_spec step = cell_world::make_step(1, 500);
+        step.filling = true;
+        world_.watch().filling_length = seconds(10);
+        world_.submit(0, "a", repeated(3, {step}));
+        run_to(first_after_ms + 2 * interval_ms + late_ms);
+        for (std::uint32_t number = 0; number < 3; ++number)
+            CPPUNIT_ASSERT(world_.watch().runs(task_of(number, 0, 0)));
+        kept_the_rules();
+    }
+    /// Guards against a successor that counts occurrences from the beginning or forgets some.
+    void occurrences_go_on_after_a_change_of_coordinator() {
+        begin();
+        world_.submit(0, "a", repeated(5, {cell_world::make_step(2, 500)}));
+        run_to(first_after_ms + interval_ms + late_ms);
+        world_.kill_host(*world_.coordinator());
+        run_to(first_after_ms + 5 * interval_ms + 6000);
+        for (std::uint32_t number = 0; number < 5; ++number)
+            for (std::uint32_t index = 0; index < 2; ++index)
+                CPPUNIT_ASSERT(world_.watch().ended_well(task_of(number, 0, index)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, world_.watch().starts);
+        kept_the_rules();
+    }
+    /// Guards against occurrences that were due while all hosts were away and are left out.
+    void occurrences_that_were_missed_run_once_each() {
+        begin();
+        world_.submit(0, "a", repeated(3, {cell_world::make_step(1, 500)}));
+        run_to(first_after_ms - 1000);
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.kill_host(host);
+        run_to(first_after_ms + 3 * interval_ms);
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.start_host(host);
+        world_.time().run_for(seconds(10));
+        for (std::uint32_t number = 0; number < 3; ++number)
+            CPPUNIT_ASSERT(world_.watch().ended_well(task_of(number, 0, 0)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, world_.watch().starts);
+        kept_the_rules();
+    }
+    /// Guards against a step that takes another occurrence's end for its own.
+    void steps_of_an_occurrence_keep_their_order() {
+        begin();
+        step_spec second = cell_world::make_step(2, 500);
+        second.after = {0};
+        world_.watch().long_tasks = true;
+        world_.submit(0, "a", repeated(4, {cell_world::make_step(3, 500), second}));
+        run_to(first_after_ms + 4 * interval_ms + 6000);
+        for (std::uint32_t number = 0; number < 4; ++number)
+            CPPUNIT_ASSERT(world_.watch().ended_well(task_of(number, 1, 1)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, world_.watch().starts);
+        kept_the_rules();
+    }
+    void no_occurrence_starts_after_a_cancellation() {
+        begin();
+        world_.submit(0, "a", repeated(5, {cell_world::make_step(1, 500)}));
+        run_to(first_after_ms + late_ms);
+        world_.cancel(0, "a");
+        run_to(first_after_ms + 6 * interval_ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world_.watch().starts);
+        kept_the_rules();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(repeats_test);
+
+} // namespace
+} // namespace figwinch::sim
