Pass bytes of a test's link through one buffer

Cause: `slow_link::pass` made and zeroed a string of what a connection may take in a turn. Beside other work a turn of the link takes longer than the 700 ms of an order, so that the stand-in of a fast link was the slowest part.

Change: one buffer, kept. The bytes that pass in a turn are the same.

--- a/tests/net/slow_link.cpp
+++ b/tests/net/slow_link.cpp
@@ -62,14 +62,19 @@
 }
 
 std::size_t slow_link::pass(int from, int to, std::size_t most) {
-    if (most == 0)
-        return 0;
-    std::string bytes(most, '\0');
-    const auto count = recv(from, bytes.data(), bytes.size(), MSG_DONTWAIT);
-    if (count <= 0)
-        return 0;
-    send(to, bytes.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL);
-    return static_cast<std::size_t>(count);
+    std::size_t passed = 0;
+    while (passed < most) {
+        const std::size_t wanted = std::min(most - passed, buffer_.size());
+        const auto count = recv(from, buffer_.data(), wanted, MSG_DONTWAIT);
+        if (count <= 0)
+            break;
+        const auto bytes = static_cast<std::size_t>(count);
+        send(to, buffer_.data(), bytes, MSG_NOSIGNAL);
+        passed += bytes;
+        if (bytes < wanted)
+            break;
+    }
+    return passed;
 }
 
 } // namespace figwinch
--- a/tests/net/slow_link.h
+++ b/tests/net/slow_link.h
@@ -30,7 +30,7 @@
 
     void accept_one();
     void pass_on();
-    static std::size_t pass(int from, int to, std::size_t most);
+    std::size_t pass(int from, int to, std::size_t most);
 
     event_loop& loop_;
     std::uint16_t server_port_;
@@ -40,6 +40,8 @@
     std::unique_ptr<event_handle> accepting_;
     std::unique_ptr<event_handle> passing_;
     std::vector<pair> pairs_;
+    /// Kept from turn to turn: a fast link looks at every connection in each.
+    std::vector<char> buffer_ = std::vector<char>(std::size_t{64} * 1024);
 };
 
 } // namespace figwinch
