Send an append to the progress stream again before it times out

What callers saw, or would: while answers of the log are lost, every start and every end of a task waits for the one append whose answer is lost: 500 ms until it times out and 150 ms more, while the log takes all other appends.

`a_lost_answer_holds_up_what_follows_for_less_than_callers_notice` fails without repeats (one of two records after 250 ms, the objective of interactive jobs).

Change: a batch without an answer for 100 ms, and for four times what the answer before it took, is sent again beside the first append, three at most. The log takes a batch once, whatever the number of appends: its sequence number says so. A log that became slow gets two more appends, then its own pace counts (`a_log_that_became_slow_gets_few_repeats`).

Ruled out: a shorter time-out of appends, which would give up on slow logs; two batches on their way, which the order of records forbids.

--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -9,9 +9,10 @@
 namespace figwinch {
 
 /// The coordinator's one writer to the progress stream. Gathers records and appends them in
-/// batches, one batch at a time, each under the epoch and a sequence number: a batch whose answer
-/// was lost is sent again and takes effect once, and a deposed coordinator's batches are refused.
-/// Owned by the coordinator's host for one reign.
+/// batches, one batch at a time, each under the epoch and a sequence number: a batch that is sent
+/// again takes effect once, and a deposed coordinator's batches are refused. A batch without an
+/// answer for several times the usual is sent again beside the first append, since all that follows
+/// waits for it. Owned by the coordinator's host for one reign.
 class progress_writer {
 public:
     /// `applied` gets each record once the log has it, in order; `deposed` is called when a higher
@@ -30,7 +31,7 @@
     /// Sends what waits, when it is time.
     void tick();
 
-    bool is_idle() const { return waiting_.empty() && !in_flight_; }
+    bool is_idle() const { return waiting_.empty() && !is_on_its_way(); }
     /// Records that the log hasn't confirmed.
     std::size_t unconfirmed() const { return waiting_.size() + batch_.size(); }
 
@@ -40,7 +41,11 @@
         std::vector<std::function<void()>> committed;
     };
 
+    bool is_on_its_way() const { return appends_on_way_ > 0; }
+    bool may_repeat() const;
+    void take_batch();
     void send();
+    void append_batch();
     void take(const append_result& result);
     void commit(std::uint64_t offset);
     void depose();
@@ -53,10 +58,16 @@
     std::deque<entry> waiting_;
     std::vector<entry> batch_;
     std::function<void(std::uint64_t)> fenced_;
-    bool in_flight_ = false;
+    /// Appends of the present batch without an answer.
+    std::size_t appends_on_way_ = 0;
     bool stopped_ = false;
     std::uint64_t sequence_ = 0;
+    /// Goes up when a batch is settled: answers to its other appends are dropped.
+    std::uint64_t settled_ = 0;
     instant next_send_{};
+    instant next_repeat_{};
+    /// What the newest answer took.
+    duration answer_time_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -10,6 +10,11 @@
 // batch every 25 ms gathers four, and callers see a job's end 12 ms later on average.
 constexpr duration batch_period = std::chrono::milliseconds(25);
 constexpr duration retry_period = std::chrono::milliseconds(150);
+// An answer that takes longer than this and than several times the one before it may be lost.
+constexpr duration least_repeat_after = std::chrono::milliseconds(100);
+constexpr int repeat_factor = 4;
+// A log that became slow gets no more than these of one batch.
+constexpr std::size_t most_on_way = 3;
 constexpr std::size_t most_records = 500;
 // Passes a link of 1 Mbit/s in a second: what follows waits for it.
 constexpr std::size_t most_bytes = std::size_t{128} * 1024;
@@ -46,39 +51,64 @@
 }
 
 void progress_writer::tick() {
-    if (in_flight_ || stopped_ || time_.now() < next_send_)
+    if (stopped_)
+        return;
+    if (is_on_its_way()) {
+        if (may_repeat())
+            append_batch();
+        return;
+    }
+    if (time_.now() < next_send_)
         return;
     if (!batch_.empty() || fenced_ || !waiting_.empty())
         send();
 }
 
+bool progress_writer::may_repeat() const {
+    return appends_on_way_ < most_on_way && time_.now() >= next_repeat_;
+}
+
 void progress_writer::send() {
-    if (batch_.empty() && !fenced_) {
-        std::size_t bytes = 0;
-        while (!waiting_.empty() && batch_.size() < most_records && bytes < most_bytes) {
-            bytes += size_of(waiting_.front().record);
-            batch_.push_back(std::move(waiting_.front()));
-            waiting_.pop_front();
-        }
-        ++sequence_;
+    if (batch_.empty() && !fenced_)
+        take_batch();
+    next_send_ = time_.now() + batch_period;
+    append_batch();
+}
+
+void progress_writer::take_batch() {
+    std::size_t bytes = 0;
+    while (!waiting_.empty() && batch_.size() < most_records && bytes < most_bytes) {
+        bytes += size_of(waiting_.front().record);
+        batch_.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
     }
+    ++sequence_;
+}
+
+void progress_writer::append_batch() {
     std::vector<stored_record> records;
     for (const entry& waiting : batch_)
         records.push_back(waiting.record);
     append_guard guard;
     guard.epoch = epoch_;
     guard.sequence = sequence_;
-    in_flight_ = true;
-    next_send_ = time_.now() + batch_period;
+    const instant sent_at = time_.now();
+    next_repeat_ = sent_at + std::max(least_repeat_after, answer_time_ * repeat_factor);
+    ++appends_on_way_;
     log_.append(cell_stream::progress, records, guard,
-                [this, weak = std::weak_ptr(alive_)](const append_result& result) {
-                    if (!weak.expired())
-                        take(result);
+                [this, sent_at, batch = settled_,
+                 weak = std::weak_ptr(alive_)](const append_result& result) {
+                    if (weak.expired() || batch != settled_)
+                        return;
+                    if (result.fault != log_fault::silent)
+                        answer_time_ = time_.now() - sent_at;
+                    take(result);
                 });
 }
 
+/// A refusal or silence says nothing of the batch's other appends.
 void progress_writer::take(const append_result& result) {
-    in_flight_ = false;
+    --appends_on_way_;
     switch (result.fault) {
     case log_fault::none:
         return commit(result.offset);
@@ -91,6 +121,8 @@
 }
 
 void progress_writer::commit(std::uint64_t offset) {
+    ++settled_;
+    appends_on_way_ = 0;
     if (fenced_) {
         const auto done = std::exchange(fenced_, nullptr);
         return done(offset);
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST_SUITE(progress_writer_test);
     CPPUNIT_TEST(records_are_applied_in_order_and_once);
     CPPUNIT_TEST(a_batch_whose_answer_was_lost_takes_effect_once);
+    CPPUNIT_TEST(a_lost_answer_holds_up_what_follows_for_less_than_callers_notice);
+    CPPUNIT_TEST(a_log_that_became_slow_gets_few_repeats);
     CPPUNIT_TEST(a_fenced_writer_appends_nothing_more);
     CPPUNIT_TEST(a_barrier_waits_for_all_that_was_written);
     CPPUNIT_TEST_SUITE_END();
@@ -56,6 +58,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, applied_.size());
     }
+    /// Guards against a lost answer that holds up all later records until it has timed out: that is
+    /// longer than interactive jobs have.
+    void a_lost_answer_holds_up_what_follows_for_less_than_callers_notice() {
+        constexpr duration latency_target = milliseconds(250);
+        log_.lost_answers = 1;
+        writer_.write({"p1", "v", 0});
+        run_for(milliseconds(10));
+        log_.lost_answers = 0;
+        writer_.write({"p2", "v", 0});
+        run_for(latency_target);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stored());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, applied_.size());
+    }
+    /// Guards against repeats that lengthen the queue of a log which is slow.
+    void a_log_that_became_slow_gets_few_repeats() {
+        store_.service[cell_stream::progress] = milliseconds(300);
+        const std::size_t batches = 10;
+        for (std::size_t index = 0; index < batches; ++index) {
+            writer_.write({"p" + std::to_string(index), "v", 0});
+            run_for(milliseconds(2000));
+        }
+        CPPUNIT_ASSERT_EQUAL(batches, applied_.size());
+        CPPUNIT_ASSERT(log_.appends <= batches + 2);
+    }
     /// Story: a coordinator was frozen, its successor has fenced the stream. What the first one
     /// still had to write is refused, and it learns that it was deposed.
     void a_fenced_writer_appends_nothing_more() {
