Ask the coordinator before to end its reign and for what it ordered

What callers saw, or would: lasting tasks of workers out of reach, and tasks that were recorded for them and never ordered, wait for all that a coordinator may have done on its own after it lost the log: over 9 s after a loss of a worker, over 6 s for a record without an order.

Cause: the log can't tell what a coordinator ordered after its last record. It alone knows, and mostly it is alive and reaches the other hosts.

Change: the successor asks it over the bus, until it answers or can't act any more. It ends its reign with the answer and tells how long its orders to each worker hold by the slowest clock, and which lasting tasks no run of which can be anywhere. A reign that ended before it was asked is answered for too. `succession_test`: with nobody asked its first three tests fail, with nothing kept of an ended reign the fourth. One stays red: the coordinator is out of reach of the bus too.

Ruled out: an order that waits for a second record, which leaves the same doubt one record later; records of silence, which the coordinator couldn't write any more.

--- a/include/figwinch/cell.h
+++ b/include/figwinch/cell.h
@@ -21,6 +21,7 @@
 #include "figwinch/cell/reign.h"
 #include "figwinch/cell/step_spec.h"
 #include "figwinch/cell/stream_reads.h"
+#include "figwinch/cell/succession.h"
 #include "figwinch/cell/task_name.h"
 #include "figwinch/cell/worker_advisor.h"
 #include "figwinch/cell/worker_entry.h"
--- a/include/figwinch/cell/reign.h
+++ b/include/figwinch/cell/reign.h
@@ -65,6 +65,8 @@
     lease_epoch epoch() const { return epoch_; }
     /// Whether the reign before this one ended by resignation.
     bool follows_resignation() const { return follows_resignation_; }
+    /// Who held the reign before this one; nothing when it resigned or there was none.
+    const std::optional<reign_view>& predecessor() const { return predecessor_; }
     /// Until when coordinators before this reign may have acted: up to their resignation, or for
     /// `silence_limit` after their last record.
     instant predecessors_acted_until() const { return acted_until_; }
@@ -119,6 +121,7 @@
     instant next_try_{};
     instant confirmed_at_{};
     std::optional<reign_view> current_;
+    std::optional<reign_view> predecessor_;
     std::unique_ptr<resignation> resignation_;
     /// Expires with this object: answers that come later are dropped.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/figwinch/link/peer_message.h
+++ b/include/figwinch/link/peer_message.h
@@ -15,6 +15,8 @@
     exchange = 'x',
     /// A caller's question about jobs.
     question = 'q',
+    /// A coordinator asks its predecessor to end its reign.
+    succession = 's',
 };
 
 inline std::string encode_peer_message(peer_message kind, std::string_view body) {
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -30,6 +30,8 @@
     void tick() override;
     coordinator_counts counts() const override;
     coordinator_view view() const override;
+    reign_estate estate() const override;
+    void take_estate(const reign_estate& estate) override;
 
 private:
     void log_waiting() const;
@@ -132,6 +134,11 @@
     void move_stragglers_of(step_work& step);
     void move_straggler(task_work& task, bool still);
 
+    // coordinator_succession.cpp
+    std::optional<duration> time_left(const worker_work& worker) const;
+    void list_not_ordered(const job_work& job, std::vector<std::string>& names) const;
+    bool is_surely_not_ordered(const task_work& task) const;
+
     // coordinator_view.cpp
     static void count_tasks(const job_work& job, job_view& row);
     worker_standing standing_of(const worker_work& worker) const;
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -142,7 +142,7 @@
 /// the workers that the log names can have one: others, that are dark for seconds, don't hold it
 /// back.
 bool cell_coordinator::may_start(const task_work& task) const {
-    if (unresolved_.empty() || !task.job->may_run_elsewhere)
+    if (unresolved_.empty() || !task.job->may_run_elsewhere || task.not_ordered)
         return true;
     if (task.job->any_worker_in_doubt)
         return false;
--- a/src/cell/reign_records.cpp
+++ b/src/cell/reign_records.cpp
@@ -68,6 +68,7 @@
     if (record.what == reign_record::kind::claim && current_)
         count_current();
     if (resigned) {
+        predecessor_.reset();
         acted_until_ = std::max(acted_until_, written_by);
         prolonged_until_ = std::max(prolonged_until_, written_by);
     }
@@ -78,6 +79,7 @@
 /// The present holder is followed. One that is known to have ended ordered nothing after its last
 /// record.
 void reign::count_current() {
+    predecessor_ = current_;
     acted_until_ = std::max(acted_until_, heard_at_ + (vacant_ ? duration::zero() : silence_limit));
     prolonged_until_ =
         std::max(prolonged_until_, heard_at_ + (vacant_ ? duration::zero() : prolonging_limit));
--- a/src/cell/task_work.h
+++ b/src/cell/task_work.h
@@ -20,6 +20,8 @@
     task_progress progress;
     /// The log has `progress.ordered_to`.
     bool recorded = false;
+    /// The coordinator before has told that no run of it can be anywhere.
+    bool not_ordered = false;
     /// Where `run` is; nothing when no run of the task can be anywhere.
     worker_work* where = nullptr;
     task_run run;
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -4,6 +4,7 @@
 #include "figwinch/cell/record_codec.h"
 #include "figwinch/observe.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -143,6 +144,8 @@
     journal_->tick();
     if (!coordinator_)
         return;
+    if (predecessor_)
+        predecessor_->tick();
     pass_listing();
     // New jobs wait while the log doesn't confirm the reign (see `fresh_reign`).
     intake_.set_pace(reign_.is_fresh() ? leading_intake : following_intake);
@@ -226,6 +229,32 @@
     coordinator_->take_evacuated(evacuated_);
     listing_.take_changed();
     coordinator_->take_listing(listing_.rows());
+    ask_predecessor();
+}
+
+/// It may act on without the log for seconds, and it alone knows what it has ordered.
+void cell_member::ask_predecessor() {
+    const std::optional<reign_view>& before = reign_.predecessor();
+    if (!before || before->holder == self_ || coordinator_->counts().workers_unresolved == 0)
+        return;
+    predecessor_ = std::make_unique<predecessor_asker>(
+        time_, peers_, *before, prepared_, reign_.predecessors_acted_until(),
+        [this](const reign_estate& estate) { coordinator_->take_estate(estate); });
+}
+
+std::string cell_member::take_succession(std::string_view bytes) {
+    const auto question = decode_succession_question(bytes);
+    if (!question || question->holder != self_ || question->successor <= question->epoch)
+        return encode_estate(std::nullopt);
+    if (coordinator_ && question->epoch == prepared_)
+        end_reign();
+    if (!ended_ || ended_->epoch != question->epoch)
+        return encode_estate(std::nullopt);
+    reign_estate estate = ended_->estate;
+    for (held_worker& worker : estate.held)
+        if (worker.left)
+            *worker.left = std::max(duration::zero(), *worker.left - (time_.now() - ended_->at));
+    return encode_estate(estate);
 }
 
 void cell_member::end_reign() {
@@ -233,6 +262,9 @@
               {{"epoch", static_cast<std::int64_t>(prepared_.value())}});
     if (reign_.epoch() == prepared_)
         reign_.yield();
+    if (coordinator_)
+        ended_ = ended_reign{prepared_, coordinator_->estate(), time_.now()};
+    predecessor_.reset();
     coordinator_.reset();
     orders_.reset();
     roster_.reset();
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -4,6 +4,7 @@
 #include "cell_host/intake_writer.h"
 #include "cell_host/local_jobs.h"
 #include "cell_host/peer_jobs.h"
+#include "cell_host/predecessor_asker.h"
 #include "cell_host/question_server.h"
 #include "cell_host/reading_role.h"
 #include "cell_host/routed_jobs.h"
@@ -42,6 +43,8 @@
     void abandon_resignation() { reign_.abandon_resignation(); }
     /// A message of another host; returns the reply.
     std::string take_offer(std::string_view bytes);
+    /// Ends this host's reign when another asks that follows it.
+    std::string take_succession(std::string_view bytes);
     std::string take_exchange(std::string_view bytes) { return link_server_.exchange(bytes); }
     void take_question(std::string_view bytes, const std::function<void(std::string)>& reply) {
         questions_.handle(bytes, reply);
@@ -74,6 +77,12 @@
     duration operators_age() const { return time_.now() - operators_.current_at(); }
 
 private:
+    struct ended_reign {
+        lease_epoch epoch;
+        reign_estate estate;
+        instant at{};
+    };
+
     /// Whether this host could coordinate if it were elected.
     bool can_coordinate() const;
     void lead();
@@ -89,6 +98,7 @@
     void take_offer_reply(const std::optional<std::string>& bytes);
     void begin_reign();
     void start_coordinator(bool state_read);
+    void ask_predecessor();
     void end_reign();
     void take_operators(const stored_record& record);
     void pass_listing();
@@ -125,6 +135,10 @@
     /// While this host coordinates: who keeps copies.
     std::unique_ptr<reader_roster> roster_;
     std::unique_ptr<coordinator> coordinator_;
+    /// While workers of the reign before are in doubt.
+    std::unique_ptr<predecessor_asker> predecessor_;
+    /// Of the reign that this host ended last, for a successor that asks later.
+    std::optional<ended_reign> ended_;
     link_server link_server_;
     /// To whom this host offered itself last, and when it does again.
     std::string offered_to_;
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -35,9 +35,11 @@
     CPPUNIT_TEST(histories_of_hosts_that_ask_and_six_faults);
     CPPUNIT_TEST(lasting_tasks_that_were_recorded_without_an_order_run_in_time);
     CPPUNIT_TEST(a_lasting_task_recorded_beside_two_partings_runs_in_time);
+    CPPUNIT_TEST(a_lasting_task_recorded_before_a_freeze_runs_in_time);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t recorded_beside_partings = 4'001'194;
+    static constexpr std::uint64_t recorded_before_freeze = 4'003'866;
 
     /// Seeds of one kind of history; FIGWINCH_HISTORY_SEEDS plays others, for hunts by hand.
     static std::uint64_t seeds() {
@@ -57,7 +59,9 @@
         std::uint64_t starts = 0;
         std::string broken;
         // Seeds with a test of their own.
-        const auto is_noted = [](std::uint64_t seed) { return seed == recorded_beside_partings; };
+        const auto is_noted = [](std::uint64_t seed) {
+            return seed == recorded_beside_partings || seed == recorded_before_freeze;
+        };
         // Plays on after a fault, so that one seed that is known doesn't hide others.
         for (std::uint64_t seed = first; seed < first + count; ++seed) {
             if (is_noted(seed))
@@ -99,6 +103,10 @@
     void a_lasting_task_recorded_beside_two_partings_runs_in_time() {
         CPPUNIT_ASSERT_EQUAL(std::string(), play_history(recorded_beside_partings, 6).fault);
     }
+    /// Guards against the same after a coordinator that froze.
+    void a_lasting_task_recorded_before_a_freeze_runs_in_time() {
+        CPPUNIT_ASSERT_EQUAL(std::string(), play_history(recorded_before_freeze, 6).fault);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cell_history_test);
--- a/tests/cell/recovery_fixture.h
+++ b/tests/cell/recovery_fixture.h
@@ -19,7 +19,12 @@
 /// run again.
 class recovery_fixture : public CppUnit::TestFixture {
 protected:
-    cell_world world_{7, 3, 4, with_lease(std::chrono::seconds(10))};
+    recovery_fixture() : recovery_fixture(4, false) {}
+    /// `linked`: hosts reach one another over the bus.
+    recovery_fixture(std::size_t workers, bool linked)
+        : world_(7, 3, workers, with_lease(std::chrono::seconds(10)), linked) {}
+
+    cell_world world_;
 
     static job_spec lasting(std::uint32_t tasks) {
         step_spec step = cell_world::make_step(tasks, 1000);
--- /dev/null
+++ b/tests/cell/succession_test.cpp
@@ -0,0 +1,130 @@
+#include "tests/cell/recovery_fixture.h"
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t task_count = 8;
+
+/// What a successor learns from a coordinator that has lost the log and acts on.
+class succession_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(succession_test);
+    CPPUNIT_TEST(a_coordinator_parted_from_the_log_ends_for_its_successor);
+    CPPUNIT_TEST(tasks_of_a_lost_worker_dont_wait_for_a_coordinator_parted_from_the_log);
+    CPPUNIT_TEST(a_task_recorded_without_an_order_doesnt_wait_for_its_worker);
+    CPPUNIT_TEST(a_coordinator_that_wakes_to_its_end_tells_what_it_ordered);
+    CPPUNIT_TEST(a_task_recorded_without_an_order_by_a_coordinator_out_of_reach_runs_in_time);
+    CPPUNIT_TEST(an_estate_passes_the_bus_unchanged);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Begins with lasting tasks at work; returns the host that coordinates.
+    std::size_t begin_with_tasks() {
+        begin();
+        world_.submit(0, "a", lasting(task_count));
+        world_.time().run_for(seconds(3));
+        all_run("a", task_count);
+        return *world_.coordinator();
+    }
+    void part_from_log(std::size_t host) {
+        world_.host(host)->way_to_log().state = sim_log::way::silent;
+    }
+    /// The worker that the log names for the only task of job "b".
+    worker_id recorded() {
+        const auto job = decode_progress(record(record_kind::progress, "b"));
+        const bool known = job && job->occurrences.contains(0);
+        return known ? job->occurrences.at(0).steps.at(0).at(0).ordered_to : worker_id();
+    }
+    /// The log takes a new task's worker, and the answer is lost. Then the worker is out of reach;
+    /// returns the task.
+    std::string record_without_order(std::size_t coordinator) {
+        world_.host(coordinator)->way_to_log().lost_answers = 1;
+        world_.submit((coordinator + 1) % world_.hosts(), "b", lasting(1));
+        run_until([this] { return !recorded().empty(); });
+        world_.fleet().workers.at(recorded().str()).cut = true;
+        return task("b", 0);
+    }
+
+public:
+    succession_test() : recovery_fixture(3, true) {}
+
+    /// Guards against two coordinators that order side by side until the first one notices by
+    /// itself.
+    void a_coordinator_parted_from_the_log_ends_for_its_successor() {
+        const std::size_t first = begin_with_tasks();
+        part_from_log(first);
+        run_until([&] {
+            const auto acting = world_.coordinator();
+            return acting && *acting != first;
+        });
+        world_.time().run_for(milliseconds(500));
+        CPPUNIT_ASSERT(world_.host(first)->member().coordinating() == nullptr);
+        kept_the_rules();
+    }
+    /// Guards against a successor that reckons with leases which its predecessor hasn't prolonged,
+    /// since the worker was silent before.
+    void tasks_of_a_lost_worker_dont_wait_for_a_coordinator_parted_from_the_log() {
+        constexpr duration later = milliseconds(700);
+        const std::size_t first = begin_with_tasks();
+        lose("w1");
+        world_.time().run_for(later);
+        part_from_log(first);
+        world_.time().run_for(longest_after_loss - later);
+        all_run("a", task_count);
+        kept_the_rules();
+    }
+    /// Guards against a task that waits for a worker on which it was only recorded.
+    void a_task_recorded_without_an_order_doesnt_wait_for_its_worker() {
+        const std::size_t first = begin_with_tasks();
+        const std::string waiting = record_without_order(first);
+        part_from_log(first);
+        world_.time().run_for(longest_down);
+        CPPUNIT_ASSERT(world_.watch().runs(waiting));
+        kept_the_rules();
+    }
+    /// Guards against a coordinator that learns of its end from the log and forgets what it
+    /// ordered.
+    void a_coordinator_that_wakes_to_its_end_tells_what_it_ordered() {
+        const std::size_t first = begin_with_tasks();
+        const std::string waiting = record_without_order(first);
+        world_.host(first)->freeze_for(seconds(2));
+        world_.cut_from_peers(first, true);
+        constexpr duration awake = milliseconds(2500);
+        world_.time().run_for(awake);
+        CPPUNIT_ASSERT(world_.host(first)->member().coordinating() == nullptr);
+        world_.cut_from_peers(first, false);
+        world_.time().run_for(longest_down - awake);
+        CPPUNIT_ASSERT(world_.watch().runs(waiting));
+        kept_the_rules();
+    }
+    /// Guards against the same where nobody can tell that there was no order.
+    void a_task_recorded_without_an_order_by_a_coordinator_out_of_reach_runs_in_time() {
+        const std::size_t first = begin_with_tasks();
+        const std::string waiting = record_without_order(first);
+        part_from_log(first);
+        world_.cut_from_peers(first, true);
+        world_.time().run_for(longest_down);
+        kept_the_rules();
+        CPPUNIT_ASSERT(world_.watch().runs(waiting));
+    }
+    void an_estate_passes_the_bus_unchanged() {
+        reign_estate estate;
+        estate.held = {{worker_id("w1"), milliseconds(1500)}, {worker_id("w2"), std::nullopt}};
+        estate.not_ordered = {"a.0.0.1"};
+        const auto read = decode_estate(encode_estate(estate));
+        CPPUNIT_ASSERT(read);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->held.size());
+        CPPUNIT_ASSERT(read->held[0].left >= milliseconds(1500));
+        CPPUNIT_ASSERT(!read->held[1].left);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), read->not_ordered.at(0));
+        CPPUNIT_ASSERT(!decode_estate(encode_estate(std::nullopt)));
+        CPPUNIT_ASSERT(!decode_estate("\xff\xff"));
+        CPPUNIT_ASSERT(!decode_succession_question(""));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(succession_test);
+
+} // namespace
+} // namespace figwinch::sim
