Test a job that fails everywhere, and list one that never ends

docs/PROOFS.md called it not proved in the scheduler. With three workers for three attempts the job fails after three starts, and the next one is served.

--- a/tests/system/test_jobs.py
+++ b/tests/system/test_jobs.py
@@ -4,7 +4,7 @@
 import unittest
 
 from cluster import Cluster, is_ok
-from http_calls import call, state
+from http_calls import call, control, state
 from process import wait_for
 from programs import SOURCE
 
@@ -12,6 +12,8 @@
 SHORT_LEASES = ("--worker_lease_ms=4000", "--renew_ms=500", "--task_lease_ms=5000",
                 "--safety_margin_ms=500")
 CUSTOMER = {"Figwinch-Customer": "studio-a"}
+# Three attempts, each reported with the next report of its worker, and pauses between them.
+FAILED_IN_S = 30
 
 
 def job(name, tasks=1, work_ms=100, cpu_millis=1000):
@@ -95,3 +97,28 @@
         answer = self.submit(job("too-large", cpu_millis=512000))
         self.assertEqual(422, answer.status, answer.body)
         self.assertEqual(300, answer.json()["code"])
+
+    def fail_everywhere(self, workers):
+        """Runs a job of three attempts where all workers fail it, and then a sound one."""
+        region = self.start(centres=("a",), executors=1, workers=workers)
+        for _, _, address in region.workers:
+            control(address, "fail_all", on=True)
+        self.assertEqual(201, self.submit(job("broken")).status)
+        wait_for("the job to fail", lambda: self.shown("broken").get("state") == "failed",
+                 FAILED_IN_S)
+        starts = sum(history["starts"] for worker in self.worker_states()
+                     for history in worker["tasks"].values())
+        self.assertEqual(3, starts)
+        for _, _, address in region.workers:
+            control(address, "fail_all", on=False)
+        self.assertEqual(201, self.submit(job("sound")).status)
+        wait_for("the next job to end", lambda: self.shown("sound").get("state") == "finished")
+
+    # Guards against a job that fails everywhere and is tried without end, or takes the workers on
+    # which it failed from the jobs after it.
+    def test_a_job_that_fails_everywhere_ends_and_leaves_the_workers_usable(self):
+        self.fail_everywhere(3)
+
+    # Guards against a job that waits for a worker on which it hasn't failed, where there is none.
+    def test_a_job_with_more_attempts_than_workers_ends(self):
+        self.fail_everywhere(2)
