--- a/tests/cell/succession_test.cpp
+++ b/tests/cell/succession_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(succession_test);
     CPPUNIT_TEST(a_coordinator_parted_from_the_log_ends_for_its_successor);
     CPPUNIT_TEST(tasks_of_a_lost_worker_dont_wait_for_a_coordinator_parted_from_the_log);
+    CPPUNIT_TEST(tasks_of_a_lost_worker_dont_wait_anew_for_each_coordinator);
     CPPUNIT_TEST(a_task_recorded_without_an_order_doesnt_wait_for_its_worker);
     CPPUNIT_TEST(a_coordinator_that_wakes_to_its_end_tells_what_it_ordered);
     CPPUNIT_TEST(a_task_recorded_without_an_order_by_a_coordinator_out_of_reach_runs_in_time);
@@ -74,6 +75,22 @@
         all_run("a", task_count);
         kept_the_rules();
     }
+    /// Guards against a wait that begins again with each change of coordinator.
+    void tasks_of_a_lost_worker_dont_wait_anew_for_each_coordinator() {
+        constexpr duration first_parting = milliseconds(700);
+        constexpr duration second_parting = milliseconds(4000);
+        const std::size_t first = begin_with_tasks();
+        lose("w1");
+        world_.time().run_for(first_parting);
+        part_from_log(first);
+        world_.time().run_for(second_parting - first_parting);
+        const std::size_t second = *world_.acting();
+        CPPUNIT_ASSERT(second != first);
+        part_from_log(second);
+        world_.time().run_for(longest_after_loss - second_parting);
+        all_run("a", task_count);
+        kept_the_rules();
+    }
     /// Guards against a task that waits for a worker on which it was only recorded.
     void a_task_recorded_without_an_order_doesnt_wait_for_its_worker() {
         const std::size_t first = begin_with_tasks();
