--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -5,7 +5,7 @@
 #include "figwinch/cell/cell_state.h"
 #include "figwinch/cell/coordinator_view.h"
 #include "figwinch/cell/progress_writer.h"
-#include "figwinch/cell/succession.h"
+#include "figwinch/cell/step_down.h"
 #include "figwinch/cell/worker_advisor.h"
 #include "figwinch/cell/worker_orders.h"
 
@@ -86,9 +86,9 @@
     virtual void tick() = 0;
 
     /// What this reign leaves behind if it ends now.
-    virtual reign_estate estate() const = 0;
+    virtual outstanding_orders outstanding() const = 0;
     /// What the reign before left behind when it ended.
-    virtual void take_estate(const reign_estate& estate) = 0;
+    virtual void take_outstanding(const outstanding_orders& orders) = 0;
 
     virtual coordinator_counts counts() const = 0;
     virtual coordinator_view view() const = 0;
--- a/include/figwinch/cell/succession.h
+++ b/include/figwinch/cell/step_down.h
@@ -12,7 +12,7 @@
 
 /// A coordinator asks the holder of the reign before its own to end that reign, which the holder
 /// may not have learned from the log yet.
-struct succession_question {
+struct step_down_request {
     /// The life of the process that is asked, and the epoch of its reign.
     incarnation_id holder;
     lease_epoch epoch;
@@ -28,18 +28,18 @@
 };
 
 /// What a reign that ends leaves behind. Its holder orders nothing after that.
-struct reign_estate {
+struct outstanding_orders {
     std::vector<held_worker> held;
     /// Lasting tasks, by name, of which no run of this reign or an earlier one can be anywhere.
     std::vector<std::string> not_ordered;
 };
 
-std::string encode_succession_question(const succession_question& question);
+std::string encode_step_down_request(const step_down_request& request);
 /// Nothing on bytes that aren't one.
-std::optional<succession_question> decode_succession_question(std::string_view bytes);
+std::optional<step_down_request> decode_step_down_request(std::string_view bytes);
 
 /// Nothing: the host asked doesn't hold that reign, or hasn't coordinated in it.
-std::string encode_estate(const std::optional<reign_estate>& estate);
-std::optional<reign_estate> decode_estate(std::string_view bytes);
+std::string encode_outstanding(const std::optional<outstanding_orders>& orders);
+std::optional<outstanding_orders> decode_outstanding(std::string_view bytes);
 
 } // namespace figwinch
--- a/include/figwinch/link/peer_message.h
+++ b/include/figwinch/link/peer_message.h
@@ -16,7 +16,7 @@
     /// A caller's question about jobs.
     question = 'q',
     /// A coordinator asks its predecessor to end its reign.
-    succession = 's',
+    step_down = 's',
 };
 
 inline std::string encode_peer_message(peer_message kind, std::string_view body) {
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -30,8 +30,8 @@
     void tick() override;
     coordinator_counts counts() const override;
     coordinator_view view() const override;
-    reign_estate estate() const override;
-    void take_estate(const reign_estate& estate) override;
+    outstanding_orders outstanding() const override;
+    void take_outstanding(const outstanding_orders& orders) override;
 
 private:
     void log_waiting() const;
@@ -134,7 +134,7 @@
     void move_stragglers_of(step_work& step);
     void move_straggler(task_work& task, bool still);
 
-    // coordinator_succession.cpp
+    // coordinator_step_down.cpp
     std::optional<duration> time_left(const worker_work& worker) const;
     void list_not_ordered(const job_work& job, std::vector<std::string>& names) const;
     bool is_surely_not_ordered(const task_work& task) const;
--- a/src/cell/coordinator_succession.cpp
+++ b/src/cell/coordinator_step_down.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-reign_estate cell_coordinator::estate() const {
-    reign_estate left;
+outstanding_orders cell_coordinator::outstanding() const {
+    outstanding_orders left;
     const instant now = with_.time.now();
     for (const auto& [id, worker] : workers_)
         if (worker->heard || !worker->tasks.empty())
@@ -62,10 +62,10 @@
 
 /// What the predecessor knows of its own orders bounds them closer than the log does. A start that
 /// reached another life of a worker isn't bounded by times on the clock of the life before.
-void cell_coordinator::take_estate(const reign_estate& estate) {
+void cell_coordinator::take_outstanding(const outstanding_orders& orders) {
     const instant now = with_.time.now();
     absl::flat_hash_map<worker_id, std::optional<duration>> left;
-    for (const held_worker& held : estate.held) {
+    for (const held_worker& held : orders.held) {
         const auto [known, added] = left.try_emplace(held.id, held.left);
         if (!added)
             known->second = held.left && known->second
@@ -79,7 +79,7 @@
         if (held != left.end() && held->second && !reborn)
             until = std::min(until, now + *held->second);
     }
-    for (const std::string& name : estate.not_ordered) {
+    for (const std::string& name : orders.not_ordered) {
         const auto parsed = parse_task_name(name);
         if (task_work* const task = parsed ? find_task(*parsed) : nullptr)
             task->not_ordered = has_own_record(*task->step->spec);
@@ -87,8 +87,8 @@
     placement_due_ = true;
     log_event(log_level::info, "predecessor_ended",
               {{"epoch", static_cast<std::int64_t>(epoch_.value())},
-               {"workers", static_cast<std::int64_t>(estate.held.size())},
-               {"tasks_not_ordered", static_cast<std::int64_t>(estate.not_ordered.size())}});
+               {"workers", static_cast<std::int64_t>(orders.held.size())},
+               {"tasks_not_ordered", static_cast<std::int64_t>(orders.not_ordered.size())}});
 }
 
 } // namespace figwinch
--- a/src/cell_host/cell_host.cpp
+++ b/src/cell_host/cell_host.cpp
@@ -104,8 +104,8 @@
         return reply(member_.take_offer(body));
     case peer_message::exchange:
         return reply(member_.take_exchange(body));
-    case peer_message::succession:
-        return reply(member_.take_succession(body));
+    case peer_message::step_down:
+        return reply(member_.take_step_down(body));
     case peer_message::question:
         return member_.take_question(body, reply);
     }
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -44,7 +44,7 @@
     /// A message of another host; returns the reply.
     std::string take_offer(std::string_view bytes);
     /// Ends this host's reign when another asks that follows it.
-    std::string take_succession(std::string_view bytes);
+    std::string take_step_down(std::string_view bytes);
     std::string take_exchange(std::string_view bytes) { return link_server_.exchange(bytes); }
     void take_question(std::string_view bytes, const std::function<void(std::string)>& reply) {
         questions_.handle(bytes, reply);
@@ -79,7 +79,7 @@
 private:
     struct ended_reign {
         lease_epoch epoch;
-        reign_estate estate;
+        outstanding_orders orders;
         instant at{};
     };
 
--- a/src/cell_host/cell_member_reign.cpp
+++ b/src/cell_host/cell_member_reign.cpp
@@ -138,22 +138,22 @@
         return;
     predecessor_ = std::make_unique<predecessor_asker>(
         time_, peers_, *before, prepared_, reign_.predecessors_acted_until(),
-        [this](const reign_estate& estate) { coordinator_->take_estate(estate); });
+        [this](const outstanding_orders& orders) { coordinator_->take_outstanding(orders); });
 }
 
-std::string cell_member::take_succession(std::string_view bytes) {
-    const auto question = decode_succession_question(bytes);
-    if (!question || question->holder != self_ || question->successor <= question->epoch)
-        return encode_estate(std::nullopt);
-    if (coordinator_ && question->epoch == prepared_)
+std::string cell_member::take_step_down(std::string_view bytes) {
+    const auto request = decode_step_down_request(bytes);
+    if (!request || request->holder != self_ || request->successor <= request->epoch)
+        return encode_outstanding(std::nullopt);
+    if (coordinator_ && request->epoch == prepared_)
         end_reign();
-    if (!ended_ || ended_->epoch != question->epoch)
-        return encode_estate(std::nullopt);
-    reign_estate estate = ended_->estate;
-    for (held_worker& worker : estate.held)
+    if (!ended_ || ended_->epoch != request->epoch)
+        return encode_outstanding(std::nullopt);
+    outstanding_orders orders = ended_->orders;
+    for (held_worker& worker : orders.held)
         if (worker.left)
             *worker.left = std::max(duration::zero(), *worker.left - (time_.now() - ended_->at));
-    return encode_estate(estate);
+    return encode_outstanding(orders);
 }
 
 void cell_member::end_reign() {
@@ -162,7 +162,7 @@
     if (reign_.epoch() == prepared_)
         reign_.yield();
     if (coordinator_)
-        ended_ = ended_reign{prepared_, coordinator_->estate(), time_.now()};
+        ended_ = ended_reign{prepared_, coordinator_->outstanding(), time_.now()};
     predecessor_.reset();
     coordinator_.reset();
     orders_.reset();
--- a/src/cell_host/predecessor_asker.cpp
+++ b/src/cell_host/predecessor_asker.cpp
@@ -14,11 +14,11 @@
 predecessor_asker::predecessor_asker(const clock& time, peer_asker& peers,
                                      const reign_view& predecessor, lease_epoch epoch,
                                      instant acts_until,
-                                     std::function<void(const reign_estate&)> take)
+                                     std::function<void(const outstanding_orders&)> take)
     : time_(time), peers_(peers), where_(predecessor.bus_address),
       message_(encode_peer_message(
-          peer_message::succession,
-          encode_succession_question({predecessor.holder, predecessor.epoch, epoch}))),
+          peer_message::step_down,
+          encode_step_down_request({predecessor.holder, predecessor.epoch, epoch}))),
       acts_until_(acts_until), take_(std::move(take)) {}
 
 void predecessor_asker::tick() {
@@ -36,11 +36,12 @@
 
 void predecessor_asker::take_reply(const std::optional<std::string>& bytes) {
     in_flight_ = false;
-    const std::optional<reign_estate> estate = bytes ? decode_estate(*bytes) : std::nullopt;
-    if (!estate)
+    const std::optional<outstanding_orders> orders =
+        bytes ? decode_outstanding(*bytes) : std::nullopt;
+    if (!orders)
         return;
     answered_ = true;
-    take_(*estate);
+    take_(*orders);
 }
 
 } // namespace figwinch
--- a/src/cell_host/predecessor_asker.h
+++ b/src/cell_host/predecessor_asker.h
@@ -16,7 +16,7 @@
     /// `peers` outlives it; `take` is called at most once, from a reply.
     predecessor_asker(const clock& time, peer_asker& peers, const reign_view& predecessor,
                       lease_epoch epoch, instant acts_until,
-                      std::function<void(const reign_estate&)> take);
+                      std::function<void(const outstanding_orders&)> take);
 
     void tick();
     bool is_answered() const { return answered_; }
@@ -29,7 +29,7 @@
     std::string where_;
     std::string message_;
     instant acts_until_;
-    std::function<void(const reign_estate&)> take_;
+    std::function<void(const outstanding_orders&)> take_;
     bool answered_ = false;
     bool in_flight_ = false;
     instant next_ask_{};
--- a/src/simulation/sim_host.h
+++ b/src/simulation/sim_host.h
@@ -84,8 +84,8 @@
         const auto kind = static_cast<peer_message>(message.front());
         if (kind == peer_message::offer)
             return reply(member_.take_offer(body));
-        if (kind == peer_message::succession)
-            return reply(member_.take_succession(body));
+        if (kind == peer_message::step_down)
+            return reply(member_.take_step_down(body));
         if (kind == peer_message::question)
             return member_.take_question(body, reply);
         reply(member_.take_exchange(body));
--- a/tests/cell/succession_test.cpp
+++ b/tests/cell/step_down_test.cpp
@@ -9,15 +9,15 @@
 constexpr std::uint32_t task_count = 8;
 
 /// What a successor learns from a coordinator that has lost the log and acts on.
-class succession_test : public recovery_fixture {
-    CPPUNIT_TEST_SUITE(succession_test);
+class step_down_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(step_down_test);
     CPPUNIT_TEST(a_coordinator_parted_from_the_log_ends_for_its_successor);
     CPPUNIT_TEST(tasks_of_a_lost_worker_dont_wait_for_a_coordinator_parted_from_the_log);
     CPPUNIT_TEST(tasks_of_a_lost_worker_dont_wait_anew_for_each_coordinator);
     CPPUNIT_TEST(a_task_recorded_without_an_order_doesnt_wait_for_its_worker);
     CPPUNIT_TEST(a_coordinator_that_wakes_to_its_end_tells_what_it_ordered);
     CPPUNIT_TEST(a_task_recorded_without_an_order_by_a_coordinator_out_of_reach_runs_in_time);
-    CPPUNIT_TEST(an_estate_passes_the_bus_unchanged);
+    CPPUNIT_TEST(outstanding_orders_pass_the_bus_unchanged);
     CPPUNIT_TEST_SUITE_END();
 
     /// Begins with lasting tasks at work; returns the host that coordinates.
@@ -48,7 +48,7 @@
     }
 
 public:
-    succession_test() : recovery_fixture(3, true) {}
+    step_down_test() : recovery_fixture(3, true) {}
 
     /// Guards against two coordinators that order side by side until the first one notices by
     /// itself.
@@ -125,23 +125,23 @@
         kept_the_rules();
         CPPUNIT_ASSERT(world_.watch().runs(waiting));
     }
-    void an_estate_passes_the_bus_unchanged() {
-        reign_estate estate;
-        estate.held = {{worker_id("w1"), milliseconds(1500)}, {worker_id("w2"), std::nullopt}};
-        estate.not_ordered = {"a.0.0.1"};
-        const auto read = decode_estate(encode_estate(estate));
+    void outstanding_orders_pass_the_bus_unchanged() {
+        outstanding_orders orders;
+        orders.held = {{worker_id("w1"), milliseconds(1500)}, {worker_id("w2"), std::nullopt}};
+        orders.not_ordered = {"a.0.0.1"};
+        const auto read = decode_outstanding(encode_outstanding(orders));
         CPPUNIT_ASSERT(read);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->held.size());
         CPPUNIT_ASSERT(read->held[0].left >= milliseconds(1500));
         CPPUNIT_ASSERT(!read->held[1].left);
         CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), read->not_ordered.at(0));
-        CPPUNIT_ASSERT(!decode_estate(encode_estate(std::nullopt)));
-        CPPUNIT_ASSERT(!decode_estate("\xff\xff"));
-        CPPUNIT_ASSERT(!decode_succession_question(""));
+        CPPUNIT_ASSERT(!decode_outstanding(encode_outstanding(std::nullopt)));
+        CPPUNIT_ASSERT(!decode_outstanding("\xff\xff"));
+        CPPUNIT_ASSERT(!decode_step_down_request(""));
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(succession_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(step_down_test);
 
 } // namespace
 } // namespace figwinch::sim
