--- a/tests/system/run.py
+++ b/tests/system/run.py
@@ -10,15 +10,29 @@
 
 
 class Result(unittest.TextTestResult):
-    """Prints each failure in the form that tools/count_results reads."""
+    """Prints each failed test once, in the form that tools/count_results reads."""
+
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        self.failed = set()
+
+    def note_failure(self, test):
+        if test.id() not in self.failed:
+            print(f"{test.id()} : FAIL", flush=True)
+        self.failed.add(test.id())
 
     def addFailure(self, test, err):
         super().addFailure(test, err)
-        print(f"{test.id()} : FAIL", flush=True)
+        self.note_failure(test)
 
     def addError(self, test, err):
         super().addError(test, err)
-        print(f"{test.id()} : FAIL", flush=True)
+        self.note_failure(test)
+
+    def addSubTest(self, test, subtest, err):
+        super().addSubTest(test, subtest, err)
+        if err is not None:
+            self.note_failure(test)
 
 
 def main():
@@ -31,7 +45,7 @@
     else:
         tests = loader.discover(str(here))
     result = unittest.TextTestRunner(resultclass=Result, verbosity=2, stream=sys.stdout).run(tests)
-    failed = len(result.failures) + len(result.errors)
+    failed = len(result.failed)
     print(f"tests passed={result.testsRun - failed} failed={failed}")
     sys.exit(1 if failed or not result.testsRun else 0)
 
