Test a lasting task whose worker is lost at its start

What callers see: a lasting task has no run for over 10 s, though there is room for it.

The test loses the worker as the order to start is sent.

--- a/tests/cell/worker_loss_test.cpp
+++ b/tests/cell/worker_loss_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(tasks_of_a_worker_that_is_lost_with_the_coordinators_host_run_again);
     CPPUNIT_TEST(an_outage_of_the_log_ends_no_task);
     CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
+    CPPUNIT_TEST(a_task_whose_worker_is_lost_at_its_start_runs_elsewhere_in_time);
     CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
     CPPUNIT_TEST(room_is_kept_for_lasting_tasks_that_are_down);
@@ -124,6 +125,22 @@
         CPPUNIT_ASSERT(world_.watch().runs(failing));
         kept_the_rules();
     }
+    /// Guards against a start without an answer that is waited for as long as workers may grant.
+    void a_task_whose_worker_is_lost_at_its_start_runs_elsewhere_in_time() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(3));
+        const std::string failing = task_on("w0", "a", 8);
+        bool lost = false;
+        world_.fleet().on_start_sent = [&](const std::string& to, const std::string& started) {
+            if (started == failing && !std::exchange(lost, true))
+                lose(to);
+        };
+        worker("w0").fail_run(failing);
+        world_.time().run_for(longest_after_loss);
+        all_run("a", 8);
+        kept_the_rules();
+    }
     /// Story: lasting tasks that fill have all processors that others leave, for good. One more had
     /// no run for ever, though what fills doesn't count against a worker's processors.
     void lasting_tasks_that_fill_dont_wait_for_processors() {
