Bound a start without an answer by the life that can have got it

Cause: a start whose answer doesn't come was reckoned with for the longest lease that a worker grants, 10 s on the log yards, as if a later life of the worker could always have got it. Its worker, meant for the life that has just reported, was gone; what that life had is over with its lease, 5.2 s.

Ruled out: counting by the worker's lease alone.

Change: a connection that was open when a life was asked for a report, and that life has reported, leads to no later life. Only starts over other connections are reckoned with for the longest lease. `start_unanswered` says which.

--- a/include/figwinch/cell/worker_orders.h
+++ b/include/figwinch/cell/worker_orders.h
@@ -37,7 +37,9 @@
 struct order_answer {
     order_outcome outcome = order_outcome::unknown;
     /// The worker's clock, when it said.
-    std::optional<std::int64_t> clock_ms;
+    std::optional<std::int64_t> clock_ms{};
+    /// Whether another life of the worker than the one that was meant may have got the order.
+    bool may_reach_other_life = true;
 };
 
 /// An order to start one run.
@@ -53,6 +55,8 @@
     std::string ticket;
     /// Asked before an order that had to wait is sent: if not, it ends as `not_sent`. Empty: it is.
     std::function<bool()> still_wanted{};
+    /// The life of the worker that is meant.
+    std::uint64_t born_ms = 0;
 };
 
 /// An order to let a run work at a share of its speed.
--- a/include/figwinch/net/http_client.h
+++ b/include/figwinch/net/http_client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -41,6 +42,9 @@
     http_response response;
     /// For logs: "connect refused", "timeout", "truncated".
     std::string reason;
+    /// Since when the connection that carried the call has been kept alive after an answer; nothing
+    /// on its first call. Only what listened then can have got the request.
+    std::optional<instant> kept_since{};
 };
 
 /// How long a call may take.
--- a/include/figwinch/simulation/sim_orders.h
+++ b/include/figwinch/simulation/sim_orders.h
@@ -28,6 +28,9 @@
     double late_stops = 0;
     /// Sees every order to start as it is sent; whether it arrives is open.
     std::function<void(const std::string& worker, const std::string& task)> on_start_sent;
+    /// Whether a start goes over a connection that was open before, which ends with the worker's
+    /// life; else it reaches whichever life listens.
+    std::function<bool(run_number)> is_kept = [](run_number run) { return run.value() % 2 == 0; };
 };
 
 /// One host's way to the workers.
@@ -54,7 +57,7 @@
                 return;
             if (order.still_wanted())
                 return send_start(where, order, done);
-            done({order_outcome::not_sent, std::nullopt});
+            done({order_outcome::not_sent});
         });
     }
     void stop(const worker_listing& where, const std::string& task, run_number run,
@@ -108,14 +111,23 @@
         bool arrives = true;
         bool answered = true;
         bool late = false;
+        /// Lost when the worker it was sent to has begun another life.
+        bool one_life = false;
         duration delay = way;
     };
 
     void send_start(const worker_listing& where, const start_order& order,
                     const answer_handler& done) {
+        const bool kept = fleet_.is_kept(order.run) && order.born_ms == born_of(where);
         if (fleet_.on_start_sent)
             fleet_.on_start_sent(where.id.str(), order.task);
-        send(where, draw(where), done,
+        order_fate fate = draw(where);
+        fate.one_life = kept;
+        const auto tell = [done, kept](order_answer answer) {
+            answer.may_reach_other_life = !kept;
+            done(answer);
+        };
+        send(where, fate, tell,
              [order, &fleet = fleet_, &time = time_, id = where.id.str()](sim_worker& worker,
                                                                           bool late) {
                  if (!fleet.policy.takes(id, order.task, order.ticket, time.now()))
@@ -152,13 +164,16 @@
                 done(result);
         };
         if (!fate.answered)
-            time_.after(timeout, [answer] { answer({order_outcome::unknown, {}}); });
+            time_.after(timeout, [answer] { answer({order_outcome::unknown}); });
         if (fate.arrives)
             time_.after(fate.delay, [=, &time = time_, &fleet = fleet_, id = where.id.str(),
                                      born = born_of(where)] {
                 sim_worker& worker = *fleet.workers.at(id).worker;
                 // An order that waits in a worker's process ends with that process.
-                if (fate.late && worker.born_ms() != born)
+                const bool same_life = worker.born_ms() == born;
+                if (fate.one_life && !same_life && fate.answered)
+                    return time.after(timeout, [answer] { answer({order_outcome::unknown}); });
+                if ((fate.late || fate.one_life) && !same_life)
                     return;
                 const order_answer result = order(worker, fate.late);
                 if (fate.answered)
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -54,6 +54,7 @@
     const task_name name = name_of(task);
     start_order order{to_string(name),         run,    task.job->spec->payload, checkpoint,
                       task.run.start_until_ms, epoch_, ticket_for(task, worker)};
+    order.born_ms = worker.born_ms;
     order.still_wanted = [this, weak = std::weak_ptr(alive_), name, run, id = worker.listing.id,
                           born_ms = worker.born_ms] {
         return !weak.expired() && !deposed_ && is_start_wanted(name, run, id, born_ms);
@@ -97,6 +98,8 @@
     if (task == nullptr || worker == nullptr || task->where != worker || task->run.number != run)
         return;
     task_run& state = task->run;
+    if (!answer.may_reach_other_life)
+        state.may_live_until_ms = 0;
     switch (answer.outcome) {
     case order_outcome::done:
         if (state.now == task_run::phase::stopping)
@@ -106,7 +109,9 @@
         return;
     case order_outcome::unknown:
         log_event(log_level::warn, "start_unanswered",
-                  {{"task", to_string(name)}, {"worker", id.str()}});
+                  {{"task", to_string(name)},
+                   {"worker", id.str()},
+                   {"may_reach_other_life", answer.may_reach_other_life}});
         worker->rest_until = now + rest_after_refusal;
         if (state.now == task_run::phase::running)
             state.settled_at = now;
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -31,6 +31,7 @@
     answer.outcome = outcome_of(result);
     if (result.has_clock_ms())
         answer.clock_ms = result.clock_ms();
+    answer.may_reach_other_life = !result.one_life();
     return answer;
 }
 
@@ -53,6 +54,13 @@
     result.set_outcome(number_of(outcomes, outcome));
 }
 
+void put_answer(const order_answer& answer, pb::LinkResult& result) {
+    put_outcome(answer.outcome, result);
+    if (answer.clock_ms)
+        result.set_clock_ms(*answer.clock_ms);
+    result.set_one_life(!answer.may_reach_other_life);
+}
+
 void put_end(const ended_row& row, pb::LinkEnd& message) {
     message.set_number(row.number);
     message.set_task(row.task);
--- a/src/link/link_lane.cpp
+++ b/src/link/link_lane.cpp
@@ -77,6 +77,7 @@
     message.set_payload(payload);
     message.set_checkpoint(order.checkpoint);
     message.set_until_ms(order.until_ms);
+    message.set_born_ms(order.born_ms);
     message.set_ticket(order.ticket);
 }
 
--- a/src/link/link_session.cpp
+++ b/src/link/link_session.cpp
@@ -68,7 +68,7 @@
 void link_server::session::start(worker& to, const pb::LinkOrder& order) {
     const auto payload = payloads_.find(order.payload());
     if (payload == payloads_.end())
-        return answer_to(order)({order_outcome::not_sent, std::nullopt});
+        return answer_to(order)({order_outcome::not_sent});
     to.known_runs.insert(order.run());
     start_order what{order.task(),       run_number(order.run()), payload->second,
                      order.checkpoint(), order.until_ms(),        epoch_,
@@ -76,6 +76,7 @@
     what.still_wanted = [&time = time_, begun = time_.now()] {
         return time.now() - begun < longest_unsent;
     };
+    what.born_ms = order.born_ms();
     orders_.start(to.listing, what, answer_to(order));
 }
 
@@ -116,9 +117,7 @@
             return;
         pb::LinkResult& result = *self->results_.add_results();
         result.set_order(number);
-        put_outcome(answer.outcome, result);
-        if (answer.clock_ms)
-            result.set_clock_ms(*answer.clock_ms);
+        put_answer(answer, result);
     };
 }
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -254,6 +254,9 @@
 void client_connection::finish(call_result result, bool reusable) {
     const finished done = std::exchange(done_, nullptr);
     idle_since_ = system_clock().now();
+    result.kept_since = kept_since_;
+    if (reusable && !kept_since_)
+        kept_since_ = idle_since_;
     done(std::move(result), reusable);
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -52,6 +52,7 @@
     evhttp_connection* evcon_;
     std::function<void()> idle_closed_;
     instant idle_since_;
+    std::optional<instant> kept_since_;
 
     // The call in progress:
     finished done_;
--- a/tests/link/link_lane_test.cpp
+++ b/tests/link/link_lane_test.cpp
@@ -15,6 +15,7 @@
 class link_lane_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(link_lane_test);
     CPPUNIT_TEST(orders_reach_their_workers_and_answers_come_back);
+    CPPUNIT_TEST(a_start_that_reached_one_life_only_is_told_as_that);
     CPPUNIT_TEST(a_lost_lane_leaves_handed_over_orders_unknown);
     CPPUNIT_TEST(a_payload_is_handed_over_once_a_job);
     CPPUNIT_TEST(a_payload_that_both_ends_forgot_is_handed_over_again);
@@ -78,6 +79,23 @@
                                                 order_outcome::no_room}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, lane_.open());
     }
+    /// Guards against a lost worker's task that is waited for as if a later life had its start.
+    void a_start_that_reached_one_life_only_is_told_as_that() {
+        constexpr std::uint64_t born_ms = 1'750'000'000'000;
+        std::vector<bool> others;
+        start_order start = start_of("job1.0.0.3", 9);
+        start.born_ms = born_ms;
+        for (int count = 0; count < 2; ++count)
+            lane_.start(worker_, start, [&](const order_answer& answer) {
+                others.push_back(answer.may_reach_other_life);
+            });
+        exchange();
+        CPPUNIT_ASSERT_EQUAL(born_ms, workers_.starts.at(0).order.born_ms);
+        workers_.starts.at(0).done({order_outcome::unknown, std::nullopt, false});
+        workers_.starts.at(1).done({order_outcome::unknown, std::nullopt, true});
+        exchange();
+        CPPUNIT_ASSERT((others == std::vector{false, true}));
+    }
     /// Guards against a task that is started elsewhere while a host that is out of reach may still
     /// start it.
     void a_lost_lane_leaves_handed_over_orders_unknown() {
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(http_client_test);
     CPPUNIT_TEST(a_whole_answer_arrives);
     CPPUNIT_TEST(a_connection_is_used_again);
+    CPPUNIT_TEST(a_call_tells_since_when_its_connection_is_kept);
     CPPUNIT_TEST(a_server_that_closes_after_reading_sees_one_request);
     CPPUNIT_TEST(a_server_that_resets_after_reading_sees_one_request);
     CPPUNIT_TEST(a_kept_alive_connection_closed_on_the_second_request_is_not_resent);
@@ -103,6 +104,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->requests());
     }
 
+    void a_call_tells_since_when_its_connection_is_kept() {
+        serve_text(whole_answer, false);
+        CPPUNIT_ASSERT(!call().kept_since);
+        const instant answered = system_clock().now();
+        const call_result second = call();
+        const call_result third = call();
+        CPPUNIT_ASSERT(second.kept_since && *second.kept_since <= answered);
+        CPPUNIT_ASSERT(third.kept_since == second.kept_since);
+        client_->close_idle(duration::zero());
+        CPPUNIT_ASSERT(!call().kept_since);
+    }
+
     call_result call(const call_bounds& bounds) {
         std::optional<call_result> result;
         client_->call(ticket(), bounds, [&](call_result ended) { result = std::move(ended); });
--- a/tests/platform/worker_starts_test.cpp
+++ b/tests/platform/worker_starts_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(a_start_that_is_no_longer_wanted_at_its_turn_isnt_sent);
     CPPUNIT_TEST(a_start_that_is_sent_at_once_isnt_asked_about);
     CPPUNIT_TEST(a_silent_workers_start_stays_unknown);
+    CPPUNIT_TEST(a_start_over_a_connection_of_the_life_that_reported_reaches_no_other);
+    CPPUNIT_TEST(a_start_over_a_new_connection_may_reach_another_life);
+    CPPUNIT_TEST(a_start_for_an_earlier_life_may_reach_another);
     CPPUNIT_TEST_SUITE_END();
 
     event_loop loop_;
@@ -61,6 +64,51 @@
         return outcomes;
     }
 
+    static constexpr std::uint64_t born_ms = 1'750'000'000'000;
+
+    /// A worker that reports, and answers no start.
+    void start_reporting() {
+        auto listening = http_server::listen(
+            loop_, "127.0.0.1", 0, {},
+            [this](const http_request& asked, const std::shared_ptr<http_responder>& to) {
+                if (asked.path != "/figwinch/hold")
+                    return silent_.push_back(to);
+                http_response answer;
+                answer.body =
+                    R"({"clockMs":60000,"born":1750000000000,"running":[],"finished":[]})";
+                to->respond(std::move(answer));
+            });
+        CPPUNIT_ASSERT(listening.ok());
+        server_ = std::move(*listening);
+    }
+    worker_listing reporting_worker() const {
+        worker_listing worker;
+        worker.id = worker_id("worker");
+        worker.address = endpoint{"127.0.0.1", server_->port()};
+        return worker;
+    }
+    void report() {
+        calls_.hold(reporting_worker(), {}, [this](order_outcome outcome, const worker_report&) {
+            CPPUNIT_ASSERT(outcome == order_outcome::done);
+            loop_.stop();
+        });
+        loop_.run();
+    }
+    /// What is known of a start for a life that gets no answer.
+    order_answer start_of_life(std::uint64_t born) {
+        start_order order;
+        order.task = "5c0e7a21d94b36f8.0.1.13";
+        order.born_ms = born;
+        order_answer got;
+        calls_.start(reporting_worker(), order, [&](const order_answer& answer) {
+            got = answer;
+            loop_.stop();
+        });
+        loop_.run();
+        CPPUNIT_ASSERT(got.outcome == order_outcome::unknown);
+        return got;
+    }
+
 public:
     /// Guards against starts that go out when their time is over, after a worker's notice that it
     /// leaves, or when another host coordinates.
@@ -85,6 +133,30 @@
         auto outcomes = order(3, true);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, outcomes[order_outcome::unknown]);
     }
+    /// Guards against a lost worker's task that is waited for as if a later life had its start.
+    void a_start_over_a_connection_of_the_life_that_reported_reaches_no_other() {
+        start_reporting();
+        // The second is asked over the connection that the first has opened.
+        report();
+        report();
+        CPPUNIT_ASSERT(!start_of_life(born_ms).may_reach_other_life);
+    }
+    /// Guards against a task that runs twice since a later life of its worker got its start.
+    void a_start_over_a_new_connection_may_reach_another_life() {
+        start_reporting();
+        report();
+        report();
+        start_of_life(born_ms);
+        // That call timed out, and its connection is closed.
+        CPPUNIT_ASSERT(start_of_life(born_ms).may_reach_other_life);
+    }
+    /// Guards against the same where the coordinator hasn't heard of the later life.
+    void a_start_for_an_earlier_life_may_reach_another() {
+        start_reporting();
+        report();
+        report();
+        CPPUNIT_ASSERT(start_of_life(born_ms - 1).may_reach_other_life);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_starts_test);
