--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -79,6 +79,17 @@
         return newest;
     }
 
+    void add_worker(const std::string& name) {
+        sim_fleet::entry& entry = fleet_.workers[name];
+        entry.listing.id = worker_id(name);
+        entry.listing.service = service_id("s");
+        entry.listing.capacity = {4000, 16'384, 0};
+        entry.listing.data_centre = data_centre_id("dc-" + std::to_string(random_() % 2));
+        watch_.room[name] = entry.listing.capacity;
+        entry.worker = std::make_unique<sim_worker>(time_, watch_, name, 0.98 + 0.02 * draw_share(),
+                                                    settings_.max_hold);
+        list_worker(name, "ready");
+    }
     void list_worker(const std::string& name, const std::string& state) {
         store_.append(cell_stream::workers, {{name, state, 0}}, {});
     }
@@ -166,17 +177,6 @@
     lease_epoch epoch_of(std::size_t index) const {
         return hosts_[index]->member().election().epoch();
     }
-    void add_worker(const std::string& name) {
-        sim_fleet::entry& entry = fleet_.workers[name];
-        entry.listing.id = worker_id(name);
-        entry.listing.service = service_id("s");
-        entry.listing.capacity = {4000, 16'384, 0};
-        entry.listing.data_centre = data_centre_id("dc-" + std::to_string(random_() % 2));
-        watch_.room[name] = entry.listing.capacity;
-        entry.worker = std::make_unique<sim_worker>(time_, watch_, name, 0.98 + 0.02 * draw_share(),
-                                                    settings_.max_hold);
-        list_worker(name, "ready");
-    }
     std::shared_ptr<std::optional<intake_outcome>> write(std::size_t host,
                                                          std::vector<stored_record> records) {
         auto told = std::make_shared<std::optional<intake_outcome>>();
