Bound starts of a worker's earlier life by the clock of the later one

What callers saw: a worker starts again under its id while an order to start is on its way, reports once and is lost.

Cause: until when such a start may live is a time on the worker's clock, and stayed so when another life reported, whose clock begins anew. `end_lease` compared the two.

Ruled out: dropping the bound. The start may still reach the new life, which then grants a whole lease.

Change: `start_new_life` reckons it anew from the report's clock: a start's time and the longest lease.

--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -139,7 +139,7 @@
     if (worker->silent)
         end_silence(*worker);
     if (worker->born_ms != report.born_ms)
-        start_new_life(*worker, report.born_ms);
+        start_new_life(*worker, report);
     worker->clock.observe(report.clock_ms, now);
     // A predecessor may have held it until this moment, but not after: its orders are refused now.
     if (!std::exchange(worker->heard, true)) {
@@ -165,10 +165,10 @@
     return born_ms != 0 && (held == held_lives_.end() || held->second != born_ms);
 }
 
-void cell_coordinator::start_new_life(worker_work& worker, std::uint64_t born_ms) {
+void cell_coordinator::start_new_life(worker_work& worker, const worker_report& report) {
     if (worker.born_ms != 0)
         log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
-    worker.born_ms = born_ms;
+    worker.born_ms = report.born_ms;
     worker.clock = {};
     // Orders that were on their way to the earlier life may reach this one.
     worker.heard = false;
@@ -177,9 +177,14 @@
     worker.noted = 0;
     worker.failures_in_row = 0;
     // Times on the clock of the life before say nothing on the new one: an unanswered start may
-    // still be carried out until a stop is acknowledged.
-    for (task_work* const task : worker.tasks)
-        task->run.start_until_ms = std::numeric_limits<std::int64_t>::max();
+    // still be carried out until a stop is acknowledged, and lives for a whole lease from then on.
+    const duration longest = start_validity + settings_.max_hold;
+    for (task_work* const task : worker.tasks) {
+        task_run& run = task->run;
+        run.start_until_ms = std::numeric_limits<std::int64_t>::max();
+        if (run.may_live_until_ms != 0)
+            run.may_live_until_ms = report.clock_ms + longest.count() / 1000;
+    }
 }
 
 void cell_coordinator::take_silence(worker_work& worker) {
