Wait no longer lease for workers that no coordinator before has held

What callers saw: lasting tasks of a worker that came in this reign, and is lost within 5 s of its first report, have no run for 10.5 s where workers grant 10 s, instead of 5.5 s.

Cause: a worker whose life the log doesn't name counted as another life than the one that was held, which may have got a start that was meant for that one. But a coordinator records a worker before it orders anything there: what the log doesn't name, none before has used.

Change: only a worker that the log names with another life counts as that.

--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -159,10 +159,11 @@
 
 /// Whether a worker's life isn't the one that predecessors held. An order to start that was for the
 /// life before may have reached this one, which then granted a whole lease: the order's end is a
-/// time on the other life's clock.
+/// time on the other life's clock. Predecessors ordered nothing to workers that the log doesn't
+/// name.
 bool cell_coordinator::is_other_life(const worker_id& id, std::uint64_t born_ms) const {
     const auto held = held_lives_.find(id);
-    return born_ms != 0 && (held == held_lives_.end() || held->second != born_ms);
+    return born_ms != 0 && held != held_lives_.end() && held->second != born_ms;
 }
 
 void cell_coordinator::start_new_life(worker_work& worker, const worker_report& report) {
