End jobs that have more attempts than there are workers

What callers saw: a job that fails everywhere, with fewer workers in its data centre than attempts, stays queued for ever instead of failed.

Cause: place_task never gave a task back to a worker on which it had failed, and failure_policy counted one failure a worker. After one on each worker the task could neither start nor use up its attempts.

Ruled out: the policy's quarantine and the log.

Change: a task goes back to a worker that it failed on only when no other is left that is large enough, answers and isn't quarantined (full ones and those not held yet are waited for), to the one on which it failed least, and never as the trial of a quarantined one. Each attempt counts; repeated reports are told by the attempt. Calls of note_failed in tests name the attempt; no check changed. The text of code 304 says what is true now.

--- a/include/figwinch/config/manifest.h
+++ b/include/figwinch/config/manifest.h
@@ -78,7 +78,8 @@
     /// Declared run time of one task; often far off.
     duration work{};
     bool checkpointable = false;
-    /// Failures on different workers after which the job is failed.
+    /// Failures of one task after which the job is failed; on different workers as far as there
+    /// are.
     int max_attempts = 3;
     /// Data centres that may run it; empty: any.
     std::vector<data_centre_id> data_centres;
--- a/include/figwinch/learning/failure_policy.h
+++ b/include/figwinch/learning/failure_policy.h
@@ -19,11 +19,11 @@
     static std::unique_ptr<failure_policy> create(const settings& with);
     virtual ~failure_policy() = default;
 
-    /// A repeated report of one task's failure on one worker counts once.
+    /// A repeated report of one attempt counts once.
     /// `job` names the job as the task id does before its last slash, so that a success of the task
     /// clears the job.
-    virtual void note_failed(const worker_id& worker, const task_id& task, const job_id& job,
-                             instant now) = 0;
+    virtual void note_failed(const worker_id& worker, const task_id& task, attempt_number attempt,
+                             const job_id& job, instant now) = 0;
     virtual void note_succeeded(const worker_id& worker, const task_id& task, instant now) = 0;
     /// Whether the worker is in quarantine, trial or not.
     virtual bool is_quarantined(const worker_id& worker, instant now) const = 0;
@@ -33,10 +33,13 @@
     /// one task is let through as a trial, which this call counts; its failure doubles the
     /// quarantine, its success ends it.
     virtual bool admit(const worker_id& worker, instant now) = 0;
-    /// Failures of the task on different workers that were not in quarantine then or since.
+    /// Failures of the task on workers that were not in quarantine then or since.
     virtual int counted_failures(const task_id& task) const = 0;
-    /// Whether the task has failed on this worker before.
-    virtual bool failed_on(const task_id& task, const worker_id& worker) const = 0;
+    /// How often the task has failed on this worker.
+    virtual int failures_on(const task_id& task, const worker_id& worker) const = 0;
+    bool failed_on(const task_id& task, const worker_id& worker) const {
+        return failures_on(task, worker) > 0;
+    }
     /// Forgets a task that has ended for good.
     virtual void forget(const task_id& task) = 0;
 };
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -69,7 +69,7 @@
     result_info{rc::job_conflict, "job_conflict", 409, no, never,
                 "another job with this id and other contents exists"},
     result_info{rc::job_failed_everywhere, "job_failed_everywhere", 200, yes, never,
-                "the job failed on as many different workers as it may"},
+                "the job failed as often as it may, on different workers where there were some"},
     result_info{rc::no_scheduler, "no_scheduler", 503, no, 2s,
                 "no scheduler of this data centre answers"},
     result_info{rc::job_cancelled, "job_cancelled", 200, unknown, never, "the job was cancelled"},
--- a/src/learning/streak_failure_policy.cpp
+++ b/src/learning/streak_failure_policy.cpp
@@ -35,13 +35,14 @@
 }
 
 void streak_failure_policy::note_failed(const worker_id& worker, const task_id& task,
-                                        const job_id& job, instant now) {
+                                        attempt_number attempt, const job_id& job, instant now) {
     // A worker reports an end until it is acknowledged, which needs the log. During a trial the
     // report of an earlier failure would count as the outcome, and each one double the quarantine.
-    if (failed_on(task, worker))
+    const task_failures::failure* known = find_failure(task, worker);
+    if (known != nullptr && attempt <= known->attempt)
         return;
     worker_record& record = workers_.touch(worker);
-    remember(task, worker, !record.quarantined);
+    remember(task, worker, attempt, !record.quarantined);
     if (suspect(job, worker))
         release_wrongly_condemned();
     if (record.quarantined) {
@@ -103,28 +104,39 @@
     const task_failures* failures = tasks_.find(task);
     if (failures == nullptr)
         return 0;
-    return static_cast<int>(
-        std::ranges::count(failures->on_workers, true, &task_failures::failure::counted));
+    int sum = 0;
+    for (const task_failures::failure& failure : failures->on_workers)
+        sum += failure.counted;
+    return sum;
 }
 
-bool streak_failure_policy::failed_on(const task_id& task, const worker_id& worker) const {
+int streak_failure_policy::failures_on(const task_id& task, const worker_id& worker) const {
+    const task_failures::failure* failure = find_failure(task, worker);
+    return failure == nullptr ? 0 : failure->times;
+}
+
+const task_failures::failure* streak_failure_policy::find_failure(const task_id& task,
+                                                                  const worker_id& worker) const {
     const task_failures* failures = tasks_.find(task);
     if (failures == nullptr)
-        return false;
-    return std::ranges::find(failures->on_workers, worker, &task_failures::failure::worker) !=
-           failures->on_workers.end();
+        return nullptr;
+    const auto found =
+        std::ranges::find(failures->on_workers, worker, &task_failures::failure::worker);
+    return found == failures->on_workers.end() ? nullptr : &*found;
 }
 
-void streak_failure_policy::remember(const task_id& task, const worker_id& worker, bool counted) {
+void streak_failure_policy::remember(const task_id& task, const worker_id& worker,
+                                     attempt_number attempt, bool counted) {
     std::vector<task_failures::failure>& failures = tasks_.touch(task).on_workers;
-    const auto same = std::ranges::find(failures, worker, &task_failures::failure::worker);
-    if (same != failures.end()) {
-        same->counted = same->counted || counted;
-        return;
+    auto same = std::ranges::find(failures, worker, &task_failures::failure::worker);
+    if (same == failures.end()) {
+        if (failures.size() >= max_failures)
+            failures.erase(failures.begin());
+        same = failures.insert(failures.end(), {worker, attempt});
     }
-    if (failures.size() >= max_failures)
-        failures.erase(failures.begin());
-    failures.push_back({worker, counted});
+    same->attempt = attempt;
+    ++same->times;
+    same->counted += counted ? 1 : 0;
 }
 
 bool streak_failure_policy::suspect(const job_id& job, const worker_id& worker) {
@@ -181,7 +193,7 @@
     tasks_.for_each([&worker](const task_id&, task_failures& failures) {
         for (task_failures::failure& failure : failures.on_workers) {
             if (failure.worker == worker)
-                failure.counted = false;
+                failure.counted = 0;
         }
     });
 }
--- a/src/learning/streak_failure_policy.h
+++ b/src/learning/streak_failure_policy.h
@@ -14,18 +14,20 @@
 public:
     explicit streak_failure_policy(const settings& with);
 
-    void note_failed(const worker_id& worker, const task_id& task, const job_id& job,
-                     instant now) override;
+    void note_failed(const worker_id& worker, const task_id& task, attempt_number attempt,
+                     const job_id& job, instant now) override;
     void note_succeeded(const worker_id& worker, const task_id& task, instant now) override;
     bool is_quarantined(const worker_id& worker, instant now) const override;
     bool would_admit(const worker_id& worker, instant now) const override;
     bool admit(const worker_id& worker, instant now) override;
     int counted_failures(const task_id& task) const override;
-    bool failed_on(const task_id& task, const worker_id& worker) const override;
+    int failures_on(const task_id& task, const worker_id& worker) const override;
     void forget(const task_id& task) override { tasks_.erase(task); }
 
 private:
-    void remember(const task_id& task, const worker_id& worker, bool counted);
+    const task_failures::failure* find_failure(const task_id& task, const worker_id& worker) const;
+    void remember(const task_id& task, const worker_id& worker, attempt_number attempt,
+                  bool counted);
     /// Adds to the job's suspicion and says whether that has just made it suspect.
     bool suspect(const job_id& job, const worker_id& worker);
     bool is_suspect(const job_id& job) const;
--- a/src/learning/task_failures.h
+++ b/src/learning/task_failures.h
@@ -10,8 +10,11 @@
 struct task_failures {
     struct failure {
         worker_id worker;
-        /// False once the worker rather than the task is held to be the cause.
-        bool counted = true;
+        /// The newest attempt that failed here.
+        attempt_number attempt{};
+        int times = 0;
+        /// How many of them count; none once the worker is held to be the cause.
+        int counted = 0;
     };
     /// At most one entry for each worker.
     std::vector<failure> on_workers;
--- a/src/scheduler/core_placement.cpp
+++ b/src/scheduler/core_placement.cpp
@@ -11,6 +11,8 @@
 
 /// How much a second task of one job on a worker, or on a rack, counts against it.
 constexpr double same_worker_cost = 0.05;
+/// How much each failure of the task on a worker counts against it: more than all other costs.
+constexpr double failed_there_cost = 10;
 
 std::int64_t in_ms(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -91,34 +93,58 @@
 scheduler_core::placing scheduler_core::place_task(job_entry& job, int index, const resources& size,
                                                    instant now) {
     const task_id task = make_task_id(job.key, index);
-    // A task that has failed on every worker with room must not keep others of its size waiting.
+    // A task that may run on no worker with room must not keep others of its size waiting.
     placing failing = placing::no_room;
     const auto cost = [&](const worker_room& room) -> std::optional<double> {
         if (!leases_.may_start(room.worker, now))
             return std::nullopt;
         if (policies_.failures && !policies_.failures->would_admit(room.worker, now))
             return std::nullopt;
-        const bool had_it =
-            leases_.find(room.worker)->tasks.contains(task) ||
-            (policies_.failures && policies_.failures->failed_on(task, room.worker));
+        const int failures =
+            policies_.failures ? policies_.failures->failures_on(task, room.worker) : 0;
+        const bool barred = leases_.find(room.worker)->tasks.contains(task) ||
+                            (failures > 0 && must_go_elsewhere(task, room.worker, size, now));
         const std::optional<double> neighbours =
             neighbour_cost(room.host, template_id(job.spec.template_name()), now);
-        if (had_it || !neighbours) {
+        if (barred || !neighbours) {
             failing = placing::unsuitable;
             return std::nullopt;
         }
         const auto siblings = book_.active_on().find(room.worker);
         const std::size_t busy = siblings == book_.active_on().end() ? 0 : siblings->second.size();
-        return *neighbours + (busy > 0 ? same_worker_cost : 0);
+        return *neighbours + failed_there_cost * failures + (busy > 0 ? same_worker_cost : 0);
     };
     const std::optional<worker_id> worker = index_.best_fit(size, cost);
     if (!worker || (policies_.failures && !policies_.failures->admit(*worker, now)))
         return failing;
+    start_on(*worker, job, index, size, now);
+    return placing::placed;
+}
+
+// A bad worker is always free; it must not use up the attempts of a task while sound ones are full.
+// What has failed on a worker must not take that worker's trial from others either.
+bool scheduler_core::must_go_elsewhere(const task_id& task, const worker_id& worker,
+                                       const resources& size, instant now) const {
+    return policies_.failures->is_quarantined(worker, now) || has_fresh_worker(task, size, now);
+}
+
+bool scheduler_core::has_fresh_worker(const task_id& task, const resources& size,
+                                      instant now) const {
+    return std::ranges::any_of(leases_.workers(), [&](const auto& entry) {
+        const auto& [name, worker] = entry;
+        return worker.preferred && !worker.removed && worker.state != hold_state::silent &&
+               fits(size, worker.spec.capacity) && policies_.failures->would_admit(name, now) &&
+               !policies_.failures->failed_on(task, name);
+    });
+}
+
+void scheduler_core::start_on(const worker_id& worker, job_entry& job, int index,
+                              const resources& size, instant now) {
     const std::string checkpoint = job.tasks[static_cast<std::size_t>(index)].checkpoint;
     const attempt_number attempt =
-        book_.begin(job, index, {*worker, leases_.find(*worker)->epoch, size, now});
+        book_.begin(job, index, {worker, leases_.find(worker)->epoch, size, now});
     pb::StartTask start;
-    start.mutable_key()->set_task(task.str());
+    start.mutable_key()->set_task(make_task_id(job.key, index).str());
     start.mutable_key()->set_attempt(attempt.value());
     start.set_job_owner(self_.str());
     start.mutable_size()->set_cpu_millis(size.cpu_millis);
@@ -130,8 +156,7 @@
     start.set_latency_critical(job.spec.job_class() == "service");
     start.set_work_ms(job.spec.work_ms());
     start.set_lease_ms(in_ms(with_.leases.task_lease));
-    leases_.start(*worker, start, now);
-    return placing::placed;
+    leases_.start(worker, start, now);
 }
 
 } // namespace figwinch
--- a/src/scheduler/scheduler_core.h
+++ b/src/scheduler/scheduler_core.h
@@ -158,6 +158,13 @@
         unsuitable,
     };
     placing place_task(job_entry& job, int index, const resources& size, instant now);
+    void start_on(const worker_id& worker, job_entry& job, int index, const resources& size,
+                  instant now);
+    /// Whether a task on its way back to `worker` after a failure has to wait for another worker.
+    bool must_go_elsewhere(const task_id& task, const worker_id& worker, const resources& size,
+                           instant now) const;
+    /// Whether a worker is left, full or not, that can take the task and hasn't failed it.
+    bool has_fresh_worker(const task_id& task, const resources& size, instant now) const;
     void enqueue(const job_key& key);
     void update_usage(const customer_id& customer);
     bool over_quota(const customer_id& customer, const resources& size) const;
--- a/tests/learning/failure_policy_test.cpp
+++ b/tests/learning/failure_policy_test.cpp
@@ -37,13 +37,14 @@
     CPPUNIT_TEST(a_trial_without_outcome_is_followed_by_another);
     CPPUNIT_TEST(an_old_task_that_finishes_does_not_end_the_quarantine);
     CPPUNIT_TEST(a_forgotten_task_has_no_failures);
+    CPPUNIT_TEST(each_attempt_on_one_worker_counts_once);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<failure_policy> policy_ = failure_policy::create({});
     manual_clock clock_;
 
     void fail(const worker_id& at, int number) {
-        policy_->note_failed(at, task(number), job(number), clock_.now());
+        policy_->note_failed(at, task(number), attempt_number(1), job(number), clock_.now());
     }
     void condemn() {
         for (const int number : {1, 2, 3})
@@ -107,7 +108,8 @@
 
     void one_job_failing_many_times_does_not_quarantine() {
         for (int i = 0; i < 20; ++i)
-            policy_->note_failed(bad, task_id("job-1/" + std::to_string(i)), job(1), clock_.now());
+            policy_->note_failed(bad, task_id("job-1/" + std::to_string(i)), attempt_number(1),
+                                 job(1), clock_.now());
         CPPUNIT_ASSERT(!quarantined(bad));
     }
 
@@ -201,6 +203,19 @@
         CPPUNIT_ASSERT_EQUAL(0, policy_->counted_failures(task(1)));
         CPPUNIT_ASSERT(!policy_->failed_on(task(1), bad));
     }
+
+    // Guards against a task that runs on one worker again and again and never uses up its attempts.
+    void each_attempt_on_one_worker_counts_once() {
+        for (const std::uint64_t attempt : {1U, 2U, 2U, 1U, 3U})
+            policy_->note_failed(bad, task(1), attempt_number(attempt), job(1), clock_.now());
+        CPPUNIT_ASSERT_EQUAL(3, policy_->counted_failures(task(1)));
+        CPPUNIT_ASSERT_EQUAL(3, policy_->failures_on(task(1), bad));
+        CPPUNIT_ASSERT(!quarantined(bad));
+        fail(bad, 2);
+        fail(bad, 3);
+        CPPUNIT_ASSERT(quarantined(bad));
+        CPPUNIT_ASSERT_EQUAL(0, policy_->counted_failures(task(1)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(failure_policy_test);
--- a/tests/scheduler/one_worker_region.h
+++ b/tests/scheduler/one_worker_region.h
@@ -5,25 +5,23 @@
 #include "tests/scheduler/fake_jobs_log.h"
 #include "tools/standin_worker/worker_model.h"
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace figwinch::testing {
 
 /// A scheduler's rules with one worker, one executor on the worker's host and a log, all in one
-/// thread and on one clock. Nothing is lost or late; tests change `config` or the log themselves.
+/// thread and on one clock. Nothing is lost or late; tests change `config` or the log themselves,
+/// and may add workers.
 class one_worker_region {
 public:
     static constexpr duration step_length = std::chrono::milliseconds(200);
 
     one_worker_region() {
         config.data_centres.push_back({data_centre_id("dc"), true});
-        worker_spec one;
-        one.name = worker_id("w");
-        one.data_centre = data_centre_id("dc");
-        one.capacity = {4000, 8192, 0};
-        one.host = "host";
-        config.workers.push_back(one);
+        declare(worker.settings().name, "host");
         executor_spec executor;
         executor.name = executor_id("executor");
         executor.host = "host";
@@ -39,6 +37,13 @@
         core = std::make_unique<scheduler_core>(settings, view_, policies, time.now());
     }
 
+    /// A further worker of the same size, on a host of its own; to be called before `launch`.
+    standin::worker_model& add_worker(const std::string& name) {
+        declare(worker_id(name), "host-" + name);
+        const standin::worker_model_settings with{worker_id(name), {4000, 8192, 0}};
+        return more_.try_emplace(worker_id(name), with, time.now()).first->second;
+    }
+
     /// Puts `config` into force.
     void publish() { view_.set(std::make_shared<manifest>(config), config_version(++version_)); }
 
@@ -72,8 +77,29 @@
     /// Records older than this are dropped by the log.
     duration retention = std::chrono::hours(24);
     absl::Status last_answer;
+    /// Workers that get no command and answer none.
+    std::set<worker_id> deaf;
 
 private:
+    void declare(const worker_id& name, const std::string& host) {
+        worker_spec one;
+        one.name = name;
+        one.data_centre = data_centre_id("dc");
+        one.capacity = {4000, 8192, 0};
+        one.host = host;
+        config.workers.push_back(one);
+    }
+
+    void carry_out(const worker_command& command, instant now) {
+        if (deaf.contains(command.worker)) {
+            core->on_no_worker_reply(command.token, now);
+            return;
+        }
+        const auto other = more_.find(command.worker);
+        standin::worker_model& at = other == more_.end() ? worker : other->second;
+        core->on_worker_reply(command.token, at.handle(command.body, now), now);
+    }
+
     void step() {
         time.advance(step_length);
         const instant now = time.now();
@@ -86,7 +112,7 @@
             core->on_append_outcome(append_outcome::acknowledged, now);
         }
         for (const worker_command& command : actions.commands)
-            core->on_worker_reply(command.token, worker.handle(command.body, now), now);
+            carry_out(command, now);
     }
 
     void read_log(instant now) {
@@ -97,6 +123,7 @@
             core->on_jobs_page(page, now, now);
     }
 
+    std::map<worker_id, standin::worker_model> more_;
     fake_config_view view_;
     std::uint64_t version_ = 0;
     int launches_ = 0;
