Log what entries and schedulers see of their peers

Callers saw: nothing. A test's entry answered 503 no_scheduler, and no log told whether it hadn't heard its scheduler yet or had counted it as dead. Change: member_changed, one line for each change of a peer's state or incarnation, by entries and schedulers.

--- a/src/membership/peer_service.cpp
+++ b/src/membership/peer_service.cpp
@@ -1,6 +1,7 @@
 #include "membership/peer_service.h"
 
 #include "membership/bus_peer_service.h"
+#include "membership/member_log.h"
 
 namespace figwinch {
 namespace {
@@ -11,6 +12,7 @@
     timed_peer_service(event_loop& loop, const clock& time, bus& messages, peer_settings settings)
         : service_(time, messages, std::move(settings)),
           timer_(loop.every(service_.tick_period(), [this, &time] { service_.tick(time.now()); })) {
+        service_.on_change([this, &time] { log_.note(service_.members(), time.now()); });
     }
 
     void handle(pb::PeerRequest::BodyCase kind, request_handler call) override {
@@ -34,6 +36,7 @@
 
 private:
     bus_peer_service service_;
+    member_log log_;
     std::unique_ptr<event_handle> timer_;
 };
 
