Say ready only when the peers of an entry have been heard

Callers saw: after a restart /ready said 200 within 22 to 77 ms, and the first job got 503 no_scheduler (ran no, come back in 2 s), in 4 restarts of 4 beside an idle scheduler. Cause: ready meant that a configuration is known. Peers are asked at 100 ms first, and again 500 ms later, and a scheduler that was never heard isn't asked for jobs. Ruled out: a known scheduler that doesn't answer (gives "unknown" or peer_unreachable, by the code). 5 s of silence (in six failures with logs the scheduler was never heard). No check of test_api_page or of the set-up is changed.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -129,7 +129,8 @@
 }
 
 bool entry_core::is_ready() const {
-    return !stopping_ && config_.current() != nullptr;
+    // Before its peers are heard, an entry refuses jobs for want of a scheduler.
+    return !stopping_ && config_.current() != nullptr && peers_.has_settled();
 }
 
 void entry_core::answer_forward(const pb::ForwardRequest& request,
--- a/src/membership/bus_peer_service.cpp
+++ b/src/membership/bus_peer_service.cpp
@@ -84,6 +84,7 @@
     const auto to = contacts_.find(address);
     if (to != contacts_.end()) {
         to->second.unanswered = 0;
+        to->second.was_heard = true;
         // A list of seeds may name this process itself.
         to->second.is_self =
             reply->heartbeat().self().incarnation() == settings_.self.incarnation.str();
@@ -114,8 +115,10 @@
     }
     pb::Heartbeat heartbeat = request.heartbeat();
     const auto to = contacts_.find(heartbeat.self().address());
-    if (to != contacts_.end())
+    if (to != contacts_.end()) {
         to->second.asked_by_at = time_.now();
+        to->second.was_heard = true;
+    }
     // How long the message was under way can't be known, so that the age in it proves nothing.
     heartbeat.set_config_age_ms(-1);
     take_heartbeat(heartbeat, time_.now());
@@ -184,6 +187,19 @@
         call();
 }
 
+// Counted in asks: a process that was frozen or starved at its start hasn't listened meanwhile.
+bool bus_peer_service::is_settled(const contact& to) const {
+    const auto asks_in_vain = settings_.suspect_after / settings_.heartbeat_period;
+    return to.was_heard || to.unanswered > asks_in_vain;
+}
+
+bool bus_peer_service::has_settled() const {
+    return std::ranges::all_of(settings_.seeds, [this](const std::string& seed) {
+        const auto to = contacts_.find(seed);
+        return to == contacts_.end() || is_settled(to->second);
+    });
+}
+
 void bus_peer_service::handle(pb::PeerRequest::BodyCase kind, request_handler call) {
     handlers_[kind] = std::move(call);
 }
--- a/src/membership/bus_peer_service.h
+++ b/src/membership/bus_peer_service.h
@@ -23,6 +23,7 @@
     void ask(const std::string& address, pb::PeerRequest request, duration timeout,
              reply_handler done) override;
     std::vector<member> members() const override { return table_.members(); }
+    bool has_settled() const override;
     const member& self() const override { return settings_.self; }
     void on_change(std::function<void()> call) override;
     void describe_with(std::function<void(pb::Heartbeat&)> call) override;
@@ -38,6 +39,7 @@
         /// Heartbeats in a row without an answer.
         int unanswered = 0;
         bool was_asked = false;
+        bool was_heard = false;
         /// The address turned out to be this process's own.
         bool is_self = false;
     };
@@ -47,6 +49,7 @@
     void take_heartbeat(const pb::Heartbeat& heartbeat, instant asked_at);
     void take_answer(const std::string& address, const absl::StatusOr<pb::PeerReply>& reply,
                      instant asked_at);
+    bool is_settled(const contact& to) const;
     void ask_heartbeat(const std::string& address, contact& to, instant now);
     bool is_due(const contact& to, instant now) const;
     void update_contacts();
--- a/src/membership/peer_service.cpp
+++ b/src/membership/peer_service.cpp
@@ -23,6 +23,7 @@
         service_.ask(address, std::move(request), timeout, std::move(done));
     }
     std::vector<member> members() const override { return service_.members(); }
+    bool has_settled() const override { return service_.has_settled(); }
     const member& self() const override { return service_.self(); }
     void on_change(std::function<void()> call) override { service_.on_change(std::move(call)); }
     void describe_with(std::function<void(pb::Heartbeat&)> call) override {
--- a/src/membership/peer_service.h
+++ b/src/membership/peer_service.h
@@ -45,6 +45,8 @@
                      reply_handler done) = 0;
     /// Every member heard of within the forget limit, in order of node, without this process.
     virtual std::vector<member> members() const = 0;
+    /// Whether each seed has been heard, or asked in vain for `suspect_after`. Once true, it stays.
+    virtual bool has_settled() const = 0;
     virtual const member& self() const = 0;
     /// Called whenever a member appears, changes state or comes back as another incarnation.
     virtual void on_change(std::function<void()> call) = 0;
--- a/tests/entry/fake_peers.h
+++ b/tests/entry/fake_peers.h
@@ -86,6 +86,7 @@
             all.push_back(one);
         return all;
     }
+    bool has_settled() const override { return settled; }
     const member& self() const override { return self_; }
     void on_change(std::function<void()> call) override { changed_ = std::move(call); }
     void describe_with(std::function<void(pb::Heartbeat&)> call) override {
@@ -117,6 +118,7 @@
     /// Members that are remembered though they are not on the network any more.
     std::vector<member> gone;
     std::map<pb::PeerRequest::BodyCase, int> asked;
+    bool settled = true;
 
 private:
     static constexpr duration short_wait = std::chrono::milliseconds(20);
--- a/tests/membership/peer_service_test.cpp
+++ b/tests/membership/peer_service_test.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(leaving_is_told_at_once);
     CPPUNIT_TEST(each_pair_exchanges_about_one_heartbeat_a_period);
     CPPUNIT_TEST(only_an_own_question_dates_a_confirmation);
+    CPPUNIT_TEST(a_process_settles_when_its_seeds_are_heard);
+    CPPUNIT_TEST(a_silent_seed_holds_up_no_process_for_long);
+    CPPUNIT_TEST(a_process_without_seeds_is_settled);
     CPPUNIT_TEST(unknown_requests_are_refused_and_errors_arrive_as_errors);
     CPPUNIT_TEST_SUITE_END();
 
@@ -116,6 +119,31 @@
                        static_cast<std::ptrdiff_t>(unasked.size()));
     }
 
+    // Guards against a start that is over before the process knows whom it can send to.
+    void a_process_settles_when_its_seeds_are_heard() {
+        sim_process& late = start("p1");
+        CPPUNIT_ASSERT(!late.peers.has_settled());
+        loop_.run_for(400ms);
+        CPPUNIT_ASSERT(!late.peers.has_settled());
+        start("p0");
+        loop_.run_for(700ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("live"), late.sees("p0"));
+        CPPUNIT_ASSERT(late.peers.has_settled());
+    }
+
+    // Guards against a start that waits for a peer that has been gone for days.
+    void a_silent_seed_holds_up_no_process_for_long() {
+        const sim_process& alone = start("p1");
+        loop_.run_for(1400ms);
+        CPPUNIT_ASSERT(!alone.peers.has_settled());
+        loop_.run_for(300ms);
+        CPPUNIT_ASSERT(alone.peers.has_settled());
+        loop_.run_for(1min);
+        CPPUNIT_ASSERT(alone.peers.has_settled());
+    }
+
+    void a_process_without_seeds_is_settled() { CPPUNIT_ASSERT(start("p0").peers.has_settled()); }
+
     void unknown_requests_are_refused_and_errors_arrive_as_errors() {
         start_all(2);
         std::optional<absl::StatusOr<pb::PeerReply>> answer;
--- a/tests/system/test_jobs.py
+++ b/tests/system/test_jobs.py
@@ -91,6 +91,17 @@
         region.publish(region.manifest())
         wait_for("the scheduler to be ready", lambda: is_ok(scheduler, "/ready"))
 
+    # A balancer sends as soon as an entry is ready. One that hasn't heard its scheduler yet would
+    # refuse every job.
+    def test_a_restarted_entry_that_is_ready_takes_jobs(self):
+        entry = self.start(centres=("a",), executors=1).entries[0]
+        for name in ("first", "second", "third"):
+            entry.process.kill()
+            entry.start()
+            wait_for("the entry to be ready", lambda: is_ok(entry, "/ready"))
+            answer = self.submit(job(name))
+            self.assertEqual(201, answer.status, answer.body)
+
     # A customer copies a job that is larger than any worker. Accepted, it would wait for ever.
     def test_a_job_that_fits_no_worker_is_refused(self):
         self.start(centres=("a",), executors=1)
