--- a/src/membership/peer_service.cpp
+++ b/src/membership/peer_service.cpp
@@ -1,6 +1,7 @@
 #include "membership/peer_service.h"
 
 #include "membership/bus_peer_service.h"
+#include "membership/member_log.h"
 
 namespace figwinch {
 namespace {
@@ -11,6 +12,7 @@
     timed_peer_service(event_loop& loop, const clock& time, bus& messages, peer_settings settings)
         : service_(time, messages, std::move(settings)),
           timer_(loop.every(service_.tick_period(), [this, &time] { service_.tick(time.now()); })) {
+        service_.on_change([this, &time] { log_.note(service_.members(), time.now()); });
     }
 
     void handle(pb::PeerRequest::BodyCase kind, request_handler call) override {
@@ -21,6 +23,7 @@
         service_.ask(address, std::move(request), timeout, std::move(done));
     }
     std::vector<member> members() const override { return service_.members(); }
+    bool has_settled() const override { return service_.has_settled(); }
     const member& self() const override { return service_.self(); }
     void on_change(std::function<void()> call) override { service_.on_change(std::move(call)); }
     void describe_with(std::function<void(pb::Heartbeat&)> call) override {
@@ -34,6 +37,7 @@
 
 private:
     bus_peer_service service_;
+    member_log log_;
     std::unique_ptr<event_handle> timer_;
 };
 
