Count failures of a task on more than 64 workers

Cause: the policy keeps 64 workers for a task and dropped the oldest with what counted on it; max_attempts goes up to 100.

Ruled out: keeping more workers, which costs memory and only moves the bound. Change: what counted on a dropped worker goes on counting; a later quarantine of that worker no longer takes it back.

Before: failure_policy_test::failures_on_many_workers_all_count counted 64 for 100. After: 100; learning_test 26 of 26, scheduler_test 25 of 25. System tests were not run again after this change. Commands: build/tests/learning/learning_test, build/tests/scheduler/scheduler_test.

--- a/src/learning/streak_failure_policy.cpp
+++ b/src/learning/streak_failure_policy.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t suspect_workers = 3;
 /// Failed jobs kept for one worker, and the most that a streak can be set to.
 constexpr std::size_t max_streak = 16;
-/// Workers kept for one task; a task is failed for good long before.
+/// Workers kept for one task; what counted on a dropped one goes on counting.
 constexpr std::size_t max_failures = 64;
 
 /// The job of a task `<job>/<index>`.
@@ -104,7 +104,7 @@
     const task_failures* failures = tasks_.find(task);
     if (failures == nullptr)
         return 0;
-    int sum = 0;
+    int sum = failures->counted_before;
     for (const task_failures::failure& failure : failures->on_workers)
         sum += failure.counted;
     return sum;
@@ -127,11 +127,14 @@
 
 void streak_failure_policy::remember(const task_id& task, const worker_id& worker,
                                      attempt_number attempt, bool counted) {
-    std::vector<task_failures::failure>& failures = tasks_.touch(task).on_workers;
+    task_failures& known = tasks_.touch(task);
+    std::vector<task_failures::failure>& failures = known.on_workers;
     auto same = std::ranges::find(failures, worker, &task_failures::failure::worker);
     if (same == failures.end()) {
-        if (failures.size() >= max_failures)
+        if (failures.size() >= max_failures) {
+            known.counted_before += failures.front().counted;
             failures.erase(failures.begin());
+        }
         same = failures.insert(failures.end(), {worker, attempt});
     }
     same->attempt = attempt;
--- a/src/learning/task_failures.h
+++ b/src/learning/task_failures.h
@@ -18,6 +18,8 @@
     };
     /// At most one entry for each worker.
     std::vector<failure> on_workers;
+    /// Counted failures of entries that were dropped.
+    int counted_before = 0;
 };
 
 } // namespace figwinch
--- a/tests/learning/failure_policy_test.cpp
+++ b/tests/learning/failure_policy_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(an_old_task_that_finishes_does_not_end_the_quarantine);
     CPPUNIT_TEST(a_forgotten_task_has_no_failures);
     CPPUNIT_TEST(each_attempt_on_one_worker_counts_once);
+    CPPUNIT_TEST(failures_on_many_workers_all_count);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<failure_policy> policy_ = failure_policy::create({});
@@ -216,6 +217,13 @@
         CPPUNIT_ASSERT(quarantined(bad));
         CPPUNIT_ASSERT_EQUAL(0, policy_->counted_failures(task(1)));
     }
+
+    // Guards against a job of up to 100 attempts that fails everywhere and is tried without end.
+    void failures_on_many_workers_all_count() {
+        for (int at = 0; at < 100; ++at)
+            fail(worker(at), 7);
+        CPPUNIT_ASSERT_EQUAL(100, policy_->counted_failures(task(7)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(failure_policy_test);
