Wait no longer lease for a worker that began another life late in a reign

What callers saw: a worker starts again under its id, gets tasks and is lost within 2 s.

Cause: its new life was reckoned with for the longest lease, since a start of an earlier coordinator for the life before may have reached it. That holds only until what earlier coordinators started is over (`whole_leases_over_`); it was applied at any time of a reign.

Ruled out: starts of this reign for the life before. They have bounds of their own since the bound on the later clock.

Change: the longest lease is cut to what is left until then, and never below the lease that is asked for.

new_life_test::tasks_of_a_worker_that_began_anew_run_again_within_its_lease fails before and passes now (bound 9 s after a loss).

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -84,6 +84,7 @@
     void take_report(const worker_id& id, instant asked, order_outcome outcome,
                      const worker_report& report);
     bool is_other_life(const worker_id& id, std::uint64_t born_ms) const;
+    duration longest_held_before(const worker_id& id, std::uint64_t born_ms) const;
     void start_new_life(worker_work& worker, const worker_report& report);
     void register_life(worker_work& worker);
     void take_silence(worker_work& worker);
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -142,11 +142,9 @@
         start_new_life(*worker, report);
     worker->clock.observe(report.clock_ms, now);
     // A predecessor may have held it until this moment, but not after: its orders are refused now.
-    if (!std::exchange(worker->heard, true)) {
-        const duration lease =
-            is_other_life(id, report.born_ms) ? settings_.max_hold : settings_.lease();
-        worker->latest_until_ms = report.clock_ms + lease.count() / 1000;
-    }
+    if (!std::exchange(worker->heard, true))
+        worker->latest_until_ms =
+            report.clock_ms + longest_held_before(id, report.born_ms).count() / 1000;
     resolve(id);
     take_ends(*worker, report.ended);
     take_running(*worker, report, asked);
@@ -166,6 +164,15 @@
     return born_ms != 0 && held != held_lives_.end() && held->second != born_ms;
 }
 
+/// How much longer a worker that reports first may be held by predecessors, or run what they
+/// started there.
+duration cell_coordinator::longest_held_before(const worker_id& id, std::uint64_t born_ms) const {
+    if (!is_other_life(id, born_ms))
+        return settings_.lease();
+    const duration left = whole_leases_over_ - with_.time.now();
+    return std::clamp(left, settings_.lease(), settings_.max_hold);
+}
+
 void cell_coordinator::start_new_life(worker_work& worker, const worker_report& report) {
     if (worker.born_ms != 0)
         log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
--- /dev/null
+++ b/tests/cell/new_life_test.cpp
@@ -0,0 +1,103 @@
+#include "tests/cell/recovery_fixture.h"
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How soon tasks of a lost worker run again whose life is new to the coordinator.
+class new_life_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(new_life_test);
+    CPPUNIT_TEST(a_start_of_an_earlier_life_isnt_waited_for_by_its_clock);
+    CPPUNIT_TEST(tasks_of_a_new_worker_run_again_within_its_lease);
+    CPPUNIT_TEST(tasks_of_a_worker_that_began_anew_run_again_within_its_lease);
+    CPPUNIT_TEST(tasks_of_a_worker_that_began_anew_out_of_reach_dont_wait_for_the_longest_lease);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// A lease of the 10 s that workers grant by the slowest clock, and a start's time before it.
+    static constexpr duration longest_grant = milliseconds(12'000);
+
+public:
+    /// Guards against a bound on the clock of a worker's earlier life that is held against the
+    /// clock of a later one.
+    void a_start_of_an_earlier_life_isnt_waited_for_by_its_clock() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(60));
+        const std::string failing = task_on("w0", "a", 8);
+        std::string to_worker;
+        world_.fleet().is_kept = [](run_number) { return false; };
+        world_.fleet().on_start_sent = [&](const std::string& to, const std::string& started) {
+            if (started != failing || !to_worker.empty())
+                return;
+            to_worker = to;
+            world_.fleet().workers.at(to).cut = true;
+            worker(to).reborn();
+        };
+        worker("w0").fail_run(failing);
+        run_until([&] { return !to_worker.empty(); });
+        world_.time().run_for(milliseconds(800));
+        world_.fleet().workers.at(to_worker).cut = false;
+        world_.time().run_for(milliseconds(900));
+        lose(to_worker);
+        world_.time().run_for(longest_grant);
+        all_run("a", 8);
+        kept_the_rules();
+    }
+    /// Guards against a new worker's tasks that are waited for as if a coordinator before had held
+    /// it for the longest lease.
+    void tasks_of_a_new_worker_run_again_within_its_lease() {
+        begin();
+        world_.fleet().is_kept = [](run_number) { return true; };
+        world_.add_worker("w4");
+        world_.time().run_for(milliseconds(300));
+        world_.submit(0, "a", lasting(12));
+        run_until([&] { return worker("w4").running() > 0; });
+        world_.time().run_for(milliseconds(300));
+        lose("w4");
+        world_.time().run_for(longest_after_loss);
+        all_run("a", 12);
+        kept_the_rules();
+    }
+    /// Guards against tasks that wait for the longest lease of a worker that began another life
+    /// under a coordinator that has outlived all that those before it started.
+    void tasks_of_a_worker_that_began_anew_run_again_within_its_lease() {
+        begin();
+        world_.kill_host(*world_.coordinator());
+        world_.submit(1, "a", lasting(8));
+        world_.time().run_for(seconds(20));
+        world_.fleet().is_kept = [](run_number) { return true; };
+        worker("w1").reborn();
+        world_.time().run_for(seconds(1));
+        CPPUNIT_ASSERT(worker("w1").running() > 0);
+        lose("w1");
+        world_.time().run_for(longest_after_loss);
+        all_run("a", 8);
+        kept_the_rules();
+    }
+    /// Guards against tasks of a worker that crashed, and is listed with another life but out of
+    /// reach, which wait for the longest lease after a change of coordinator.
+    void tasks_of_a_worker_that_began_anew_out_of_reach_dont_wait_for_the_longest_lease() {
+        begin();
+        world_.submit(0, "a", lasting(8));
+        world_.time().run_for(seconds(20));
+        sim_fleet::entry& lost = world_.fleet().workers.at("w1");
+        lost.cut = true;
+        lost.worker->reborn();
+        lost.listing.born_ms = lost.worker->born_ms();
+        world_.list_worker("w1", "ready");
+        world_.time().run_for(seconds(1));
+        const std::size_t first = *world_.coordinator();
+        world_.kill_host(first);
+        world_.start_host(first);
+        world_.time().run_for(longest_after_loss - seconds(1));
+        all_run("a", 8);
+        kept_the_rules();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(new_life_test);
+
+} // namespace
+} // namespace figwinch::sim
--- a/tests/cell/worker_loss_test.cpp
+++ b/tests/cell/worker_loss_test.cpp
@@ -17,16 +17,11 @@
     CPPUNIT_TEST(a_task_isnt_started_again_on_a_worker_that_has_just_gone);
     CPPUNIT_TEST(a_task_whose_worker_is_lost_at_its_start_runs_elsewhere_in_time);
     CPPUNIT_TEST(a_task_whose_start_reached_one_life_at_most_waits_for_the_lease_only);
-    CPPUNIT_TEST(a_start_of_an_earlier_life_isnt_waited_for_by_its_clock);
-    CPPUNIT_TEST(tasks_of_a_new_worker_run_again_within_its_lease);
     CPPUNIT_TEST(lasting_tasks_that_fill_dont_wait_for_processors);
     CPPUNIT_TEST(records_without_workers_leave_every_worker_in_doubt);
     CPPUNIT_TEST(room_is_kept_for_lasting_tasks_that_are_down);
     CPPUNIT_TEST_SUITE_END();
 
-    /// A lease of the 10 s that workers grant by the slowest clock, and a start's time before it.
-    static constexpr duration longest_grant = milliseconds(12'000);
-
     /// Takes the workers out of all progress records, as a version that didn't record them wrote.
     void forget_recorded_workers() {
         sim_store::stream& progress = world_.store().of(cell_stream::progress);
@@ -164,47 +159,6 @@
         all_run("a", 8);
         kept_the_rules();
     }
-    /// Guards against a bound on the clock of a worker's earlier life that is held against the
-    /// clock of a later one.
-    void a_start_of_an_earlier_life_isnt_waited_for_by_its_clock() {
-        begin();
-        world_.submit(0, "a", lasting(8));
-        world_.time().run_for(seconds(60));
-        const std::string failing = task_on("w0", "a", 8);
-        std::string to_worker;
-        world_.fleet().is_kept = [](run_number) { return false; };
-        world_.fleet().on_start_sent = [&](const std::string& to, const std::string& started) {
-            if (started != failing || !to_worker.empty())
-                return;
-            to_worker = to;
-            world_.fleet().workers.at(to).cut = true;
-            worker(to).reborn();
-        };
-        worker("w0").fail_run(failing);
-        run_until([&] { return !to_worker.empty(); });
-        world_.time().run_for(milliseconds(800));
-        world_.fleet().workers.at(to_worker).cut = false;
-        world_.time().run_for(milliseconds(900));
-        lose(to_worker);
-        world_.time().run_for(longest_grant);
-        all_run("a", 8);
-        kept_the_rules();
-    }
-    /// Guards against a new worker's tasks that are waited for as if a coordinator before had held
-    /// it for the longest lease.
-    void tasks_of_a_new_worker_run_again_within_its_lease() {
-        begin();
-        world_.fleet().is_kept = [](run_number) { return true; };
-        world_.add_worker("w4");
-        world_.time().run_for(milliseconds(300));
-        world_.submit(0, "a", lasting(12));
-        run_until([&] { return worker("w4").running() > 0; });
-        world_.time().run_for(milliseconds(300));
-        lose("w4");
-        world_.time().run_for(longest_after_loss);
-        all_run("a", 12);
-        kept_the_rules();
-    }
     /// Story: lasting tasks that fill have all processors that others leave, for good. One more had
     /// no run for ever, though what fills doesn't count against a worker's processors.
     void lasting_tasks_that_fill_dont_wait_for_processors() {
