--- /dev/null
+++ b/tests/cell/linked_loss_test.cpp
@@ -0,0 +1,71 @@
+#include "tests/cell/recovery_fixture.h"
+
+#include <utility>
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How soon a task runs again whose worker is lost at its start, where hosts pass orders on.
+class linked_loss_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(linked_loss_test);
+    CPPUNIT_TEST(a_task_whose_worker_is_lost_at_its_start_runs_elsewhere);
+    CPPUNIT_TEST(
+        a_task_whose_worker_is_lost_with_the_hosts_that_passed_its_start_on_runs_elsewhere);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t workers = 8;
+    static constexpr std::uint32_t tasks = 8;
+
+    /// The worker of a start that is passed on is lost, and `then` follows.
+    template <class Then>
+    void lose_worker_at_a_start(const Then& then) {
+        begin();
+        world_.submit(0, "a", lasting(tasks));
+        world_.time().run_for(seconds(15));
+        all_run("a", tasks);
+        std::string from;
+        for (const auto& [name, entry] : world_.fleet().workers)
+            if (entry.worker->running() > 0)
+                from = name;
+        const std::string failing = task_on(from, "a", tasks);
+        bool lost = false;
+        world_.fleet().is_kept = [](run_number) { return true; };
+        world_.fleet().on_start_sent = [&](const std::string& to, const std::string& started) {
+            if (started != failing || std::exchange(lost, true))
+                return;
+            lose(to);
+            world_.time().after(duration::zero(), then);
+        };
+        worker(from).fail_run(failing);
+        run_until([&] { return lost; });
+        world_.time().run_for(longest_after_loss);
+        all_run("a", tasks);
+        kept_the_rules();
+    }
+
+public:
+    linked_loss_test() : recovery_fixture(workers, true) {}
+
+    /// Guards against a start that is waited for as long as workers may grant because it was passed
+    /// on.
+    void a_task_whose_worker_is_lost_at_its_start_runs_elsewhere() {
+        lose_worker_at_a_start([] {});
+    }
+    /// Guards against the same where the hosts that know over which connection it went are lost.
+    void a_task_whose_worker_is_lost_with_the_hosts_that_passed_its_start_on_runs_elsewhere() {
+        lose_worker_at_a_start([this] {
+            const std::size_t leads = *world_.coordinator();
+            for (std::size_t host = 0; host < world_.hosts(); ++host)
+                if (host != leads)
+                    world_.kill_host(host);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(linked_loss_test);
+
+} // namespace
+} // namespace figwinch::sim
