--- a/include/figwinch/cell/worker_orders.h
+++ b/include/figwinch/cell/worker_orders.h
@@ -55,7 +55,7 @@
     std::string ticket;
     /// Asked before an order that had to wait is sent: if not, it ends as `not_sent`. Empty: it is.
     std::function<bool()> still_wanted{};
-    /// The life of the worker that is meant.
+    /// The life of the worker that is meant, ms since 1970; 0: whichever gets the order.
     std::uint64_t born_ms = 0;
 };
 
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -33,7 +33,8 @@
     /// On the worker's clock: an unanswered start has no effect from then on.
     std::int64_t start_until_ms = 0;
     /// On the worker's clock. Until a report shows the run, its start may have reached a new life
-    /// of the worker, which grants it a whole lease; 0: it hasn't, or a report has shown it.
+    /// of the worker, which grants it a whole lease; 0: no other life can have got the start, or a
+    /// report has shown the run.
     std::int64_t may_live_until_ms = 0;
     /// The newest checkpoint that the worker has told.
     std::string checkpoint;
