--- a/tests/cell/linked_loss_test.cpp
+++ b/tests/cell/linked_loss_test.cpp
@@ -12,8 +12,7 @@
 class linked_loss_test : public recovery_fixture {
     CPPUNIT_TEST_SUITE(linked_loss_test);
     CPPUNIT_TEST(a_task_whose_worker_is_lost_at_its_start_runs_elsewhere);
-    CPPUNIT_TEST(
-        a_task_whose_worker_is_lost_with_the_hosts_that_passed_its_start_on_runs_elsewhere);
+    CPPUNIT_TEST(a_task_whose_worker_and_passing_hosts_are_lost_runs_elsewhere);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 8;
@@ -55,7 +54,7 @@
         lose_worker_at_a_start([] {});
     }
     /// Guards against the same where the hosts that know over which connection it went are lost.
-    void a_task_whose_worker_is_lost_with_the_hosts_that_passed_its_start_on_runs_elsewhere() {
+    void a_task_whose_worker_and_passing_hosts_are_lost_runs_elsewhere() {
         lose_worker_at_a_start([this] {
             const std::size_t leads = *world_.coordinator();
             for (std::size_t host = 0; host < world_.hosts(); ++host)
