Add failing tests of tasks that crash their workers

The simulated workers crash under given tasks: the process is gone, its address refuses connections, and 3.2 s later it returns, under its id or under another id at its address.

--- a/include/figwinch/simulation/sim_orders.h
+++ b/include/figwinch/simulation/sim_orders.h
@@ -83,6 +83,8 @@
             if (!alive.expired())
                 done(outcome, report);
         };
+        if (fate.refused)
+            return time_.after(way, [answer] { answer(order_outcome::not_sent, {}); });
         if (!fate.answered)
             time_.after(order.max_wait + timeout, [answer] { answer(order_outcome::unknown, {}); });
         if (fate.arrives)
@@ -90,6 +92,11 @@
                                      id = where.id.str(), born = born_of(where)] {
                 if (fate.late && fleet.workers.at(id).worker->born_ms() != born)
                     return;
+                if (fleet.workers.at(id).worker->is_crashed()) {
+                    if (fate.answered)
+                        answer(order_outcome::unknown, {});
+                    return;
+                }
                 const order_outcome outcome = fleet.workers.at(id).worker->hold(order);
                 if (!fate.answered || alive.expired())
                     return;
@@ -113,6 +120,8 @@
         bool arrives = true;
         bool answered = true;
         bool late = false;
+        /// No process listens at the worker's address.
+        bool refused = false;
         /// Lost when the worker it was sent to has begun another life.
         bool one_life = false;
         duration delay = way;
@@ -149,6 +158,11 @@
             drawn.arrives = drawn.answered = false;
             return drawn;
         }
+        if (fleet_.workers.at(where.id.str()).worker->is_crashed()) {
+            drawn.arrives = drawn.answered = false;
+            drawn.refused = true;
+            return drawn;
+        }
         if (random_() < late) {
             drawn.late = true;
             drawn.answered = false;
@@ -165,6 +179,8 @@
             if (!alive.expired())
                 done(result);
         };
+        if (fate.refused)
+            return time_.after(way, [answer] { answer({order_outcome::not_sent}); });
         if (!fate.answered)
             time_.after(timeout, [answer] { answer({order_outcome::unknown}); });
         if (fate.arrives)
@@ -177,15 +193,26 @@
                     return time.after(timeout, [answer] { answer({order_outcome::unknown}); });
                 if ((fate.late || fate.one_life) && !same_life)
                     return;
+                if (worker.is_crashed()) {
+                    if (fate.answered)
+                        answer({order_outcome::unknown});
+                    return;
+                }
                 const order_answer result = order(worker, fate.late);
-                if (fate.answered)
-                    time.after(way, [answer, result] { answer(result); });
+                if (!fate.answered)
+                    return;
+                // The answer of a process that ends first is lost with its connection.
+                time.after(way, [answer, result, &worker] {
+                    answer(worker.is_crashed() ? order_answer{order_outcome::unknown} : result);
+                });
             });
     }
     template <class Answer>
     void wait_for_end(const std::string& id, const renewal_order& order, instant end,
                       const Answer& answer) {
         const sim_fleet::entry& entry = fleet_.workers.at(id);
+        if (entry.worker->is_crashed())
+            return answer(order_outcome::unknown, {});
         if (!entry.worker->has_end_after(order.acknowledged) && time_.now() < end)
             return time_.after(std::chrono::milliseconds(20),
                                [=, this, alive = std::weak_ptr(alive_)] {
--- a/include/figwinch/simulation/sim_worker.h
+++ b/include/figwinch/simulation/sim_worker.h
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -24,6 +25,10 @@
     virtual duration length_of(const std::string& task) = 0;
     virtual bool fails(const std::string& task) = 0;
     virtual const step_spec& step_of(const std::string& task) const = 0;
+    /// How long after its start a run of the task crashes its worker; nothing: it does not.
+    virtual std::optional<duration> crash_delay_of(const std::string&) { return std::nullopt; }
+    /// A run of the task crashes the worker. Called before the worker's runs end.
+    virtual void on_crash(const std::string&, const std::string&) {}
 };
 
 /// A worker as the platform's pages describe it: fence, lease on its own clock, runs, paces, ends.
@@ -61,6 +66,8 @@
         made.started = time_.now();
         made.length = watch_.length_of(order.task);
         made.fails = watch_.fails(order.task);
+        if (const auto delay = watch_.crash_delay_of(order.task))
+            crash_later({order.task, order.run}, *delay);
         return answer;
     }
     order_answer stop(const std::string& task, run_number number, lease_epoch epoch) {
@@ -125,8 +132,15 @@
         report.ended.assign(ended_.begin(), ended_.end());
         return report;
     }
+    /// Ends the process: its runs are gone, and its address refuses connections until `reborn`.
+    void crash() {
+        reborn();
+        is_crashed_ = true;
+    }
+    bool is_crashed() const { return is_crashed_; }
     /// A crash and a new life: it runs nothing and knows nothing.
     void reborn() {
+        is_crashed_ = false;
         for (const auto& [key, run] : runs_)
             watch_.on_end(name_, key.first, key.second, run_end::lease_expired);
         runs_.clear();
@@ -234,6 +248,14 @@
         const std::int64_t most = clock_ms() + max_hold_.count() / 1000;
         lease_ms_ = std::max(lease_ms_, std::min(until_ms, most));
     }
+    void crash_later(const run_key& key, duration delay) {
+        time_.after(delay, [this, weak = std::weak_ptr(tick_alive_), key, born = born_] {
+            if (weak.expired() || born != born_ || !runs_.contains(key))
+                return;
+            watch_.on_crash(name_, key.first);
+            crash();
+        });
+    }
     void schedule() {
         time_.after(tick_period, [this, weak = std::weak_ptr(tick_alive_)] {
             if (weak.expired())
@@ -278,6 +300,7 @@
     double clock_rate_;
     duration max_hold_;
     instant born_;
+    bool is_crashed_ = false;
     std::uint64_t fence_ = 0;
     std::int64_t lease_ms_ = 0;
     std::uint64_t ends_ = 0;
--- a/tests/cell/cell_history.cpp
+++ b/tests/cell/cell_history.cpp
@@ -22,6 +22,8 @@
 // Longer than every wait that a correct scheduler may need: the time that a coordinator acts
 // without the log, a worker lease, and the return of an unlisted worker.
 constexpr duration recovery_phase = seconds(45);
+// A task that crashes its workers is given up after several crashes, each of which takes a lease.
+constexpr duration recovery_phase_after_crashes = seconds(75);
 
 /// Seeds below this one keep the faults with which they were recorded as regression tests. From
 /// this seed on a worker may also be unreachable during a restart of the coordinator, and workers
@@ -34,16 +36,26 @@
 /// From this seed on there are hosts that keep no copy of the jobs and ask read replicas.
 constexpr std::uint64_t first_replica_seed = 22'000'000;
 
+/// From this seed on some tasks crash every worker that starts them. Hosts relay orders again from
+/// `first_crash_and_relay_seed` on.
+constexpr std::uint64_t first_crash_seed = 24'000'000;
+constexpr std::uint64_t first_crash_and_relay_seed = 25'000'000;
+
+bool has_crashing_tasks(std::uint64_t seed) {
+    return seed >= first_crash_seed;
+}
+
 bool has_restart_faults(std::uint64_t seed) {
     return seed >= first_restart_fault_seed;
 }
 
 bool has_relays(std::uint64_t seed) {
-    return seed >= first_relay_seed;
+    return seed >= first_relay_seed &&
+           (seed < first_crash_seed || seed >= first_crash_and_relay_seed);
 }
 
 std::size_t host_count_of(std::uint64_t seed) {
-    if (seed >= first_replica_seed)
+    if (seed >= first_replica_seed && seed < first_crash_seed)
         return replica_host_count;
     return has_relays(seed) ? relay_host_count : host_count;
 }
@@ -62,7 +74,11 @@
     history(std::uint64_t seed, std::size_t faults)
         : world_(seed, host_count_of(seed), worker_count, settings_for(seed), has_relays(seed)),
           fault_count_(faults), restart_faults_(has_restart_faults(seed)),
-          has_relays_(has_relays(seed)) {}
+          has_relays_(has_relays(seed)), has_crashing_tasks_(has_crashing_tasks(seed)) {
+        if (has_crashing_tasks_)
+            world_.return_crashed_workers(seed / 2 % 2 == 0 ? cell_world::worker_return::same_id
+                                                            : cell_world::worker_return::new_id);
+    }
 
     history_outcome run() {
         plan_jobs();
@@ -71,7 +87,7 @@
             faults_.schedule_relay_faults(fault_count_, fault_phase);
         world_.time().run_for(fault_phase);
         faults_.end_all();
-        world_.time().run_for(recovery_phase);
+        world_.time().run_for(has_crashing_tasks_ ? recovery_phase_after_crashes : recovery_phase);
         history_outcome outcome;
         outcome.starts = world_.checker().starts;
         outcome.fault_count = fault_count_;
@@ -105,6 +121,8 @@
         const job_spec job = cell_world::make_job(steps);
         std::ostringstream id;
         id << "job" << index;
+        if (has_crashing_tasks_ && world_.draw() % 3 == 0)
+            crash_workers_by_a_task_of(id.str(), job);
         submit_until_final(id.str(), job);
         if (world_.draw() % 6 == 0)
             world_.time().after(world_.draw_time(seconds(6)), [this, id = id.str()] {
@@ -115,6 +133,14 @@
                 world_.cancel(host, id);
             });
     }
+    void crash_workers_by_a_task_of(const std::string& id, const job_spec& job) {
+        const auto step = static_cast<std::uint32_t>(world_.draw() % job.steps.size());
+        const auto index = static_cast<std::uint32_t>(world_.draw() % job.steps[step].tasks);
+        const bool at_once = world_.draw() % 4 != 0;
+        world_.checker().crashing_tasks[to_string(task_name{job_id(id), 0, step, index})] =
+            at_once ? milliseconds(10) : world_.draw_time(seconds(1));
+        crashing_jobs_.insert(id);
+    }
     /// Submits a job as a caller does: again at another host until there is a final answer.
     void submit_until_final(const std::string& id, const job_spec& job) {
         const std::size_t host = draw_host();
@@ -125,7 +151,7 @@
         const auto reply = world_.submit(host, id, job);
         // `service_downtime_rule` models only cells in which the coordinator reaches workers
         // directly.
-        if (job.steps.front().is_service && !has_relays_)
+        if (job.steps.front().is_service && !has_relays_ && !crashing_jobs_.contains(id))
             lasting_.follow(id, reply);
         world_.time().after(milliseconds(3200), [=, this] {
             if (reply->has_value() && **reply == intake_outcome::stored)
@@ -139,6 +165,8 @@
     std::size_t fault_count_;
     bool restart_faults_;
     bool has_relays_;
+    bool has_crashing_tasks_;
+    std::set<std::string> crashing_jobs_;
     history_faults faults_{world_};
     service_downtime_rule lasting_{world_};
     std::set<std::string> accepted_;
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -33,6 +33,9 @@
     CPPUNIT_TEST(histories_with_orders_passed_on_and_six_faults);
     CPPUNIT_TEST(histories_of_hosts_that_ask);
     CPPUNIT_TEST(histories_of_hosts_that_ask_and_six_faults);
+    CPPUNIT_TEST(histories_with_crashing_tasks);
+    CPPUNIT_TEST(histories_with_crashing_tasks_and_six_faults);
+    CPPUNIT_TEST(histories_with_crashing_tasks_and_orders_passed_on);
     CPPUNIT_TEST(lasting_tasks_that_were_recorded_without_an_order_run_in_time);
     CPPUNIT_TEST(a_lasting_task_recorded_beside_two_partings_runs_in_time);
     CPPUNIT_TEST(a_lasting_task_recorded_before_a_freeze_runs_in_time);
@@ -48,6 +51,7 @@
         return wanted != nullptr ? std::strtoull(wanted, nullptr, 10) : default_seed_count;
     }
     /// Fewer seeds for cells with three times as many hosts, whose histories take longer.
+    static std::uint64_t crash_seeds() { return seeds() / 5; }
     static std::uint64_t large_cell_seeds() { return seeds() / 20; }
     static void run_histories(std::size_t faults, std::uint64_t first) {
         run_histories(faults, first, seeds());
@@ -96,6 +100,15 @@
     void histories_of_hosts_that_ask_and_six_faults() {
         run_histories(6, 23'000'000, large_cell_seeds());
     }
+    /// Guards against tasks that are started without bound although they crash their workers, and
+    /// against giving up tasks that only ran beside them.
+    void histories_with_crashing_tasks() { run_histories(0, 24'000'000, crash_seeds()); }
+    void histories_with_crashing_tasks_and_six_faults() {
+        run_histories(6, 24'500'000, crash_seeds());
+    }
+    void histories_with_crashing_tasks_and_orders_passed_on() {
+        run_histories(2, 25'000'000, crash_seeds());
+    }
     /// Guards against leases so long that a service task assigned to a lost worker is down for
     /// longer than the limit.
     void lasting_tasks_that_were_recorded_without_an_order_run_in_time() {
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -86,12 +86,32 @@
         entry.listing.service = service_id("s");
         entry.listing.capacity = {4000, 16'384, 0};
         entry.listing.data_centre = data_centre_id("dc-" + std::to_string(random_() % 2));
+        entry.listing.address = {name, 1};
         checker_.capacities[name] = entry.listing.capacity;
         entry.worker = std::make_unique<sim_worker>(
             time_, checker_, name, 0.98 + 0.02 * draw_share(), settings_.max_granted_lease);
         list_worker(name, "ready");
     }
+    /// How a worker returns some seconds after a task has crashed it.
+    enum class worker_return { same_id, new_id };
+    void return_crashed_workers(worker_return how) {
+        checker_.after_crash = [this, how](const std::string& name) {
+            if (how == worker_return::same_id)
+                time_.after(crash_time, [this, name] { restart_worker(name); });
+            else
+                replace_worker(name);
+        };
+    }
+    /// Whether another worker has taken the place of a crashed one, which never returns.
+    bool is_replaced(const std::string& name) const { return replaced_.contains(name); }
+    /// Begins a new life of a worker, unless another one has taken its place.
+    void restart_worker(const std::string& name) {
+        if (!is_replaced(name))
+            fleet_.workers.at(name).worker->reborn();
+    }
     void list_worker(const std::string& name, const std::string& state) {
+        if (is_replaced(name))
+            return;
         store_.append(cell_stream::workers, {{name, state, 0}}, {});
     }
     void unlist_worker(const std::string& name) {
@@ -154,6 +174,20 @@
     }
 
 private:
+    /// How long a crashed worker takes to return, and its entry to expire.
+    static constexpr duration crash_time = std::chrono::milliseconds(3200);
+
+    /// Another worker starts at the address of a crashed one, whose entry expires.
+    void replace_worker(const std::string& name) {
+        replaced_.insert(name);
+        checker_.capacities.erase(name);
+        time_.after(crash_time, [this, name] {
+            const std::string successor = "w" + std::to_string(fleet_.workers.size());
+            add_worker(successor);
+            fleet_.workers.at(successor).listing.address = fleet_.workers.at(name).listing.address;
+            unlist_worker(name);
+        });
+    }
     static std::string address_of(std::size_t host) { return "host-" + std::to_string(host); }
     sim_link link_of(std::size_t host) {
         if (!linked_)
@@ -206,6 +240,7 @@
     sim_fleet fleet_;
     invariant_checker checker_;
     std::vector<std::unique_ptr<sim_host>> hosts_;
+    std::set<std::string> replaced_;
     int process_starts_ = 0;
     instant coordinator_killed_at_{};
 };
--- a/tests/cell/history_checker.cpp
+++ b/tests/cell/history_checker.cpp
@@ -34,6 +34,8 @@
             return "STUCK: job " + id + " is open at host " + std::to_string(host) + describe(id);
         if (job->phase == job_phase::succeeded && !all_succeeded(id))
             return "SHOWN: job " + id + " as succeeded before all its tasks have";
+        if (job->phase == job_phase::failed && !world_.checker().may_have_failed(id))
+            return "SHOWN: job " + id + " as failed without cause" + describe(id);
     }
     return "";
 }
--- a/tests/cell/history_faults.cpp
+++ b/tests/cell/history_faults.cpp
@@ -50,6 +50,14 @@
     });
 }
 
+std::string history_faults::draw_worker() {
+    const std::size_t workers = world_.fleet().workers.size();
+    std::size_t number = world_.draw() % workers;
+    while (world_.is_replaced("w" + std::to_string(number)))
+        number = (number + 1) % workers;
+    return "w" + std::to_string(number);
+}
+
 /// Draws a host that isn't the coordinator.
 std::size_t history_faults::draw_other_host() {
     const std::size_t host = draw_host();
@@ -208,7 +216,7 @@
     });
     world_.time().after(span, [=, this] {
         if (crash)
-            world_.fleet().workers.at(worker).worker->reborn();
+            world_.restart_worker(worker);
         world_.fleet().workers.at(worker).cut = false;
         world_.list_worker(worker, "ready");
     });
@@ -228,7 +236,7 @@
     const std::string worker = draw_worker();
     world_.list_worker(worker, "leaving");
     world_.time().after(seconds(6), [this, worker] {
-        world_.fleet().workers.at(worker).worker->reborn();
+        world_.restart_worker(worker);
         world_.list_worker(worker, "ready");
     });
 }
--- a/tests/cell/history_faults.h
+++ b/tests/cell/history_faults.h
@@ -26,9 +26,7 @@
     };
 
     std::size_t draw_host() { return world_.draw() % world_.hosts(); }
-    std::string draw_worker() {
-        return "w" + std::to_string(world_.draw() % world_.fleet().workers.size());
-    }
+    std::string draw_worker();
     duration draw_duration();
     void schedule_fault(const fault_kind& kind, duration fault_phase);
     std::size_t draw_other_host();
--- a/tests/cell/invariant_checker.h
+++ b/tests/cell/invariant_checker.h
@@ -37,6 +37,10 @@
     /// All events so far, to be shown with a violation.
     std::vector<std::string> trace;
     std::uint64_t starts = 0;
+    /// Tasks that crash every worker that starts them, and how long after the start.
+    std::map<std::string, duration> crashing_tasks;
+    /// Called after a task has crashed a worker.
+    std::function<void(const std::string& worker)> after_crash;
     /// Called when a batch task starts on a worker, just before its resources are counted as used.
     std::function<void(const std::string& worker)> on_batch_start;
 
@@ -54,6 +58,7 @@
             on_batch_start(worker);
         check_dependencies(*name, job, worker);
         check_capacity(worker, step, order.task);
+        check_crash_budget(order.task, worker);
         if (!step.is_service && acknowledged_failures_[order.task] >= job.spec.attempts)
             report_violation("BUDGET", order.task, worker);
         constexpr duration cancel_bound = std::chrono::milliseconds(9500);
@@ -70,6 +75,8 @@
         on_worker_[worker].erase(task);
         if (how == run_end::done)
             done_.insert(task);
+        if (how == run_end::failed)
+            ++failures_[task];
     }
     void on_noted(const std::string& worker, const ended_run& row) override {
         record_event("acknowledged " + row.task + " run " + std::to_string(row.run.value()) +
@@ -87,11 +94,43 @@
             return best_effort_length;
         return std::chrono::milliseconds(long_tasks ? 1500 : 200 + draw() % 1500);
     }
+    std::optional<duration> crash_delay_of(const std::string& task) override {
+        const auto known = crashing_tasks.find(task);
+        return known == crashing_tasks.end() ? std::nullopt : std::optional(known->second);
+    }
+    void on_crash(const std::string& worker, const std::string& task) override {
+        record_event("crash of " + worker + " by " + task + " ");
+        ++crashes_[task];
+        // Called within the worker, which has runs until this returns.
+        time_.after(duration::zero(), [this, worker] {
+            if (after_crash)
+                after_crash(worker);
+        });
+    }
     bool fails(const std::string&) override {
         return static_cast<double>(draw() % 1000) < failure_probability * 1000;
     }
 
     bool has_started(const std::string& task) const { return running_.contains(task); }
+    /// How many workers the task has crashed.
+    std::uint32_t crashes_of(const std::string& task) const {
+        const auto known = crashes_.find(task);
+        return known == crashes_.end() ? 0 : known->second;
+    }
+    /// Whether the job may be shown as failed: one of its tasks has failed as often as it may, or
+    /// has crashed two workers.
+    bool may_have_failed(const std::string& job) const {
+        const auto belongs = [&job](const auto& entry) {
+            return entry.first.starts_with(job + ".");
+        };
+        const std::uint32_t attempts = jobs.at(job).spec.attempts;
+        return std::ranges::any_of(
+                   failures_,
+                   [&](const auto& entry) { return belongs(entry) && entry.second >= attempts; }) ||
+               std::ranges::any_of(crashes_, [&](const auto& entry) {
+                   return belongs(entry) && entry.second >= 2;
+               });
+    }
     const step_spec& step_of(const std::string& task) const override {
         const auto name = parse_task_name(task);
         return jobs.at(name->job.str()).spec.steps.at(name->step);
@@ -171,6 +210,14 @@
         if (!fits(taken, capacities.at(worker)))
             report_violation("LIMIT", task, worker);
     }
+    /// A task that has crashed three workers may be started twice more.
+    void check_crash_budget(const std::string& task, const std::string& worker) {
+        constexpr std::uint32_t crashes_before_limit = 3;
+        constexpr std::uint32_t starts_after = 3;
+        if (crashes_of(task) >= crashes_before_limit &&
+            ++starts_after_crashes_[task] == starts_after)
+            report_violation("BUDGET after crashes", task, worker);
+    }
     static resources counted_resources(const step_spec& step) {
         resources size = step.size;
         size.cpu_millis = step.is_best_effort ? 0 : size.cpu_millis;
@@ -187,6 +234,9 @@
     std::set<std::string> done_;
     std::set<std::string> acknowledged_done_;
     std::map<std::string, std::uint32_t> acknowledged_failures_;
+    std::map<std::string, std::uint32_t> failures_;
+    std::map<std::string, std::uint32_t> crashes_;
+    std::map<std::string, std::uint32_t> starts_after_crashes_;
 };
 
 } // namespace figwinch::sim
