Log crashed workers and the runs that were lost with them

The lines of the incident could not tell a crash from a worker out of reach: both ended with lease_over and a number of runs. worker_replaced says that another process listens at the address of a worker that does not answer, run_lost names each run and how old it was. Logic unchanged.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -77,6 +77,8 @@
         // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const due_renewal&, const due_renewal&) = default;
     };
+    std::vector<worker_state*> lost_workers() const;
+    void handle_new_worker(const worker_listing& row, const std::vector<worker_state*>& lost);
     void send_due_renewals();
     void schedule_renewal(worker_state& worker, instant when);
     void renew_lease(worker_state& worker);
@@ -109,6 +111,7 @@
     // coordinator_leases.cpp
     void expire_leases();
     void handle_lease_expiry(worker_state& worker);
+    static void log_lost_run(const task_state& task);
     void remove_unlisted_workers();
     void mark_resolved(const worker_id& id);
     void resolve_expired();
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -61,8 +61,10 @@
     if (!lost.empty())
         log_event(log_level::warn, "lease_over",
                   {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
-    for (task_state* const task : lost)
+    for (task_state* const task : lost) {
+        log_lost_run(*task);
         release(*task);
+    }
     if (remaining_until_ms > 0) {
         worker.latest_lease_expiry_ms = remaining_until_ms;
         worker.lease_expired_since = instant{};
@@ -79,6 +81,18 @@
     deps_.progress_log.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
 }
 
+/// Logs a run that ended unseen with its worker, and how long before the worker's last report it
+/// was ordered: a run that crashes its worker is usually the youngest.
+void cell_coordinator::log_lost_run(const task_state& task) {
+    const worker_state& worker = *task.assigned_worker;
+    const duration age = worker.reported_at - task.run.ordered_at;
+    log_event(log_level::info, "run_lost",
+              {{"task", to_string(name_of(task))},
+               {"run", static_cast<std::int64_t>(task.run.number.value())},
+               {"worker", worker.listing.id.str()},
+               {"age_at_last_report_ms", static_cast<std::int64_t>(age.count() / 1000)}});
+}
+
 void cell_coordinator::remove_unlisted_workers() {
     const instant now = deps_.time.now();
     std::vector<worker_id> gone;
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -41,6 +41,7 @@
 }
 
 void cell_coordinator::update_workers(const std::vector<worker_listing>& listing) {
+    const std::vector<worker_state*> lost = lost_workers();
     for (const auto& [id, worker] : workers_)
         worker->listed = false;
     for (const worker_listing& row : listing) {
@@ -51,6 +52,7 @@
             add_slot(*worker);
             schedule_renewal(*worker, deps_.time.now());
             log_worker(row);
+            handle_new_worker(row, lost);
         }
         worker->listed = true;
         worker->listing = row;
@@ -67,6 +69,27 @@
     placement_due_ = true;
 }
 
+/// Returns the workers that do not answer.
+std::vector<worker_state*> cell_coordinator::lost_workers() const {
+    std::vector<worker_state*> lost;
+    for (const auto& [id, worker] : workers_)
+        if (worker->unanswered_renewals > 0)
+            lost.push_back(worker.get());
+    return lost;
+}
+
+/// A process that listens at the address of a lost worker proves that the worker's process has
+/// ended: it was not merely out of reach.
+void cell_coordinator::handle_new_worker(const worker_listing& row,
+                                         const std::vector<worker_state*>& lost) {
+    if (row.address == endpoint())
+        return;
+    for (worker_state* const worker : lost)
+        if (worker->listing.address == row.address)
+            log_event(log_level::info, "worker_replaced",
+                      {{"worker", worker->listing.id.str()}, {"by", row.id.str()}});
+}
+
 void cell_coordinator::send_due_renewals() {
     const instant now = deps_.time.now();
     while (!due_renewals_.empty() && due_renewals_.top().at <= now) {
