Give up tasks that crash the workers that start them

Callers saw jobs that never ended, and workers that crashed one after the other, each ending ten other runs: a task that crashes every worker that starts it was started again without bound.

Cause: only an end that a worker reports as failed counts against a job's attempts. A run that is lost with its worker is reported by nobody; it was released with the lease, and its task waited again as if it had never run.

Change: a run that is lost soon after its start is recorded with its task (crash_history): how old it was, whether others had just started beside it, and whether the worker's process is known to have ended (it reports another incarnation, or another id listens at its address). A suspect's next run is a trial: recorded before it is ordered, on a worker where nothing else has just started or may. A worker that answers again in the same incarnation withdraws the record; a run that lasts clears its task; losses of many workers at once count only for tasks that had just started. Records and trials outlive the coordinator, and a suspect is not started while the log does not answer.

--- a/include/figwinch/cell/coordinator_view.h
+++ b/include/figwinch/cell/coordinator_view.h
@@ -33,6 +33,8 @@
     earlier_reign,
     /// The job's tasks wait for the backoff after a failed run.
     pause_after_failure,
+    /// A worker was lost under a task, whose next run has to start apart from others.
+    crash_trial,
     /// No worker of the job's service is usable.
     no_worker,
     /// No usable worker has the label that the step requires.
--- a/include/figwinch/cell/job_progress.h
+++ b/include/figwinch/cell/job_progress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "figwinch/base.h"
 #include "figwinch/cell/queue_name.h"
 
 #include <cstdint>
@@ -15,6 +16,27 @@
 /// The enumerator's name, such as "open" or "succeeded", as used in logs and API responses.
 const char* to_string(job_phase phase);
 
+/// How strongly the loss of a run with its worker speaks for a crash by that run.
+enum class crash_suspicion {
+    /// The run had been there for a while, or many workers were lost at the same time.
+    weak,
+    /// The run had just started, like others on the worker.
+    shared,
+    /// Only this run had just started.
+    sole,
+};
+
+/// A run that was lost with its worker soon after its start, so that it may have crashed it.
+struct crashed_run {
+    run_number run;
+    /// How long the run had been there at most.
+    duration age{};
+    crash_suspicion suspicion = crash_suspicion::weak;
+    /// Another process has taken the worker's place. Otherwise the worker may only have been out of
+    /// reach.
+    bool confirmed = false;
+};
+
 /// The state of one task that is stored durably, so that the next coordinator can continue the
 /// task.
 struct task_progress {
@@ -29,6 +51,11 @@
     /// start order is sent, so no other worker can have a run of the task. Empty if no start was
     /// ever ordered.
     worker_id assigned_worker;
+    /// Runs that may have crashed their workers, since a run of the task last proved harmless.
+    std::vector<crashed_run> crashed_runs;
+    /// The run that was ordered, or was about to be, while `crashed_runs` made the task a suspect.
+    /// 0: there is none, or its outcome is known.
+    run_number trial_run;
 };
 
 /// The progress of one occurrence, that is, of one execution of all steps of a job. `steps` is
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -190,13 +190,46 @@
     std::int64_t best_effort_cpu_left(const worker_state& worker) const;
     void drain_leaving_workers();
 
-    // coordinator_candidates.cpp
     /// A worker that can run a step's tasks, and its placement score; higher is better.
     struct candidate {
         worker_state* worker = nullptr;
         double score = 0;
     };
     using candidates = std::vector<candidate>;
+
+    // coordinator_crashes.cpp
+    static task_progress& crash_record_of(task_state& task);
+    static const task_progress& crash_record_of(const task_state& task);
+    std::vector<const worker_state*> lost_together_with(const worker_state& worker) const;
+    bool is_common_loss(const std::vector<const worker_state*>& lost_together,
+                        const lost_run& lost) const;
+    void mark_lost(worker_state& worker);
+    void collect_lost_runs(worker_state& worker);
+    void end_other_trials(const worker_state& worker, const task_state& blamed);
+    static std::optional<duration> age_at_loss(const task_state& task);
+    static crash_suspicion suspicion_of(const task_state& task, duration age);
+    void record_crash(worker_state& worker, bool confirmed);
+    void record_crashed_run(task_state& task, const worker_state& worker, const lost_run& lost,
+                            bool confirmed);
+    void withdraw_lost_runs(worker_state& worker);
+    void clear_of_crash(task_state& task, run_number run);
+    void clear_if_lasting(task_state& task);
+    void end_trial(task_state& task, run_number run);
+    bool give_up_if_due(task_state& task);
+    void give_up_recorded(job_state& job);
+    void start_trial(job_state& job, task_state& task);
+    worker_state* best_trial_worker(const candidates& found, const task_state& task) const;
+    void note_crashed_address(const endpoint& address);
+    candidates trial_candidates(candidates found) const;
+    bool crashed_recently(const worker_state& worker) const;
+    bool is_quiet_for(const worker_state& worker, const task_state& task) const;
+    void hold_for_trial(const candidates& found, const task_state& task);
+    bool is_kept_for_trial(const worker_state& worker) const;
+    void record_trial(task_state& task, worker_state& worker);
+    candidates without_kept_workers(candidates found) const;
+    const task_state* trial_to_wait_for(const step_state& step) const;
+
+    // coordinator_candidates.cpp
     /// Requirements of a step for which this placement round found no worker.
     struct failed_search {
         service_id service;
@@ -271,6 +304,8 @@
     absl::flat_hash_map<worker_id, std::uint64_t> leased_incarnations_;
     instant longest_leases_expired_at_{};
     std::size_t marked_unresolved_ = 0;
+    /// When a worker last crashed at an address.
+    std::map<endpoint, instant> last_crashes_;
     /// Starts of this round that are ordered once the log has their records.
     std::vector<std::pair<task_name, run_number>> unrecorded_starts_;
     /// Tasks whose runs have to be stopped.
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -1,5 +1,7 @@
 #include "cell/cell_coordinator.h"
 
+#include "cell/crash_history.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -153,7 +155,10 @@
 
 worker_state* cell_coordinator::choose_worker(const job_state& job, const task_state& task,
                                               const rack_id& only_rack) {
-    return best_candidate(search(job, *task.step, only_rack), task);
+    const candidates found = search(job, *task.step, only_rack);
+    if (is_crash_suspect(crash_record_of(task)))
+        return log_confirms() ? best_trial_worker(trial_candidates(found), task) : nullptr;
+    return best_candidate(without_kept_workers(found), task);
 }
 
 /// Chooses a worker that the log already names for the task. Used while the log does not answer,
@@ -163,8 +168,8 @@
     worker_state* best = nullptr;
     double best_score = 0;
     for (const auto& [id, worker] : workers_) {
-        if (!is_recorded_at(task, *worker) || !is_usable(*worker, job) || !admits(*worker, step) ||
-            !is_advised(*worker, job, step))
+        if (is_kept_for_trial(*worker) || !is_recorded_at(task, *worker) ||
+            !is_usable(*worker, job) || !admits(*worker, step) || !is_advised(*worker, job, step))
             continue;
         const double found = score(*worker, step);
         if (best == nullptr || found > best_score) {
--- /dev/null
+++ b/src/cell/coordinator_crashes.cpp
@@ -0,0 +1,364 @@
+#include "cell/cell_coordinator.h"
+#include "cell/crash_history.h"
+#include "figwinch/observe.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figwinch {
+namespace {
+
+// Workers that are lost within this time of each other may have a common cause, such as power.
+constexpr duration common_loss_window = std::chrono::seconds(1);
+// A loss of this many workers, and of this share of a cell, at the same time has a common cause.
+constexpr std::size_t min_common_losses = 3;
+constexpr std::size_t common_loss_share = 8;
+// A worker that is lost this soon after a run started was probably crashed by it.
+constexpr duration crash_at_start_window = std::chrono::milliseconds(500);
+// A worker that is kept free of new starts for a trial is released after this time beyond the
+// trial's probation if the trial was not started.
+constexpr duration hold_slack = std::chrono::milliseconds(500);
+// Share of the workers that may be kept free of new starts for trials at the same time.
+constexpr std::size_t min_held = 2;
+constexpr std::size_t max_held_share = 8;
+// A trial prefers workers at whose address no worker crashed within this time: one that keeps
+// crashing by itself would convict the task.
+constexpr duration recent_crash_window = std::chrono::seconds(15);
+
+const char* name_of_suspicion(crash_suspicion suspicion) {
+    static constexpr std::array names = {"weak", "shared", "sole"};
+    return names[static_cast<std::size_t>(suspicion)];
+}
+
+} // namespace
+
+/// Returns the progress that records the crashes of a task. A gang's members start and end
+/// together, so that its crashes are recorded with its first member.
+task_progress& cell_coordinator::crash_record_of(task_state& task) {
+    return task.step->spec->gang ? task.step->tasks.front().progress : task.progress;
+}
+
+const task_progress& cell_coordinator::crash_record_of(const task_state& task) {
+    return task.step->spec->gang ? task.step->tasks.front().progress : task.progress;
+}
+
+/// Returns the other workers that were lost at the same time as this one. Those on which a trial
+/// had just started are left out: suspects may be started at the same moment.
+std::vector<const worker_state*>
+cell_coordinator::lost_together_with(const worker_state& worker) const {
+    std::vector<const worker_state*> found;
+    for (const auto& [id, other] : workers_)
+        if (other.get() != &worker && other->lost_at != instant() && !other->lost_at_trial_start &&
+            std::chrono::abs(other->lost_at - worker.lost_at) < common_loss_window)
+            found.push_back(other.get());
+    return found;
+}
+
+/// Whether so many workers were lost together that the run is not to blame. Those that had just
+/// started a run of the same step do not count: it probably does the same.
+bool cell_coordinator::is_common_loss(const std::vector<const worker_state*>& lost_together,
+                                      const lost_run& lost) const {
+    const auto is_same_step = [&lost](const lost_run& other) {
+        return other.task.job == lost.task.job && other.task.step == lost.task.step &&
+               other.age < min_probation;
+    };
+    const std::size_t limit = std::max(min_common_losses, workers_.size() / common_loss_share);
+    std::size_t unrelated = 0;
+    for (const worker_state* const other : lost_together) {
+        unrelated += std::ranges::none_of(other->lost_runs, is_same_step) ? 1 : 0;
+        if (unrelated >= limit)
+            return true;
+    }
+    return false;
+}
+
+void cell_coordinator::mark_lost(worker_state& worker) {
+    const instant now = deps_.time.now();
+    worker.lost_at = now;
+    worker.lost_at_trial_start = now - worker.trial_started_at < crash_at_start_window;
+}
+
+/// Collects the runs that may have crashed a lost worker. Called before its tasks are released.
+void cell_coordinator::collect_lost_runs(worker_state& worker) {
+    if (std::exchange(worker.lost_runs_collected, true))
+        return;
+    for (const task_state* const task : worker.tasks) {
+        const std::optional<duration> age = age_at_loss(*task);
+        if (!age || *age >= crash_free_run_time)
+            continue;
+        const lost_run lost{name_of(*task), task->run.number, *age, suspicion_of(*task, *age)};
+        const bool is_trial = crash_record_of(*task).trial_run == lost.run;
+        if (is_trial && lost.suspicion == crash_suspicion::sole) {
+            // A second crash of a suspect explains the loss: the others only ran beside it.
+            worker.lost_runs = {lost};
+            end_other_trials(worker, *task);
+            return;
+        }
+        worker.lost_runs.push_back(lost);
+    }
+}
+
+/// Ends the trials of the worker's tasks but one, which is to blame for the loss.
+void cell_coordinator::end_other_trials(const worker_state& worker, const task_state& blamed) {
+    for (task_state* const task : worker.tasks)
+        if (task != &blamed && &crash_record_of(*task) != &crash_record_of(blamed))
+            end_trial(*task, task->run.number);
+}
+
+/// Returns how long a run had been on its worker when the worker was lost; nothing if the run
+/// cannot have started.
+std::optional<duration> cell_coordinator::age_at_loss(const task_state& task) {
+    if (task.run.name.empty())
+        return std::nullopt;
+    const instant lost_at = task.assigned_worker->lost_at;
+    return std::max(duration::zero(), lost_at - task.run.ordered_at);
+}
+
+/// Judges how strongly the loss of its worker speaks against a run.
+crash_suspicion cell_coordinator::suspicion_of(const task_state& task, duration age) {
+    const task_progress& record = crash_record_of(task);
+    const bool is_trial = record.trial_run == task.run.number;
+    if (age >= (is_trial ? expected_crash_time(record) : min_probation))
+        return crash_suspicion::weak;
+    const duration window = std::max(age, is_trial ? probation_of(record) : min_probation);
+    const auto& beside = task.assigned_worker->tasks;
+    const bool shared = std::ranges::any_of(beside, [&](const task_state* other) {
+        const bool same_gang = other->step == task.step && other->step->spec->gang;
+        const std::optional<duration> other_age = age_at_loss(*other);
+        return other != &task && !same_gang && other_age && *other_age < window;
+    });
+    return shared || !task.run.has_started ? crash_suspicion::shared : crash_suspicion::sole;
+}
+
+/// Records the lost runs of a worker as crashes. `confirmed`: its process has ended.
+void cell_coordinator::record_crash(worker_state& worker, bool confirmed) {
+    collect_lost_runs(worker);
+    // A worker that leaves ends what it runs.
+    if (worker.listing.leaving)
+        return;
+    if (confirmed)
+        note_crashed_address(worker.listing.address);
+    const std::vector<const worker_state*> lost_together = lost_together_with(worker);
+    for (lost_run& lost : worker.lost_runs) {
+        const bool common = is_common_loss(lost_together, lost);
+        // Workers that are all out of reach have probably not crashed, or that will be confirmed.
+        // Even then only tasks that had just started may all have crashed them.
+        task_state* const task = find_task(lost.task);
+        const bool had_just_started = lost.age < crash_at_start_window;
+        if (task == nullptr || (common && !confirmed && had_just_started))
+            continue;
+        if (common && !had_just_started) {
+            end_trial(*task, lost.run);
+            continue;
+        }
+        if (common)
+            lost.suspicion = crash_suspicion::weak;
+        record_crashed_run(*task, worker, lost, confirmed);
+    }
+}
+
+void cell_coordinator::record_crashed_run(task_state& task, const worker_state& worker,
+                                          const lost_run& lost, bool confirmed) {
+    task_progress& record = crash_record_of(task);
+    if (task.job->phase != job_phase::open || record.done ||
+        !add_crash(record, {lost.run, lost.age, lost.suspicion, confirmed}))
+        return;
+    if (record.trial_run == lost.run)
+        record.trial_run = {};
+    mark_dirty(*task.job);
+    log_event(log_level::info, "run_crashed",
+              {{"task", to_string(lost.task)},
+               {"run", static_cast<std::int64_t>(lost.run.value())},
+               {"worker", worker.listing.id.str()},
+               {"age_ms", lost.age / std::chrono::milliseconds(1)},
+               {"suspicion", std::string(name_of_suspicion(lost.suspicion))},
+               {"confirmed", confirmed}});
+    give_up_if_due(task);
+}
+
+/// The worker answers again in the same incarnation: it had not crashed.
+void cell_coordinator::withdraw_lost_runs(worker_state& worker) {
+    for (const lost_run& lost : std::exchange(worker.lost_runs, {}))
+        if (task_state* const task = find_task(lost.task))
+            clear_of_crash(*task, lost.run);
+    worker.lost_runs_collected = false;
+    worker.lost_at_trial_start = false;
+    worker.lost_at = {};
+}
+
+/// The run's worker reported it or its end: the run did not crash the worker.
+void cell_coordinator::clear_of_crash(task_state& task, run_number run) {
+    if (withdraw_crash(crash_record_of(task), run))
+        mark_dirty(*task.job);
+}
+
+/// Clears a task whose run has lasted.
+void cell_coordinator::clear_if_lasting(task_state& task) {
+    task_progress& record = crash_record_of(task);
+    if ((record.crashed_runs.empty() && record.trial_run.is_none()) ||
+        deps_.time.now() - task.run.ordered_at < time_to_clear(record))
+        return;
+    record.crashed_runs.clear();
+    record.trial_run = {};
+    mark_dirty(*task.job);
+}
+
+void cell_coordinator::end_trial(task_state& task, run_number run) {
+    task_progress& record = crash_record_of(task);
+    if (record.trial_run != run)
+        return;
+    record.trial_run = {};
+    mark_dirty(*task.job);
+}
+
+/// Fails the job of a task that must not be started again. Returns whether it did.
+bool cell_coordinator::give_up_if_due(task_state& task) {
+    const task_progress& record = crash_record_of(task);
+    if (!must_give_up(record) || task.job->phase != job_phase::open)
+        return false;
+    log_event(log_level::warn, "task_given_up",
+              {{"task", to_string(name_of(task))},
+               {"why", "crashes its workers"},
+               {"crashes", static_cast<std::int64_t>(record.crashed_runs.size())}});
+    end_job(*task.job, job_phase::failed);
+    return true;
+}
+
+/// Fails a job that an earlier leadership term recorded as one to give up, but not as failed.
+void cell_coordinator::give_up_recorded(job_state& job) {
+    for (const auto& [number, occurrence] : job.occurrences)
+        for (step_state& step : occurrence->steps)
+            for (task_state& task : step.tasks)
+                if (give_up_if_due(task))
+                    return;
+}
+
+/// Starts a trial of a suspect, on a worker where no other run started just before and none will
+/// until the trial is over. It waits for such a worker, and for the log: a start that is not
+/// recorded would not count for a successor.
+void cell_coordinator::start_trial(job_state& job, task_state& task) {
+    if (task.not_ordered)
+        task.progress.trial_run = {};
+    settle_earlier_trial(task.progress);
+    if (give_up_if_due(task) || !log_confirms())
+        return;
+    const candidates found = trial_candidates(search(job, *task.step, rack_id()));
+    worker_state* const worker = best_trial_worker(found, task);
+    if (worker == nullptr)
+        return hold_for_trial(found, task);
+    start(task, *worker, next_run(), task.progress.checkpoint);
+}
+
+worker_state* cell_coordinator::best_trial_worker(const candidates& found,
+                                                  const task_state& task) const {
+    candidates quiet;
+    for (const candidate& one : found)
+        if (is_quiet_for(*one.worker, task))
+            quiet.push_back(one);
+    return best_candidate(quiet, task);
+}
+
+/// Returns the workers for a trial: those without another trial whose address had no crash
+/// recently, if there are any.
+cell_coordinator::candidates cell_coordinator::trial_candidates(candidates found) const {
+    const instant now = deps_.time.now();
+    const auto stable = [&](const candidate& one) {
+        return !crashed_recently(*one.worker) && now >= one.worker->trial_until;
+    };
+    if (std::ranges::any_of(found, stable))
+        std::erase_if(found, std::not_fn(stable));
+    return found;
+}
+
+void cell_coordinator::note_crashed_address(const endpoint& address) {
+    const instant now = deps_.time.now();
+    std::erase_if(last_crashes_,
+                  [now](const auto& crash) { return now - crash.second >= recent_crash_window; });
+    last_crashes_[address] = now;
+}
+
+bool cell_coordinator::crashed_recently(const worker_state& worker) const {
+    const auto crash = last_crashes_.find(worker.listing.address);
+    return crash != last_crashes_.end() && deps_.time.now() - crash->second < recent_crash_window;
+}
+
+/// Whether no other run has started on the worker just now, and it has no other trial.
+bool cell_coordinator::is_quiet_for(const worker_state& worker, const task_state& task) const {
+    const instant now = deps_.time.now();
+    if (now < worker.trial_until)
+        return false;
+    const duration window = probation_of(crash_record_of(task));
+    return std::ranges::none_of(worker.tasks, [&](const task_state* other) {
+        const bool same_gang = other->step == task.step && other->step->spec->gang;
+        const bool is_new = other->run.name.empty() || now - other->run.ordered_at < window;
+        return !same_gang && is_new;
+    });
+}
+
+/// Keeps the best worker free of new starts, so that it can take the trial when the youngest run
+/// there is old enough.
+void cell_coordinator::hold_for_trial(const candidates& found, const task_state& task) {
+    const instant now = deps_.time.now();
+    const auto held = std::ranges::count_if(
+        workers_, [now](const auto& entry) { return now < entry.second->held_until; });
+    if (static_cast<std::size_t>(held) >= std::max(min_held, workers_.size() / max_held_share))
+        return;
+    candidates free;
+    for (const candidate& one : found)
+        if (!is_kept_for_trial(*one.worker))
+            free.push_back(one);
+    if (worker_state* const worker = best_candidate(free, task))
+        worker->held_until = now + probation_of(crash_record_of(task)) + hold_slack;
+}
+
+/// Whether the worker takes no starts but trials for now.
+bool cell_coordinator::is_kept_for_trial(const worker_state& worker) const {
+    const instant now = deps_.time.now();
+    return now < worker.held_until || now < worker.trial_until;
+}
+
+/// Marks the run that is about to be started as a trial, for successors and for the worker.
+void cell_coordinator::record_trial(task_state& task, worker_state& worker) {
+    task_progress& record = crash_record_of(task);
+    record.trial_run = task.run.number;
+    worker.held_until = {};
+    worker.trial_started_at = deps_.time.now();
+    worker.trial_until = deps_.time.now() + probation_of(record) + order_delivery_time;
+    mark_dirty(*task.job);
+    log_event(log_level::info, "trial_started",
+              {{"task", to_string(name_of(task))},
+               {"run", static_cast<std::int64_t>(task.run.number.value())},
+               {"worker", worker.listing.id.str()},
+               {"crashes", static_cast<std::int64_t>(record.crashed_runs.size())}});
+}
+
+cell_coordinator::candidates cell_coordinator::without_kept_workers(candidates found) const {
+    std::erase_if(found, [this](const candidate& one) { return is_kept_for_trial(*one.worker); });
+    return found;
+}
+
+/// Returns the suspect of the step whose trial the other tasks wait for, since they probably do the
+/// same: one that has just begun a trial, or was alone when its worker was lost. Null if there is
+/// none. Service tasks are late by the time that they wait, so they wait only if two of them were.
+const task_state* cell_coordinator::trial_to_wait_for(const step_state& step) const {
+    const instant now = deps_.time.now();
+    const task_state* alone = nullptr;
+    std::size_t sole_crashes = 0;
+    for (const task_state& task : step.tasks) {
+        if (task.progress.done || task.progress.crashed_runs.empty())
+            continue;
+        const bool runs = task.assigned_worker != nullptr;
+        const bool is_young = now - task.run.ordered_at < probation_of(task.progress);
+        const bool is_trial = task.progress.trial_run == task.run.number;
+        if (runs && is_trial && !step.spec->is_service && (is_young || task.run.name.empty()))
+            return &task;
+        if (!has_sole_crash(task.progress))
+            continue;
+        ++sole_crashes;
+        if (alone == nullptr && (!runs || is_young))
+            alone = &task;
+    }
+    return sole_crashes >= (step.spec->is_service ? 2 : 1) ? alone : nullptr;
+}
+
+} // namespace figwinch
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -88,6 +88,7 @@
         return end_job(job, job_phase::cancelled);
     make_due_occurrences(job);
     update_outlook(job);
+    give_up_recorded(job);
     sort_due_ = true;
     placement_due_ = true;
 }
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -61,6 +61,8 @@
     if (!lost.empty())
         log_event(log_level::warn, "lease_over",
                   {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
+    if (!lost.empty() && worker.lost_at != instant())
+        record_crash(worker, false);
     for (task_state* const task : lost) {
         log_lost_run(*task);
         release(*task);
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -1,4 +1,5 @@
 #include "cell/cell_coordinator.h"
+#include "cell/crash_history.h"
 #include "figwinch/observe.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -69,7 +70,8 @@
                                    std::uint64_t max_starts) {
     const bool lasting = pass != placement_pass::batch_tasks;
     for (const auto& [job, step] : waiting) {
-        if (step->spec->is_service != lasting || step->assigned >= step->unfinished)
+        if (job->phase != job_phase::open || step->spec->is_service != lasting ||
+            step->assigned >= step->unfinished)
             continue;
         if (step->spec->gang && may_start(step->tasks.front()))
             place_gang(*job, *step);
@@ -89,14 +91,29 @@
     if (!per_task && !may_start(step.tasks.front()))
         return false;
     const bool any_worker = log_confirms();
+    const task_state* trial = trial_to_wait_for(step);
     std::optional<candidates> found;
     for (task_state& task : step.tasks) {
         if (task.progress.done || task.assigned_worker != nullptr || now < task.not_before ||
             (per_task && !may_start(task)) ||
             (restarts_only && task.progress.assigned_worker.empty()))
             continue;
+        const bool is_suspect = is_crash_suspect(task.progress);
+        // A service task that ran before is not made to wait for another one.
+        if (trial != nullptr && trial != &task &&
+            (is_suspect || task.progress.assigned_worker.empty()))
+            continue;
+        if (is_suspect) {
+            start_trial(job, task);
+            if (job.phase != job_phase::open)
+                return false;
+            if (task.assigned_worker != nullptr)
+                trial = &task;
+            found.reset();
+            continue;
+        }
         if (any_worker && (!found || found->empty()))
-            found = search(job, step, rack_id());
+            found = without_kept_workers(search(job, step, rack_id()));
         worker_state* const worker =
             any_worker ? best_candidate(*found, task) : choose_recorded(job, task);
         if (worker == nullptr) {
@@ -115,6 +132,9 @@
     task_state& first = step.tasks.front();
     if (step.assigned > 0 || deps_.time.now() < first.not_before)
         return false;
+    settle_earlier_trial(first.progress);
+    if (give_up_if_due(first))
+        return false;
     // The members of a one-rack gang must share a rack; each rack is tried once.
     absl::flat_hash_set<rack_id> racks;
     if (step.spec->one_rack)
--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -80,6 +80,8 @@
 void cell_coordinator::apply_running_run(worker_state& worker, const active_run& row,
                                          task_state* task) {
     const instant now = deps_.time.now();
+    if (task != nullptr)
+        clear_of_crash(*task, row.run);
     const bool wanted = task != nullptr && task->job->phase == job_phase::open &&
                         !task->progress.done && task->assigned_worker == nullptr;
     if (wanted) {
@@ -109,12 +111,14 @@
         return stop_orphaned_run(worker, row.task, row.run);
     task_run& run = task->run;
     run.may_run_until_ms = 0;
+    run.has_started = true;
     if (run.current_phase == task_run::phase::starting)
         run.current_phase = task_run::phase::running;
     update_progress(run, row.progress_percent);
     run.recent = row.latency_ms_or_cpu_millis;
     if (!row.checkpoint.empty())
         run.checkpoint = row.checkpoint;
+    clear_if_lasting(*task);
 }
 
 /// Releases runs that the worker's report proves gone: the report was requested after the last
@@ -135,6 +139,7 @@
     for (task_state* const task : gone) {
         log_event(log_level::warn, "run_gone",
                   {{"task", to_string(name_of(*task))}, {"worker", worker.listing.id.str()}});
+        end_trial(*task, task->run.number);
         release(*task);
     }
 }
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -1,4 +1,5 @@
 #include "cell/cell_coordinator.h"
+#include "cell/crash_history.h"
 #include "figwinch/observe.h"
 
 #include <algorithm>
@@ -33,7 +34,10 @@
         assign(task, worker);
     if (!std::exchange(task.job->begun, true))
         mark_dirty(*task.job);
-    if (is_recorded_at(task, worker))
+    const bool is_trial = is_crash_suspect(crash_record_of(task));
+    if (is_trial)
+        record_trial(task, worker);
+    else if (is_recorded_at(task, worker))
         return order_start(task);
     record_placement(task, worker);
     unrecorded_starts_.emplace_back(name_of(task), run);
@@ -106,6 +110,7 @@
         state.may_run_until_ms = 0;
     switch (answer.outcome) {
     case order_outcome::done:
+        state.has_started = true;
         if (state.current_phase == task_run::phase::stopping)
             return;
         state.current_phase = task_run::phase::running;
@@ -160,6 +165,7 @@
                {"worker", worker.listing.id.str()},
                {"why", std::string(why)}});
     worker.quarantined_until = std::max(worker.quarantined_until, deps_.time.now() + quarantine);
+    end_trial(task, task.run.number);
     release(task);
     if (task.step->spec->gang)
         for (task_state& member : task.step->tasks)
@@ -215,6 +221,8 @@
                    {"how", std::string(end_name(row.reason))}});
     if (task == nullptr)
         return;
+    clear_of_crash(*task, row.run);
+    end_trial(*task, row.run);
     const bool bound_here = task->assigned_worker == &worker && task->run.number == row.run;
     if (bound_here) {
         if (!row.checkpoint.empty())
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -1,6 +1,7 @@
 #include "figwinch/cell/coordinator_view.h"
 
 #include "cell/cell_coordinator.h"
+#include "cell/crash_history.h"
 #include "figwinch/observe.h"
 
 #include <algorithm>
@@ -26,8 +27,9 @@
 
 std::string_view to_string(wait_reason wait) {
     static constexpr std::array names = {
-        "none",      "earlier_steps", "earlier_reign", "pause_after_failure",
-        "no_worker", "no_label",      "no_room",       "advice"};
+        "none",        "earlier_steps", "earlier_reign", "pause_after_failure",
+        "crash_trial", "no_worker",     "no_label",      "no_room",
+        "advice"};
     return names[static_cast<std::size_t>(wait)];
 }
 
@@ -136,6 +138,8 @@
         return wait_reason::earlier_reign;
     if (deps_.time.now() < task.not_before)
         return wait_reason::pause_after_failure;
+    if (is_crash_suspect(crash_record_of(task)) || trial_to_wait_for(*task.step) != nullptr)
+        return wait_reason::crash_trial;
     const std::string& label = task.step->spec->label;
     wait_reason furthest = wait_reason::no_worker;
     for (const auto& [id, worker] : workers_) {
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -73,7 +73,7 @@
 std::vector<worker_state*> cell_coordinator::lost_workers() const {
     std::vector<worker_state*> lost;
     for (const auto& [id, worker] : workers_)
-        if (worker->unanswered_renewals > 0)
+        if (worker->lost_at != instant())
             lost.push_back(worker.get());
     return lost;
 }
@@ -84,10 +84,13 @@
                                          const std::vector<worker_state*>& lost) {
     if (row.address == endpoint())
         return;
-    for (worker_state* const worker : lost)
-        if (worker->listing.address == row.address)
-            log_event(log_level::info, "worker_replaced",
-                      {{"worker", worker->listing.id.str()}, {"by", row.id.str()}});
+    for (worker_state* const worker : lost) {
+        if (worker->listing.address != row.address)
+            continue;
+        log_event(log_level::info, "worker_replaced",
+                  {{"worker", worker->listing.id.str()}, {"by", row.id.str()}});
+        record_crash(*worker, true);
+    }
 }
 
 void cell_coordinator::send_due_renewals() {
@@ -166,6 +169,8 @@
         handle_recovery(*worker);
     if (worker->born_ms != report.incarnation)
         handle_new_incarnation(*worker, report);
+    else if (worker->lost_at != instant())
+        withdraw_lost_runs(*worker);
     worker->clock.observe(report.clock_ms, now);
     // A predecessor may have renewed the lease until now, but not later: the worker now rejects its
     // orders.
@@ -203,8 +208,14 @@
 }
 
 void cell_coordinator::handle_new_incarnation(worker_state& worker, const worker_report& report) {
-    if (worker.born_ms != 0)
+    if (worker.born_ms != 0) {
         log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
+        if (worker.lost_at == instant())
+            mark_lost(worker);
+        record_crash(worker, true);
+        worker.lost_runs.clear();
+        worker.lost_runs_collected = false;
+    }
     worker.born_ms = report.incarnation;
     worker.clock = {};
     // Orders sent to the worker's earlier incarnation may reach the new one.
@@ -227,12 +238,16 @@
 
 void cell_coordinator::handle_unanswered_renewal(worker_state& worker) {
     ++worker.unanswered_renewals;
+    if (worker.lost_at == instant() || worker.unanswered_renewals == 1)
+        mark_lost(worker);
     if (worker.unanswered_renewals < renewals_until_unresponsive || worker.unresponsive ||
         !worker.registered)
         return;
     worker.unresponsive = true;
     update_index(worker);
     log_event(log_level::warn, "worker_silent", {{"worker", worker.listing.id.str()}});
+    // Recorded at once, so that a successor knows of it.
+    record_crash(worker, false);
     deps_.progress_log.write({record_key(record_kind::worker, worker.listing.id.str()),
                               encode_worker({worker.born_ms, true}), 0});
 }
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -57,6 +57,30 @@
     return step;
 }
 
+void write_crashes(const task_progress& task, pb::TaskRecord& record) {
+    for (const crashed_run& crash : task.crashed_runs) {
+        pb::CrashedRunRecord& kept = *record.add_crashed_runs();
+        kept.set_run(crash.run.value());
+        kept.set_age_ms(static_cast<std::uint32_t>(in_ms(crash.age)));
+        kept.set_suspicion(static_cast<pb::CrashSuspicion>(crash.suspicion));
+        kept.set_confirmed(crash.confirmed);
+    }
+    record.set_trial_run(task.trial_run.value());
+}
+
+void read_crashes(const pb::TaskRecord& record, task_progress& task) {
+    for (const pb::CrashedRunRecord& kept : record.crashed_runs())
+        task.crashed_runs.push_back({run_number(kept.run()), milliseconds(kept.age_ms()),
+                                     static_cast<crash_suspicion>(kept.suspicion()),
+                                     kept.confirmed()});
+    task.trial_run = run_number(record.trial_run());
+}
+
+bool is_empty(const task_progress& task) {
+    return task.failed_runs.empty() && task.checkpoint.empty() && task.assigned_worker.empty() &&
+           task.crashed_runs.empty() && task.trial_run == run_number();
+}
+
 void write_tasks(const std::vector<task_progress>& tasks, pb::StepProgressRecord& record) {
     std::string done((tasks.size() + bits_per_byte - 1) / bits_per_byte, '\0');
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -66,7 +90,7 @@
             done[index / bits_per_byte] = static_cast<char>(done[index / bits_per_byte] | bit);
             continue;
         }
-        if (task.failed_runs.empty() && task.checkpoint.empty() && task.assigned_worker.empty())
+        if (is_empty(task))
             continue;
         pb::TaskRecord& kept = *record.add_tasks();
         kept.set_index(index);
@@ -74,6 +98,7 @@
             kept.add_failed_runs(run.value());
         kept.set_checkpoint(task.checkpoint);
         kept.set_ordered_to(task.assigned_worker.str());
+        write_crashes(task, kept);
     }
     record.set_done(std::move(done));
 }
@@ -93,6 +118,7 @@
             task.failed_runs.emplace_back(run);
         task.checkpoint = kept.checkpoint();
         task.assigned_worker = worker_id(kept.ordered_to());
+        read_crashes(kept, task);
     }
     return tasks;
 }
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -26,6 +26,8 @@
     /// Number of the newest report of the worker that shows the run.
     std::uint64_t shown_in_report = 0;
     phase current_phase = phase::starting;
+    /// The worker has answered the start order, or reported the run.
+    bool has_started = false;
     instant ordered_at{};
     /// Since when no order about the run is in flight. A worker's report that was requested later
     /// and does not show the run proves that it is gone.
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -2,6 +2,8 @@
 
 #include "cell/throttle_controller.h"
 #include "cell/worker_clock.h"
+#include "figwinch/cell/job_progress.h"
+#include "figwinch/cell/task_name.h"
 #include "figwinch/cell/worker_listing.h"
 #include "figwinch/placement/candidate_index.h"
 
@@ -13,6 +15,15 @@
 
 struct task_state;
 
+/// A run that was on a worker when it was lost, and may have crashed it.
+struct lost_run {
+    task_name task;
+    run_number run;
+    /// How long the run had been there.
+    duration age{};
+    crash_suspicion suspicion = crash_suspicion::weak;
+};
+
 /// The coordinator's state of a worker.
 struct worker_state {
     worker_slot slot = 0;
@@ -32,6 +43,18 @@
     /// Consecutive lease renewals without an answer. Until one is answered, the lease is not
     /// extended.
     int unanswered_renewals = 0;
+    /// When the first of the unanswered renewals was noticed, after which this incarnation has not
+    /// answered. Zero: it answers.
+    instant lost_at{};
+    /// The worker was lost when a trial had just begun on it.
+    bool lost_at_trial_start = false;
+    bool lost_runs_collected = false;
+    std::vector<lost_run> lost_runs;
+    /// Until when the worker takes no starts but that of a trial, and until when a trial on it
+    /// lasts.
+    instant held_until{};
+    instant trial_until{};
+    instant trial_started_at{};
     /// The log says that the lease is not renewed, or that record is being written.
     bool unresponsive = false;
     instant next_renewal{};
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -71,6 +71,9 @@
         tasks[4].failed_runs = {run_number(77), run_number(5)};
         tasks[4].checkpoint = "c";
         tasks[3].assigned_worker = worker_id("w3");
+        tasks[6].crashed_runs = {
+            {run_number(9), std::chrono::milliseconds(40), crash_suspicion::sole, true}};
+        tasks[7].trial_run = run_number(11);
         progress.occurrences[2].steps = {tasks};
         const auto read = decode_progress(encode_progress(progress));
         CPPUNIT_ASSERT(read.has_value());
@@ -79,6 +82,11 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back.at(4).failed_runs.size());
         CPPUNIT_ASSERT_EQUAL(std::string("c"), back.at(4).checkpoint);
         CPPUNIT_ASSERT(back.at(3).assigned_worker == worker_id("w3"));
+        const crashed_run& crash = back.at(6).crashed_runs.at(0);
+        CPPUNIT_ASSERT(crash.run == run_number(9) && crash.confirmed);
+        CPPUNIT_ASSERT(crash.age == std::chrono::milliseconds(40));
+        CPPUNIT_ASSERT(crash.suspicion == crash_suspicion::sole);
+        CPPUNIT_ASSERT(back.at(7).trial_run == run_number(11));
     }
     void marks_name_all_workers_and_hardly_any_other() {
         worker_fingerprints marks;
--- a/tests/cell/service_downtime_rule.cpp
+++ b/tests/cell/service_downtime_rule.cpp
@@ -107,6 +107,8 @@
 /// Whether the coordinator, or if there is none its successor, can connect to the worker.
 bool service_downtime_rule::can_reach(std::optional<std::size_t> acting,
                                       const std::string& worker) {
+    if (world_.fleet().workers.at(worker).worker->is_crashed())
+        return false;
     if (acting)
         return !world_.host(*acting)->way_to_workers().is_cut(worker);
     return !world_.fleet().workers.at(worker).cut;
