Don't rely on old capacities while the log is away

A worker whose capacity shrinks says so in the log. A coordinator that the log does not answer goes on for up to 5 s with starts on workers that the log already names, and counted on the capacity that it had read last: a start could exceed one that had shrunk 4.3 s before.

Starts without an answer of the log now end when the view of workers is as old as the notice of a smaller capacity (--shrink_ms, contactMs of the platform) less the 1.5 s for which an order may take effect; before, they ended with max_unconfirmed_leadership.

--- a/bench/cell_worker_list.cpp
+++ b/bench/cell_worker_list.cpp
@@ -77,7 +77,7 @@
         time, platform.log(), lease_epoch(1), [](const stored_record&) {}, [] {});
     const auto coordinates = coordinator::create(
         {time, platform, platform, journal, [&time] { return time.now(); }, [] { return true; },
-         [] {}, [](const job_id&, const std::function<void()>&) {}},
+         [] { return true; }, [] {}, [](const job_id&, const std::function<void()>&) {}},
         {}, lease_epoch(1), {}, known);
     coordinates->update_workers(list.listings());
     return median_seconds(runs, [&] { coordinates->update_workers(list.listings()); }) * 1e6;
--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -26,6 +26,9 @@
     /// Time between a worker's notice that it leaves and the moment from which no run may be
     /// started on it.
     duration leave_notice = std::chrono::seconds(2);
+    /// Time between the notice that a worker's capacity has shrunk and the moment from which no run
+    /// may be started that exceeds it.
+    duration shrink_notice = std::chrono::seconds(3);
     /// Time between an operator's notice that a data centre is evacuated and the moment from which
     /// no run may be started there.
     duration evacuation_notice = std::chrono::seconds(5);
--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -52,6 +52,9 @@
         /// Returns whether the known notices of workers and operators are recent enough that a
         /// start ordered now cannot violate one.
         std::function<bool()> has_current_notices;
+        /// Returns whether the known capacities of workers are recent enough that a start ordered
+        /// now cannot exceed one that has shrunk since.
+        std::function<bool()> has_current_capacities;
         /// Called when a worker reports a higher epoch than this coordinator's.
         std::function<void()> on_superseded;
         /// Removes a job that ended long ago from the intake stream; calls `done` once the log has
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -41,9 +41,9 @@
 
 /// Returns whether a start may rely on the known notices of workers and operators. While the log
 /// answers, they must be recent enough that no notice period can have ended unseen. While it does
-/// not answer, no notice can be published either.
+/// not answer, no notice can be published either, but a worker's capacity can shrink.
 bool cell_coordinator::has_current_notices() const {
-    return !log_confirms() || deps_.has_current_notices();
+    return log_confirms() ? deps_.has_current_notices() : deps_.has_current_capacities();
 }
 
 /// Handles an expiry of the worker's lease that is certain by any clock. No runs are left there,
--- a/src/cell_host/cell_host_settings.cpp
+++ b/src/cell_host/cell_host_settings.cpp
@@ -19,6 +19,8 @@
 ABSL_FLAG(int, status_s, 120, "how long the state of ended jobs is kept, s");
 ABSL_FLAG(int, gang_ms, 3000, "how long members of a gang wait for one another, ms");
 ABSL_FLAG(int, leave_ms, 2000, "from a worker's notice that it leaves to its last start, ms");
+ABSL_FLAG(int, shrink_ms, 3000,
+          "from the notice that a worker's capacity shrinks to the last start that exceeds it, ms");
 ABSL_FLAG(int, evacuate_ms, 5000, "from taking a data centre out to the last start there, ms");
 ABSL_FLAG(double, far_factor, 2, "how much longer a task takes away from its data");
 ABSL_FLAG(bool, log_debug, false, "write debug lines too");
@@ -56,6 +58,7 @@
     reader.require_range("status_s", absl::GetFlag(FLAGS_status_s), 1, 86'400, "s");
     reader.require_range("gang_ms", absl::GetFlag(FLAGS_gang_ms), 1, 600'000, "ms");
     reader.require_range("leave_ms", absl::GetFlag(FLAGS_leave_ms), 1000, 600'000, "ms");
+    reader.require_range("shrink_ms", absl::GetFlag(FLAGS_shrink_ms), 2000, 600'000, "ms");
     reader.require_range("evacuate_ms", absl::GetFlag(FLAGS_evacuate_ms), 1000, 600'000, "ms");
     const double far = absl::GetFlag(FLAGS_far_factor);
     reader.require(far >= 1 && far <= 100, "far_factor", std::to_string(far), "1 to 100");
@@ -79,6 +82,7 @@
     settings.cell.status_retention = std::chrono::seconds(absl::GetFlag(FLAGS_status_s));
     settings.cell.gang_start_window = read_ms(FLAGS_gang_ms);
     settings.cell.leave_notice = read_ms(FLAGS_leave_ms);
+    settings.cell.shrink_notice = read_ms(FLAGS_shrink_ms);
     settings.cell.evacuation_notice = read_ms(FLAGS_evacuate_ms);
     settings.cell.remote_data_slowdown = absl::GetFlag(FLAGS_far_factor);
     settings.level = absl::GetFlag(FLAGS_log_debug) ? log_level::debug : log_level::info;
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -110,6 +110,7 @@
     void apply_operator_record(const stored_record& record);
     void pass_worker_list();
     bool is_view_fresh() const;
+    bool has_current_capacities() const;
     void log_view_change();
     void pass_new_jobs();
     void offer_relay();
--- a/src/cell_host/cell_member_leader.cpp
+++ b/src/cell_host/cell_member_leader.cpp
@@ -62,6 +62,10 @@
            operators_age() < settings_.evacuation_notice - order_delivery_time;
 }
 
+bool cell_member::has_current_capacities() const {
+    return workers_age() < settings_.shrink_notice - start_validity;
+}
+
 void cell_member::log_view_change() {
     const bool old = !is_view_fresh();
     if (old == std::exchange(view_is_old_, old))
@@ -119,17 +123,17 @@
         order_router::dependencies{time_, platform_.orders(), peers_},
         self_.str() + "/" + std::to_string(term_epoch_.value()), term_epoch_, info_.relay_capacity);
     roster_ = std::make_unique<replica_selector>(time_, info_.data_centre);
-    coordinator_ =
-        coordinator::create({time_, *orders_, platform_.advisor(), *progress_writer_,
-                             [this] { return reign_.confirmed_at(); },
-                             [this] { return is_view_fresh(); }, [this] { term_lost_ = true; },
-                             [this](const job_id& id, const std::function<void()>& done) {
-                                 delete_job_records(id, done);
-                             }},
-                            settings_, term_epoch_,
-                            {reign_.predecessor_has_ended(), reign_.predecessors_acted_until(),
-                             reign_.predecessors_renewed_leases_until()},
-                            state_);
+    coordinator_ = coordinator::create(
+        {time_, *orders_, platform_.advisor(), *progress_writer_,
+         [this] { return reign_.confirmed_at(); }, [this] { return is_view_fresh(); },
+         [this] { return has_current_capacities(); }, [this] { term_lost_ = true; },
+         [this](const job_id& id, const std::function<void()>& done) {
+             delete_job_records(id, done);
+         }},
+        settings_, term_epoch_,
+        {reign_.predecessor_has_ended(), reign_.predecessors_acted_until(),
+         reign_.predecessors_renewed_leases_until()},
+        state_);
     if (config_)
         coordinator_->apply_config(*config_);
     coordinator_->update_evacuated(evacuated_);
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -114,6 +114,17 @@
             return;
         store_.append(cell_stream::workers, {{name, state, 0}}, {});
     }
+    /// Changes a worker's capacity, which the platform's list shows with the next heartbeat.
+    void resize_worker(const std::string& name, const resources& capacity) {
+        constexpr duration heartbeat = std::chrono::milliseconds(1100);
+        checker_.resize(name, capacity);
+        time_.after(draw_time(heartbeat), [this, name, capacity] {
+            fleet_.workers.at(name).listing.capacity = capacity;
+            const auto& newest = store_.of(cell_stream::workers).newest;
+            if (const auto row = newest.find(name); row != newest.end())
+                list_worker(name, row->second.value.value_or("ready"));
+        });
+    }
     void unlist_worker(const std::string& name) {
         store_.append(cell_stream::workers, {{name, std::nullopt, 0}}, {});
     }
--- a/tests/cell/history_faults.cpp
+++ b/tests/cell/history_faults.cpp
@@ -43,6 +43,25 @@
         schedule_fault(kinds[world_.draw() % kinds.size()], fault_phase);
 }
 
+void history_faults::schedule_capacity_changes(std::size_t changes, duration fault_phase) {
+    for (std::size_t index = 0; index < changes; ++index)
+        schedule_fault({"shrink_worker", &history_faults::shrink_worker}, fault_phase);
+}
+
+/// A worker's capacity shrinks while it runs, and grows back later.
+void history_faults::shrink_worker() {
+    const std::string worker = draw_worker();
+    const resources& full = world_.fleet().workers.at(worker).listing.capacity;
+    if (world_.checker().capacities.at(worker) != full)
+        return;
+    const auto quarters = static_cast<std::int64_t>(1 + world_.draw() % 3);
+    world_.resize_worker(worker, {full.cpu_millis * quarters / 4, full.memory_mib, 0});
+    world_.time().after(seconds(5) + draw_duration(), [this, worker, full] {
+        if (!world_.is_replaced(worker))
+            world_.resize_worker(worker, full);
+    });
+}
+
 void history_faults::schedule_fault(const fault_kind& kind, duration fault_phase) {
     world_.time().after(seconds(2) + world_.draw_time(fault_phase - seconds(4)), [this, kind] {
         world_.checker().record_event(kind.name);
--- a/tests/cell/history_faults.h
+++ b/tests/cell/history_faults.h
@@ -16,6 +16,8 @@
     void schedule_faults(std::size_t faults, duration fault_phase, bool restart_faults);
     /// Schedules random faults of hosts that relay orders.
     void schedule_relay_faults(std::size_t faults, duration fault_phase);
+    /// Schedules changes of workers' capacities at random times within the fault phase.
+    void schedule_capacity_changes(std::size_t changes, duration fault_phase);
     /// Ends at once all faults of hosts, store and orders.
     void end_all();
 
@@ -51,6 +53,7 @@
     void resign_coordinator();
     void partition_coordinator();
     void restart_with_unreachable_worker();
+    void shrink_worker();
     void kill_relay();
     void freeze_relay();
     void cut_relay_from_peers();
--- a/tools/experiment/setting_tables.cpp
+++ b/tools/experiment/setting_tables.cpp
@@ -10,6 +10,7 @@
         {"evacuate_ms", &keys::evacuation_notice, 1000, 600'000, "ms"},
         {"leave_ms", &keys::leave_notice, 1000, 600'000, "ms"},
         {"max_hold_ms", &keys::max_granted_lease, 1000, 600'000, "ms"},
+        {"shrink_ms", &keys::shrink_notice, 2000, 600'000, "ms"},
         {"status_s", &keys::status_retention, 1, 86'400, "s"},
     });
     return table;
