Start the trial of a waiting service task beside others

A service task that had only run beside others waited for its own trial behind the trials of other suspects: in a small cell there may be no worker on which nothing else has just started. After 1.5 s its trial starts wherever no other trial is on; more crashes are then needed to give it up.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -182,6 +182,7 @@
     bool place_step(job_state& job, step_state& step, placement_pass pass);
     bool place_gang(job_state& job, step_state& step);
     bool is_usable(const worker_state& worker, const job_state& job) const;
+    bool is_within_capacity(const worker_state& worker) const;
     bool admits(const worker_state& worker, const step_state& step) const;
     double score(const worker_state& worker, const step_state& step) const;
     double score_latency_critical(const worker_state& worker, const step_state& step) const;
@@ -220,12 +221,14 @@
     void start_trial(job_state& job, task_state& task);
     worker_state* best_trial_worker(const candidates& found, const task_state& task) const;
     void note_crashed_address(const endpoint& address);
+    bool has_waited_for_trial(const task_state& task) const;
     candidates trial_candidates(candidates found) const;
     bool crashed_recently(const worker_state& worker) const;
     bool is_quiet_for(const worker_state& worker, const task_state& task) const;
     void hold_for_trial(const candidates& found, const task_state& task);
     bool is_kept_for_trial(const worker_state& worker) const;
     void record_trial(task_state& task, worker_state& worker);
+    candidates without_trials(candidates found) const;
     candidates without_kept_workers(candidates found) const;
     const task_state* trial_to_wait_for(const step_state& step) const;
 
--- a/src/cell/coordinator_crashes.cpp
+++ b/src/cell/coordinator_crashes.cpp
@@ -18,6 +18,8 @@
 // A worker that is kept free of new starts for a trial is released after this time beyond the
 // trial's probation if the trial was not started.
 constexpr duration hold_slack = std::chrono::milliseconds(500);
+// A service task may be down for three seconds longer than its worker's lease lasts.
+constexpr duration max_trial_wait = std::chrono::milliseconds(1500);
 // Share of the workers that may be kept free of new starts for trials at the same time.
 constexpr std::size_t min_held = 2;
 constexpr std::size_t max_held_share = 8;
@@ -242,8 +244,11 @@
     settle_earlier_trial(task.progress);
     if (give_up_if_due(task) || !log_confirms())
         return;
-    const candidates found = trial_candidates(search(job, *task.step, rack_id()));
-    worker_state* const worker = best_trial_worker(found, task);
+    const candidates all = search(job, *task.step, rack_id());
+    const candidates found = trial_candidates(all);
+    worker_state* worker = best_trial_worker(found, task);
+    if (worker == nullptr && has_waited_for_trial(task))
+        worker = best_candidate(without_trials(all), task);
     if (worker == nullptr)
         return hold_for_trial(found, task);
     start(task, *worker, next_run(), task.progress.checkpoint);
@@ -258,6 +263,13 @@
     return best_candidate(quiet, task);
 }
 
+/// Whether a service task has waited for a quiet worker for so long that its trial is started
+/// beside others. It is late by the time that it waits, and so many tasks may be suspects that
+/// there are not enough quiet workers; more crashes are then needed to give it up.
+bool cell_coordinator::has_waited_for_trial(const task_state& task) const {
+    return task.step->spec->is_service && deps_.time.now() - task.down_since >= max_trial_wait;
+}
+
 /// Returns the workers for a trial: those without another trial whose address had no crash
 /// recently, if there are any.
 cell_coordinator::candidates cell_coordinator::trial_candidates(candidates found) const {
@@ -332,6 +344,12 @@
                {"crashes", static_cast<std::int64_t>(record.crashed_runs.size())}});
 }
 
+cell_coordinator::candidates cell_coordinator::without_trials(candidates found) const {
+    const instant now = deps_.time.now();
+    std::erase_if(found, [now](const candidate& one) { return now < one.worker->trial_until; });
+    return found;
+}
+
 cell_coordinator::candidates cell_coordinator::without_kept_workers(candidates found) const {
     std::erase_if(found, [this](const candidate& one) { return is_kept_for_trial(*one.worker); });
     return found;
