Hold starts that waited against the current capacity

A start that waited for its record, or unsent in a relay, was ordered by the capacity at which it had been placed: a worker that shrank meanwhile got more than it holds. Both are now checked again before the order, and refused as 'shrunk' (or dropped as not sent) so that the task is placed anew.

--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -174,6 +174,12 @@
            !evacuated_.contains(worker.listing.data_centre);
 }
 
+/// Whether the worker's tasks, including those whose starts are on their way, fit its capacity. They
+/// may not after it has shrunk.
+bool cell_coordinator::is_within_capacity(const worker_state& worker) const {
+    return fits(worker.allocated + worker.orphaned.value_or(resources{}), worker.listing.capacity);
+}
+
 bool cell_coordinator::admits(const worker_state& worker, const step_state& step) const {
     const step_spec& spec = *step.spec;
     resources size = spec.size;
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -103,11 +103,13 @@
         task->job->recorded_to.add(worker.listing.id);
     if (task->run.current_phase != task_run::phase::starting)
         return;
-    // The log may not have answered for seconds: by now the worker may be leaving.
+    // The log may not have answered for seconds: by now the worker may be leaving, or have shrunk.
     if (!has_current_notices())
         return handle_refused_start(*task, worker, "view_old", duration::zero());
     if (!is_usable(worker, *task->job))
         return handle_refused_start(*task, worker, "unusable", duration::zero());
+    if (!is_within_capacity(worker))
+        return handle_refused_start(*task, worker, "shrunk", duration::zero());
     order_start(*task);
 }
 
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -90,7 +90,7 @@
     const duration waited = deps_.time.now() - task->run.ordered_at;
     return task->run.current_phase == task_run::phase::starting && worker->born_ms == born_ms &&
            waited < start_validity - order_delivery_time && has_current_notices() &&
-           is_usable(*worker, *task->job);
+           is_usable(*worker, *task->job) && is_within_capacity(*worker);
 }
 
 void cell_coordinator::handle_start_answer(const task_name& name, run_number run,
--- a/tests/cell/capacity_change_test.cpp
+++ b/tests/cell/capacity_change_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(a_worker_that_has_shrunk_takes_only_what_fits);
     CPPUNIT_TEST(a_worker_that_grows_again_takes_tasks);
     CPPUNIT_TEST(an_earlier_capacity_isnt_relied_on_without_the_log);
+    CPPUNIT_TEST(a_start_that_waited_for_its_record_follows_the_capacity);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr resources small{1000, 16'384, 0};
@@ -72,7 +73,28 @@
         assert_invariants();
     }
 
+    /// Workers shrink while starts wait until the log has a record of them. Guards against starts
+    /// that were placed by a capacity which is no longer there when they are ordered.
+    void a_start_that_waited_for_its_record_follows_the_capacity() {
+        start_cell();
+        set_stuck(cell_stream::progress);
+        submit_batch("b");
+        world_.time().run_for(seconds(1));
+        resize_all({500, 16'384, 0});
+        world_.time().run_for(seconds(5));
+        set_stuck(std::nullopt);
+        world_.time().run_for(seconds(5));
+        assert_invariants();
+        resize_all(large);
+        world_.time().run_for(seconds(6));
+        CPPUNIT_ASSERT(world_.checker().has_succeeded(task("b", 0)));
+    }
+
 private:
+    void set_stuck(std::optional<cell_stream> stream) {
+        for (std::size_t host = 0; host < world_.hosts(); ++host)
+            world_.host(host)->way_to_log().stuck = stream;
+    }
     std::uint64_t batch_starts() {
         std::uint64_t started = 0;
         for (const std::string id : {"b", "c", "d"})
