--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -17,7 +17,8 @@
 inline constexpr duration max_report_age = std::chrono::milliseconds(2200);
 
 /// The coordinator's rules, split into source files by topic: jobs, their records, workers and
-/// their reports, leases, CPU sharing, runs, stops, placement and advice.
+/// their reports, leases, CPU sharing, runs, stops, crashes and trials, placement
+/// and advice.
 class cell_coordinator final : public coordinator {
 public:
     cell_coordinator(dependencies deps, const cell_settings& settings, lease_epoch epoch,
@@ -218,6 +219,8 @@
     void end_trial(task_state& task, run_number run);
     bool give_up_if_due(task_state& task);
     void give_up_recorded(job_state& job);
+
+    // coordinator_trials.cpp
     void start_trial(job_state& job, task_state& task);
     worker_state* best_trial_worker(const candidates& found, const task_state& task) const;
     void note_crashed_address(const endpoint& address);
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -118,8 +118,11 @@
     void resize_worker(const std::string& name, const resources& capacity) {
         constexpr duration heartbeat = std::chrono::milliseconds(1100);
         checker_.resize(name, capacity);
-        time_.after(draw_time(heartbeat), [this, name, capacity] {
-            fleet_.workers.at(name).listing.capacity = capacity;
+        time_.after(draw_time(heartbeat), [this, name] {
+            if (is_replaced(name))
+                return;
+            // Of two changes in a row the later one is listed, whichever heartbeat comes first.
+            fleet_.workers.at(name).listing.capacity = checker_.capacities.at(name);
             const auto& newest = store_.of(cell_stream::workers).newest;
             if (const auto row = newest.find(name); row != newest.end())
                 list_worker(name, row->second.value.value_or("ready"));
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,10 +11,11 @@
 
 
 class Callers:
-    def __init__(self, cells, rules, random):
+    def __init__(self, cells, rules, random, crashing_share=0):
         self.cells = cells
         self.rules = rules
         self.random = random
+        self.crashing_share = crashing_share
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=PATIENCE_S),
             headers={"Host": HOST, "Figwinch-Deadline-Ms": str(int(PATIENCE_S * 1000))},
@@ -53,7 +54,9 @@
         if not lasts:
             steps = self.make_steps()
             work = {"ms": self.random.randint(150, 2000), "fails": int(self.random.random() < 0.1)}
-        self.rules.job_sent(job, steps)
+        crashes = self.crashing_share > 0 and self.random.random() < self.crashing_share
+        work["crashes"] = crashes
+        self.rules.job_sent(job, steps, crashes)
         self.rules.jobs[job]["refused_only"] = await self.submit(
             job, {"spec": json.dumps(work), "steps": steps}
         )
--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -7,7 +7,8 @@
 
     `silent_up` and `silent_down` swallow the bytes of that direction and keep connections open, as
     something between two hosts does that has lost track of them; new connections hang likewise.
-    `refuse` resets what is open and what comes.
+    `refuse` resets what is open and what comes, and so does `down`, which `heal` leaves: the server's
+    process is gone.
     """
 
     def __init__(self):
@@ -16,6 +17,7 @@
         self.silent_up = False
         self.silent_down = False
         self.refuse = False
+        self.down = False
         self.open = set()
         self.server = None
         self.port = 0
@@ -34,7 +36,7 @@
             writer.transport.abort()
 
     async def on_connection(self, reader, writer):
-        if self.refuse:
+        if self.refuse or self.down:
             writer.transport.abort()
             return
         try:
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -4,6 +4,8 @@
 # After that nothing of a cancelled job starts. A coordinator parted from the store may not know of the
 # cancellation for 5 s, and a paused one for as long as it is paused (4 s).
 CANCEL_BOUND_S = 12.0
+# A task that has crashed three workers may be started twice more.
+CRASHES_ALLOWED = 5
 
 
 class Rules:
@@ -17,13 +19,22 @@
         self.noted_done = set()
         self.failures = {}
         self.starts = 0
+        # How many workers each task has crashed.
+        self.crashes = {}
 
     def fault(self, rule, text):
         self.broken.append(f"{rule}: {text}")
 
-    def job_sent(self, job, steps):
+    def job_sent(self, job, steps, crashes=False):
         self.jobs.setdefault(
-            job, {"steps": steps, "accepted": None, "cancelled": None, "in_doubt": False}
+            job,
+            {
+                "steps": steps,
+                "accepted": None,
+                "cancelled": None,
+                "in_doubt": False,
+                "crashes": crashes,
+            },
         )
 
     def job_accepted(self, job):
@@ -44,6 +55,8 @@
         entry = self.jobs.get(job)
         if entry is None or step >= len(entry["steps"]) or index >= entry["steps"][step]["count"]:
             return self.fault("UNASKED", f"{run.task} on {worker.name}")
+        if run.crashes:
+            self.check_crash_budget(run, worker)
         others = self.running.setdefault(run.task, [])
         if others:
             self.fault("TWICE", f"{run.task} run {run.number} on {worker.name} beside {others}")
@@ -56,6 +69,11 @@
         if cancelled and time.monotonic() - cancelled > CANCEL_BOUND_S:
             self.fault("UNASKED", f"{run.task} started after its job was cancelled")
 
+    def check_crash_budget(self, run, worker):
+        self.crashes[run.task] = self.crashes.get(run.task, 0) + 1
+        if self.crashes[run.task] > CRASHES_ALLOWED:
+            self.fault("BUDGET", f"{run.task} crashes {worker.name}, its {self.crashes[run.task]}th")
+
     def check_order(self, run, job, earlier, count):
         missing = [i for i in range(count) if f"{job}.0.{earlier}.{i}" not in self.done]
         if missing:
@@ -86,13 +104,14 @@
             self.fault("LOST", f"{job} was accepted and is said not to exist")
         if state == "succeeded" and not all(t in self.done for t in self.tasks_of(job)):
             self.fault("MIXED", f"{job} is shown as succeeded before its tasks ended")
-        if state == "failed":
+        if state == "failed" and not entry["crashes"]:
             self.fault("LOST", f"{job} is shown as failed")
 
     def check_end(self, states):
         """After a time of calm: every accepted job has been carried out."""
         for job, entry in self.jobs.items():
-            if entry["accepted"] and not entry["cancelled"] and states.get(job) != "succeeded":
+            expected = "failed" if entry["crashes"] else "succeeded"
+            if entry["accepted"] and not entry["cancelled"] and states.get(job) != expected:
                 self.fault("LOST", f"{job} ended as {states.get(job)}")
             if entry["refused_only"] and any(t in self.done for t in self.tasks_of(job)):
                 self.fault("REFUSED", f"{job} ran though every try was refused")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 """
 import argparse
 import asyncio
+import functools
 import json
 import pathlib
 import random
@@ -37,6 +38,11 @@
 # From this seed on hosts are told that their links carry one worker, so that all pass orders on.
 FIRST_LINKED_SEED = 4000
 NARROW_MBPS = 0.1
+# From this seed on the first task of some jobs crashes every worker that starts it.
+FIRST_CRASHING_SEED = 8000
+CRASHING_SHARE = 0.05
+# How long a crashed worker's process is gone.
+CRASHED_S = 3.2
 # A lease, the longest that a coordinator acts without the store, and the wait for what is left.
 CALM_S = 40
 
@@ -66,6 +72,7 @@
             self.worker_type(f"w-{i}", ZONES[i % 3], self.store, self.rules) for i in range(WORKERS)
         ]
         self.worker_links = [Link() for _ in self.workers]
+        self.crashing_share = CRASHING_SHARE if seed >= FIRST_CRASHING_SEED else 0
         mbps = NARROW_MBPS if seed >= FIRST_LINKED_SEED else 1000
         self.cells = [
             Cell(program, f"host-{i}", ZONES[i % 3], Link(), folder / f"host-{i}.jsonl", mbps)
@@ -93,6 +100,7 @@
             link.target = ("127.0.0.1", port)
             await link.listen()
             worker.address = f"127.0.0.1:{link.port}"
+            worker.on_crash = functools.partial(self.crash_process, worker, link)
             self.tasks.append(asyncio.create_task(worker.live()))
         await self.store.put("keyed.op", "config", json.dumps(self.config()).encode())
         for cell in self.cells:
@@ -173,6 +181,22 @@
         self.note(f"crash {worker.name}")
         worker.crash()
 
+    def crash_process(self, worker, link):
+        """A task ends the worker's process; it is back some seconds later."""
+        if not worker.alive:
+            return
+        worker.alive = False
+        worker.crash()
+        link.down = True
+        link.reset_all()
+        asyncio.get_running_loop().call_later(CRASHED_S, self.restart_process, worker, link)
+
+    @staticmethod
+    def restart_process(worker, link):
+        worker.begin_life()
+        worker.alive = True
+        link.down = False
+
     async def harm_worker_link(self):
         index = self.random.randrange(WORKERS)
         await self.harm([self.worker_links[index]], f"link of {self.workers[index].name}")
@@ -187,7 +211,7 @@
 
     async def play(self):
         await self.start()
-        callers = Callers(self.cells, self.rules, self.random)
+        callers = Callers(self.cells, self.rules, self.random, self.crashing_share)
         await asyncio.sleep(1)
         trouble = asyncio.create_task(self.trouble())
         jobs = []
@@ -209,7 +233,7 @@
         for _ in range(CALM_S):
             for job in list(open_jobs):
                 states[job] = await callers.show(job) or states.get(job)
-                if states[job] == "succeeded":
+                if states[job] in ("succeeded", "failed"):
                     open_jobs.remove(job)
             if not open_jobs:
                 break
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -1,7 +1,7 @@
 """A stand-in of a worker: runs tasks under leases and fences, and reports them over HTTP.
 
 What a task does stands in its payload, as JSON: how long it runs (`ms`) and in how many of its runs
-it fails (`fails`).
+it fails (`fails`). The first task of a job with `crashes` ends the worker's process.
 """
 import asyncio
 import json
@@ -12,6 +12,7 @@
 HOLD_LIMIT_MS = 6000
 HEARTBEAT_S = 0.5
 STARTUP_MS = 100
+CRASH_S = 0.01
 
 
 class Run:
@@ -21,6 +22,7 @@
         self.begun = time.monotonic()
         self.ms = payload["ms"]
         self.fails = payload.get("fails", 0)
+        self.crashes = bool(payload.get("crashes")) and task.endswith(".0.0.0")
 
     def percent(self):
         return min(100, int((time.monotonic() - self.begun) * 100_000 / max(1, self.ms)))
@@ -44,6 +46,8 @@
         self.watch = watch
         self.address = ""
         self.alive = True
+        # Called when a task ends the worker's process.
+        self.on_crash = None
         self.sequence = 0
         self.failed_runs = {}
         self.app = web.Application()
@@ -92,6 +96,8 @@
         refused = self.refusal(body)
         if refused is not None:
             return refused
+        if not self.alive:
+            return web.Response(status=503)
         task, number = body["task"], body["run"]
         if task in self.runs and self.runs[task].number == number:
             return self.answer()
@@ -105,6 +111,8 @@
         # A second run of a task that runs here is taken, as the platform's workers do.
         self.watch.run_begun(self, run)
         self.runs[task] = run
+        if run.crashes:
+            asyncio.get_running_loop().call_later(CRASH_S, self.on_crash)
         return self.answer()
 
     async def on_stop(self, request):
