--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -99,7 +99,7 @@
             (restarts_only && task.progress.assigned_worker.empty()))
             continue;
         const bool is_suspect = is_crash_suspect(task.progress);
-        // A service task that ran before is not made to wait for another one.
+        // A service task that ran before waits for another one's trial only if it is a suspect too.
         if (trial != nullptr && trial != &task &&
             (is_suspect || task.progress.assigned_worker.empty()))
             continue;
@@ -174,8 +174,8 @@
            !evacuated_.contains(worker.listing.data_centre);
 }
 
-/// Whether the worker's tasks, including those whose starts are on their way, fit its capacity. They
-/// may not after it has shrunk.
+/// Whether the worker's tasks, including those whose starts are on their way, fit its capacity.
+/// They may not after it has shrunk.
 bool cell_coordinator::is_within_capacity(const worker_state& worker) const {
     return fits(worker.allocated + worker.orphaned.value_or(resources{}), worker.listing.capacity);
 }
