Convict only by losses right after a start

A crash by a task shows within milliseconds, as a closed connection; a worker that is silent shows after 0.7 s and more. Only confirmed losses within 0.5 s of the start are conclusive now; others still count towards the limit of about four.

--- a/src/cell/crash_history.cpp
+++ b/src/cell/crash_history.cpp
@@ -7,6 +7,9 @@
 
 // A worker that crashes under a trial may have failed by chance once, hardly twice.
 constexpr std::ptrdiff_t sole_crashes_to_give_up = 2;
+// A worker that is lost later, or only becomes silent, may as well have crashed by chance or have
+// been cut off before it crashed.
+constexpr duration max_conclusive_age = std::chrono::milliseconds(500);
 // Limits the crashes of a task that was never alone, or whose workers never returned: four when
 // each time it had just started.
 constexpr int weight_to_give_up = 7;
@@ -44,7 +47,8 @@
 }
 
 bool is_conclusive(const crashed_run& crash) {
-    return crash.suspicion == crash_suspicion::sole && crash.confirmed;
+    return crash.suspicion == crash_suspicion::sole && crash.confirmed &&
+           crash.age < max_conclusive_age;
 }
 
 } // namespace
