--- a/src/cell/crash_history.cpp
+++ b/src/cell/crash_history.cpp
@@ -15,7 +15,6 @@
 constexpr int weight_to_give_up = 7;
 constexpr int weak_weight = 1;
 constexpr int strong_weight = 2;
-constexpr int sole_weight = 3;
 // Runs that crash their workers later than usual are lost with many others. A second such loss
 // makes a task a suspect.
 constexpr std::size_t weak_crashes_to_suspect = 2;
@@ -42,13 +41,8 @@
 
 int weight_of(const task_progress& task) {
     int weight = 0;
-    for (const crashed_run& crash : task.crashed_runs) {
-        if (crash.suspicion == crash_suspicion::weak)
-            weight += weak_weight;
-        else
-            weight += crash.suspicion == crash_suspicion::sole && crash.confirmed ? sole_weight
-                                                                                  : strong_weight;
-    }
+    for (const crashed_run& crash : task.crashed_runs)
+        weight += crash.suspicion == crash_suspicion::weak ? weak_weight : strong_weight;
     return weight;
 }
 
