--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,11 +11,11 @@
 
 # Two of twelve are of kind "b", and one of these is cut off: a share of 0.083.
 EXECUTORS = 12
-CUT_S = 4.0
-JOBS_PER_S = 50
-SENDING_S = 7
+CUT_S = 3.8
+JOBS_PER_S = 40
+SENDING_S = 8
 TASKS_PER_JOB = 8
-TASK_MS = 8500
+TASK_MS = 10000
 
 
 def job_id(number):
@@ -55,7 +55,11 @@
             return system.watch.starts >= tasks
 
         await system.until(all_started, 20, "the tasks didn't start")
-        await asyncio.sleep(1)
+
+        async def ends_flow():
+            return system.executors[0].end_count >= 40
+
+        await system.until(ends_flow, 20, "the tasks don't end")
         cut = system.executors[0].server
         if trouble:
             record.line(f"{system.executors[0].id} is cut off")
