--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,68 +1,68 @@
-"""The only executor of a kind is lost for good; jobs that need it wait, and the count of waiting jobs is asked."""
+"""Two executors crash, each while it runs the only task of a job, and come back; the job has to go on."""
 import asyncio
 import json
 import pathlib
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 # pylint: disable=wrong-import-position
-from deployment import PREFIX, Deployment, run_case
-from executor import BEAT_S
+from deployment import PREFIX, CouldNotRun, Deployment, run_case
 
-# One of eight executors is of kind "b" and is lost: a share of 0.125.
+# One of eight executors at a time: a share of 0.125.
 EXECUTORS = 8
-JOBS = 6
-VISIBLE_MS = 3000
-TASK_MS = 20000
+DOWN_S = 4.5
+CRASHES = 2
+TASK_MS = 400
+JOB = "2a0e7a21d94b36f8"
 
 
-def job_id(number):
-    return f"7b0e7a21d9{number:06x}"
+async def crash(record, executor):
+    """The process ends, and another one begins at its address after a while."""
+    record.line(f"{executor.id} crashes")
+    executor.crash()
+    await asyncio.sleep(DOWN_S)
+    executor.unregister()
+    await executor.restart()
+    record.line(f"{executor.id} is back")
 
 
 async def play(record, trouble):
-    system = Deployment(
-        record, EXECUTORS, labels=lambda number: ["a" if number else "b", f"r{number % 3}"]
-    )
-    body = {
-        "spec": json.dumps({"ms": TASK_MS}),
-        "steps": [
-            {"count": 1, "cpu": 2600, "memMb": 1000, "estimateMs": TASK_MS, "requires": "b"}
-        ],
-    }
-    accepted = {}
+    system = Deployment(record, EXECUTORS)
+    task = f"{JOB}.0.0.0"
     broken = []
     try:
         await system.start()
         await asyncio.sleep(3)
-        if trouble:
-            lost = system.executors[0]
-            record.line(f"{lost.id} is lost for good; its entry goes after three heartbeats")
-            lost.server.cut = True
-            lost.up = False
-            asyncio.get_running_loop().call_later(3 * BEAT_S, lost.unregister)
-        for number in range(JOBS):
-            await system.submit(job_id(number), body)
-            accepted[job_id(number)] = time.monotonic()
-        await asyncio.sleep(VISIBLE_MS / 1000 + 2.5)
-        for _ in range(6):
-            due = [
-                job
-                for job, at in accepted.items()
-                if time.monotonic() - at > VISIBLE_MS / 1000 + 2 and not system.watch.has_begun(job)
-            ]
-            for host in system.hosts:
-                status, answer = await system.call(host, "GET", PREFIX)
-                if status == 200 and answer["waiting"] < len(due) / 2:
-                    broken.append(
-                        f"{host.name} gives {answer['waiting']} as waiting; {len(due)} jobs were "
-                        "accepted long ago and have not begun"
-                    )
-            await asyncio.sleep(1)
-        for job in accepted:
-            await system.call(system.hosts[0], "GET", PREFIX + job)
+        step = {"count": 1, "cpu": 1000, "memMb": 500, "estimateMs": TASK_MS}
+        await system.submit(JOB, {"spec": json.dumps({"ms": TASK_MS}), "steps": [step]})
+        crashed = []
+        for number in range(CRASHES if trouble else 0):
+
+            async def has_run():
+                return len(system.watch.runs.get(task, [])) > len(crashed)
+
+            await system.until(has_run, 20, f"run {number + 1} didn't start")
+            await asyncio.sleep(TASK_MS / 2000)
+            runs_it = [executor for executor in system.executors if task in executor.runs]
+            if not runs_it:
+                raise CouldNotRun("the run had ended before its executor crashed")
+            crashed.append(asyncio.create_task(crash(record, runs_it[0])))
+
+        async def is_over():
+            _, answer = await system.call(system.hosts[0], "GET", PREFIX + JOB)
+            await asyncio.sleep(0.5)
+            return answer.get("state") in ("succeeded", "failed")
+
+        await system.until(is_over, 40, "the job doesn't end")
+        for host in system.hosts:
+            _, answer = await system.call(host, "GET", PREFIX + JOB)
+            failed = sum(1 for row in system.watch.runs[task] if row[4] == "failed")
+            if answer.get("state") == "failed" and failed < system.attempts:
+                broken.append(
+                    f"{host.name} shows {JOB} as failed; {failed} of its runs ended failed, and the "
+                    f"queue's attempts are {system.attempts}"
+                )
         return broken
     finally:
         await system.stop()
