--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -1,6 +1,7 @@
 """A stand-in of an executor: runs tasks under leases and fences, and reports them, as PROTOCOL.md says.
 
-A task's `spec` is JSON: `ms` is how long it works; 0 for a task that lasts.
+A task's `spec` is JSON: `ms` is how long it works; 0 for a task that lasts. `gang` is the number of tasks that work
+only together; they find one another in `gangs`, by their step and run.
 """
 import asyncio
 import json
@@ -11,6 +12,25 @@
 REPORTED_ENDS = 500
 STARTUP_S = 0.1
 BEAT_S = 1.1
+GANG_S = 3.0
+gangs = {}
+
+
+class Gang:
+    """The members of one run of a gang, on all executors."""
+
+    def __init__(self):
+        self.members = {}
+        self.over = False
+
+    def end_others(self, ended, how):
+        """One end `done` stands for all; after any other the rest can't go on."""
+        if self.over:
+            return
+        self.over = True
+        for run, executor in list(self.members.items()):
+            if run is not ended and executor.runs.get(run.task) is run:
+                executor.end(run, "done" if how == "done" else "broken")
 
 
 class Run:
@@ -18,17 +38,39 @@
         self.task = task
         self.number = number
         self.begun = time.monotonic()
-        self.ms = json.loads(spec)["ms"]
+        work = json.loads(spec)
+        self.ms = work["ms"]
+        self.size = work.get("gang", 0)
+        self.gang = gangs.setdefault((task.rpartition(".")[0], number), Gang()) if self.size else None
+
+    def join(self, executor):
+        """A gang begins to work when its last member is there."""
+        if not self.gang:
+            return
+        self.gang.members[self] = executor
+        if len(self.gang.members) == self.size:
+            for member in self.gang.members:
+                member.begun = time.monotonic()
+
+    def waits(self):
+        return self.gang and len(self.gang.members) < self.size
 
     def percent(self):
+        if self.waits():
+            return 0
         worked = time.monotonic() - self.begun - STARTUP_S
         if not self.ms:
             return 100 if worked > 0 else 0
         return max(0, min(100, int(worked * 100_000 / self.ms)))
 
     def is_due(self):
+        if self.waits():
+            return False
         return self.ms and time.monotonic() - self.begun > STARTUP_S + self.ms / 1000
 
+    def is_alone(self):
+        return self.waits() and time.monotonic() - self.begun > GANG_S
+
 
 class Executor:
     """`watch` is told of starts, ends, and ends that are taken note of."""
@@ -74,9 +116,11 @@
         """The process ends: nothing that ran is there any more, and nobody is told."""
         self.up = False
         self.server.close()
-        for run in self.runs.values():
+        lost, self.runs = self.runs, {}
+        for run in lost.values():
             self.watch.ended(self, run, "crashed")
-        self.runs = {}
+            if run.gang:
+                run.gang.end_others(run, "crashed")
 
     async def restart(self):
         self.begin_life()
@@ -137,6 +181,7 @@
         run = Run(task, number, body["spec"])
         self.runs[task] = run
         self.watch.began(self, run)
+        run.join(self)
         return self.answer()
 
     def on_stop(self, body):
@@ -175,13 +220,20 @@
         self.ended.append((time.monotonic(), [self.end_count, run.task, run.number, how, ""]))
         self.watch.ended(self, run, how)
         self.news.set()
+        if run.gang:
+            run.gang.end_others(run, how)
 
     async def live(self):
         while True:
             if self.up:
                 self.check_lease()
-                for run in [run for run in self.runs.values() if run.is_due()]:
-                    self.end(run, "done")
+                for run in list(self.runs.values()):
+                    if self.runs.get(run.task) is not run:
+                        continue
+                    if run.is_due():
+                        self.end(run, "done")
+                    elif run.is_alone():
+                        self.end(run, "alone")
                 if time.monotonic() >= self.next_beat:
                     self.next_beat = time.monotonic() + BEAT_S
                     self.beat()
