--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -35,6 +35,13 @@
     std::uint64_t advice_calls = 0;
     /// Runs that were moved to another worker because they made no progress or lagged behind.
     std::uint64_t stragglers = 0;
+    std::uint64_t placement_rounds = 0;
+    /// Placement rounds that ended before every task that waits had been looked at.
+    std::uint64_t rounds_cut_short = 0;
+    /// Jobs looked at by periodic work and placement, which isn't caused by an event of that job.
+    std::uint64_t jobs_examined = 0;
+    /// Workers looked at by searches for candidates.
+    std::uint64_t workers_examined = 0;
 };
 
 /// Schedules a cell during one leadership term: decides every start, stop and CPU throttle.
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -109,6 +109,7 @@
             make_due_occurrences(*job);
         for (job_state* const job : open_jobs_)
             update_outlook(*job);
+        counts_.jobs_examined += 2 * open_jobs_.size();
         sort_due_ = true;
         update_idle_jobs();
         record_slowdowns();
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -200,7 +200,7 @@
         step_state* step = nullptr;
     };
     void place_all();
-    std::vector<waiting_step> waiting_steps() const;
+    std::vector<waiting_step> waiting_steps();
     bool place_steps(const std::vector<waiting_step>& waiting, placement_pass pass,
                      std::uint64_t max_starts);
     bool place_step(job_state& job, step_state& step, placement_pass pass);
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -109,6 +109,7 @@
 /// Notes which jobs have a run that was placed as usual: a job of which only throttled starts run
 /// stays overdue. Called often enough to measure `max_idle_time`.
 void cell_coordinator::update_idle_jobs() {
+    counts_.jobs_examined += open_jobs_.size();
     const instant now = deps_.time.now();
     const auto is_usual = [](const task_state& task) {
         return task.assigned_worker != nullptr && !task.is_throttled_start;
@@ -156,6 +157,7 @@
         return;
     next_overdue_ = now + overdue_period;
     update_busy();
+    counts_.jobs_examined += open_jobs_.size();
     std::vector<job_state*> overdue;
     for (job_state* const job : open_jobs_)
         if (is_overdue(*job))
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -94,6 +94,7 @@
         if (std::exchange(worker.last_search, number) == number)
             return true;
         ++visited;
+        ++counts_.workers_examined;
         if (is_usable(worker, job) && admits(worker, step) && is_advised(worker, job, step))
             found.push_back({&worker, score(worker, step)});
         return found.size() < max_candidates && visited < max_visited;
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -183,6 +183,7 @@
 }
 
 void cell_coordinator::sort_jobs() {
+    counts_.jobs_examined += open_jobs_.size();
     std::ranges::sort(open_jobs_, [](const job_state* one, const job_state* other) {
         return is_served_before(*one, *other);
     });
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -34,6 +34,7 @@
         placement_due_ = true;
         return;
     }
+    ++counts_.placement_rounds;
     update_unresolved_marks();
     failed_searches_.clear();
     start_overdue_jobs();
@@ -42,13 +43,15 @@
     for (const placement_pass pass : {placement_pass::service_restarts, placement_pass::batch_tasks,
                                       placement_pass::service_first_starts})
         if (!place_steps(waiting, pass, max_starts)) {
+            ++counts_.rounds_cut_short;
             placement_due_ = true;
             return;
         }
 }
 
 /// Returns ready steps that have tasks without a run, in the scheduling order of their jobs.
-std::vector<cell_coordinator::waiting_step> cell_coordinator::waiting_steps() const {
+std::vector<cell_coordinator::waiting_step> cell_coordinator::waiting_steps() {
+    counts_.jobs_examined += open_jobs_.size();
     std::vector<waiting_step> waiting;
     for (job_state* const job : open_jobs_)
         for (const auto& [number, occurrence] : job->occurrences)
--- a/src/cell/coordinator_stragglers.cpp
+++ b/src/cell/coordinator_stragglers.cpp
@@ -48,6 +48,7 @@
 /// Moves runs that make no progress, or lag so far behind others of their step that a new run
 /// elsewhere would finish sooner.
 void cell_coordinator::move_stragglers() {
+    counts_.jobs_examined += open_jobs_.size();
     for (job_state* const job : open_jobs_)
         for (const auto& [number, occurrence] : job->occurrences)
             for (step_state& step : occurrence->steps)
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -117,6 +117,14 @@
     set("figwinch_cell_paces", counts.throttle_orders, "orders on pace in this reign");
     set("figwinch_cell_stragglers", counts.stragglers, "runs moved in this reign");
     set("figwinch_cell_advice_calls", counts.advice_calls, "calls for advice in this reign");
+    set("figwinch_cell_placement_rounds", counts.placement_rounds,
+        "rounds of starts in this reign");
+    set("figwinch_cell_rounds_cut_short", counts.rounds_cut_short,
+        "rounds that ended before all waiting tasks were looked at, in this reign");
+    set("figwinch_cell_jobs_examined", counts.jobs_examined,
+        "jobs looked at by periodic work and placement in this reign");
+    set("figwinch_cell_workers_examined", counts.workers_examined,
+        "workers looked at by searches for candidates in this reign");
 }
 
 } // namespace figwinch
