Model the processor of simulated hosts

Simulated coordinators had no processor time, so no test could draw a coordinator that is short of it. A host with a limited share of a core now ticks no sooner than its last tick's work is done: a base, each start order, and each job and worker that the coordinator counts as examined. Off by default.

--- a/src/simulation/sim_host.h
+++ b/src/simulation/sim_host.h
@@ -3,8 +3,10 @@
 #include "cell_host/cell_member.h"
 #include "figwinch/simulation/sim_orders.h"
 #include "figwinch/simulation/sim_peers.h"
+#include "figwinch/simulation/sim_processor.h"
 #include "figwinch/simulation/sim_store.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -52,6 +54,7 @@
     /// A frozen process does nothing; what it is sent waits.
     void freeze_for(duration span) { frozen_until_ = time_.now() + span; }
     bool is_frozen() const { return time_.now() < frozen_until_; }
+    sim_processor& processor() { return processor_; }
 
     durable_log& log() override { return log_; }
     worker_orders& orders() override { return orders_; }
@@ -90,15 +93,29 @@
             return member_.handle_query(body, reply);
         reply(member_.handle_exchange(body));
     }
-    void schedule() {
-        time_.after(std::chrono::milliseconds(10), [this, weak = std::weak_ptr(alive_)] {
+    static constexpr duration tick_period = std::chrono::milliseconds(10);
+
+    void schedule(duration wait = tick_period) {
+        time_.after(wait, [this, weak = std::weak_ptr(alive_)] {
             if (weak.expired())
                 return;
-            if (!is_frozen())
-                member_.tick();
-            schedule();
+            schedule(std::max(tick_period, is_frozen() ? duration::zero() : tick()));
         });
     }
+    /// Returns how long the processor takes for the tick, and for the orders since the last one.
+    duration tick() {
+        member_.tick();
+        const coordinator* const known = member_.coordinating();
+        const lease_epoch epoch = member_.election().epoch();
+        if (known == nullptr || epoch != counted_epoch_)
+            counted_ = {};
+        counted_epoch_ = epoch;
+        const coordinator_counts before = counted_;
+        if (known != nullptr)
+            counted_ = known->counts();
+        return processor_.time_for(
+            sim_processor::tick_cost + sim_processor::cost_of(before, counted_), time_.now());
+    }
 
     sim_time& time_;
     sim_fleet& fleet_;
@@ -109,6 +126,10 @@
     sim_advisor advisor_;
     sim_asker asker_;
     cell_member member_;
+    sim_processor processor_;
+    /// What the coordinator had counted by the last tick, in the term of that epoch.
+    coordinator_counts counted_;
+    lease_epoch counted_epoch_;
     instant frozen_until_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/cell/cell_world.h
+++ b/tests/cell/cell_world.h
@@ -49,6 +49,15 @@
             time_, store_, fleet_, [this] { return draw_share(); },
             "host-" + std::to_string(index) + "#" + std::to_string(++process_starts_), settings_,
             make_config(), link_of(index));
+        if (processor_share_)
+            hosts_[index]->processor().limit_to(*processor_share_);
+    }
+    /// Limits the processor of every host to a share of a core, also after a restart.
+    void limit_processors(double share) {
+        processor_share_ = share;
+        for (const auto& host : hosts_)
+            if (host)
+                host->processor().limit_to(share);
     }
     void kill_host(std::size_t index) {
         const auto leading = newest_leader();
@@ -262,6 +271,7 @@
     sim_fleet fleet_;
     invariant_checker checker_;
     std::vector<std::unique_ptr<sim_host>> hosts_;
+    std::optional<double> processor_share_;
     std::set<std::string> replaced_;
     int process_starts_ = 0;
     instant coordinator_killed_at_{};
