--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -161,7 +161,7 @@
                 !step.spec->is_best_effort || step.spec->is_service ||
                 !may_start(step.tasks.front()))
                 continue;
-            if (start_overdue_step(job, step, true))
+            if (start_overdue_step(job, step, false) || start_overdue_step(job, step, true))
                 return true;
         }
     }
