Count a failed run of a gang for each of its members

A gang fails as a whole, and the scheduler counts its failed runs together. As strict as before: a job still needs as many failed runs as it has attempts.

--- a/tests/cell/invariant_checker.h
+++ b/tests/cell/invariant_checker.h
@@ -92,8 +92,10 @@
                 done_.insert(member);
             done_runs_[task].insert(run);
         }
+        // A failed run of a gang is one of each of its members, whichever of them failed.
         if (how == run_end::failed)
-            ++failures_[task];
+            for (const std::string& member : ended_with(task))
+                failed_runs_[member].insert(run);
     }
     void on_noted(const std::string& worker, const ended_run& row) override {
         record_event("acknowledged " + row.task + " run " + std::to_string(row.run.value()) +
@@ -150,9 +152,10 @@
             return entry.first.starts_with(job + ".");
         };
         const std::uint32_t attempts = jobs.at(job).spec.attempts;
-        return std::ranges::any_of(
-                   failures_,
-                   [&](const auto& entry) { return belongs(entry) && entry.second >= attempts; }) ||
+        return std::ranges::any_of(failed_runs_,
+                                   [&](const auto& entry) {
+                                       return belongs(entry) && entry.second.size() >= attempts;
+                                   }) ||
                std::ranges::any_of(crashes_, [&](const auto& entry) {
                    return belongs(entry) && entry.second >= 2;
                });
@@ -315,7 +318,7 @@
     std::map<std::pair<std::string, run_number>, gang_run> gangs_;
     std::map<std::string, std::set<run_number>> started_after_;
     std::map<std::string, std::uint32_t> acknowledged_failures_;
-    std::map<std::string, std::uint32_t> failures_;
+    std::map<std::string, std::set<run_number>> failed_runs_;
     std::map<std::string, std::uint32_t> crashes_;
     std::map<std::string, std::uint32_t> starts_after_crashes_;
 };
