Draw histories of coordinators short of processor time

From seed 32,000,000 on hosts have a small share of a core, coordinators are slowed down for some seconds, and there are about 64 jobs, of which one in forty is a service: with as many as elsewhere services take all room for good, with or without a limited processor.

--- a/tests/cell/cell_history.cpp
+++ b/tests/cell/cell_history.cpp
@@ -57,6 +57,14 @@
 constexpr std::uint64_t first_gang_seed = 30'000'000;
 constexpr double dropped_starts = 0.05;
 
+/// From this seed on hosts have little processor time, coordinators are slowed down at times, and
+/// there are more jobs.
+constexpr std::uint64_t first_slow_seed = 32'000'000;
+
+bool has_slow_hosts(std::uint64_t seed) {
+    return seed >= first_slow_seed;
+}
+
 bool has_gangs(std::uint64_t seed) {
     return seed >= first_gang_seed;
 }
@@ -108,7 +116,8 @@
           fault_count_(faults), restart_faults_(has_restart_faults(seed)),
           has_relays_(has_relays(seed)), has_crashing_tasks_(has_crashing_tasks(seed)),
           has_shrinking_workers_(has_shrinking_workers(seed)),
-          has_short_lists_(has_short_lists(seed)), has_gangs_(has_gangs(seed)) {
+          has_short_lists_(has_short_lists(seed)), has_gangs_(has_gangs(seed)),
+          has_slow_hosts_(has_slow_hosts(seed)) {
         if (has_short_lists_)
             world_.limit_listed_ends(1 + seed / 4 % 3);
         if (has_gangs_)
@@ -119,6 +128,8 @@
     }
 
     history_outcome run() {
+        if (has_slow_hosts_)
+            world_.limit_processors(least_share + world_.draw_share() * share_range);
         plan_jobs();
         faults_.schedule_faults(fault_count_, fault_phase, restart_faults_);
         if (has_relays_)
@@ -127,6 +138,8 @@
             faults_.schedule_lost_history(2, fault_phase);
         if (has_shrinking_workers_)
             faults_.schedule_capacity_changes(capacity_changes, fault_phase);
+        if (has_slow_hosts_)
+            faults_.schedule_slow_coordinators(slow_coordinators, fault_phase);
         world_.time().run_for(fault_phase);
         faults_.end_all();
         world_.time().run_for(has_crashing_tasks_ ? recovery_phase_after_crashes : recovery_phase);
@@ -138,10 +151,18 @@
     }
 
 private:
+    /// Shares of a core with which a coordinator starts 80 to 480 tasks per second.
+    static constexpr double least_share = 0.005;
+    static constexpr double share_range = 0.025;
+    static constexpr std::size_t slow_coordinators = 4;
+    static constexpr std::size_t many_jobs = 60;
+    /// Of that many jobs one is a service: more would take all room for good.
+    static constexpr std::uint64_t rare_services = 40;
+
     std::size_t draw_host() { return world_.draw() % world_.hosts(); }
 
     void plan_jobs() {
-        const std::size_t jobs = 6 + world_.draw() % 8;
+        const std::size_t jobs = (has_slow_hosts_ ? many_jobs : 6) + world_.draw() % 8;
         for (std::size_t index = 0; index < jobs; ++index)
             world_.time().after(world_.draw_time(fault_phase), [this, index] { submit(index); });
     }
@@ -166,7 +187,7 @@
     }
     void submit(std::size_t index) {
         std::vector<step_spec> steps = {draw_step()};
-        if (world_.draw() % 5 == 0)
+        if (world_.draw() % (has_slow_hosts_ ? rare_services : 5) == 0)
             make_service(steps.front());
         else if (world_.draw() % 2 == 0) {
             steps.push_back(draw_step());
@@ -223,6 +244,7 @@
     bool has_shrinking_workers_;
     bool has_short_lists_;
     bool has_gangs_;
+    bool has_slow_hosts_;
     std::set<std::string> crashing_jobs_;
     history_faults faults_{world_};
     service_downtime_rule lasting_{world_};
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(histories_with_short_lists_of_ends);
     CPPUNIT_TEST(histories_with_short_lists_of_ends_and_orders_passed_on);
     CPPUNIT_TEST(histories_with_gangs_and_dropped_starts);
+    CPPUNIT_TEST(histories_with_slow_coordinators);
+    CPPUNIT_TEST(histories_with_slow_coordinators_and_four_faults);
     CPPUNIT_TEST(lasting_tasks_that_were_recorded_without_an_order_run_in_time);
     CPPUNIT_TEST(a_lasting_task_recorded_beside_two_partings_runs_in_time);
     CPPUNIT_TEST(a_lasting_task_recorded_before_a_freeze_runs_in_time);
@@ -139,6 +141,12 @@
     }
     /// Guards against gangs that never start because orders to some members aren't sent.
     void histories_with_gangs_and_dropped_starts() { run_histories(4, 30'000'000, crash_seeds()); }
+    /// Guards against coordinators short of processor time that leave accepted jobs unserved, or
+    /// that act late on what they no longer may.
+    void histories_with_slow_coordinators() { run_histories(0, 32'000'000, crash_seeds()); }
+    void histories_with_slow_coordinators_and_four_faults() {
+        run_histories(4, 33'000'000, crash_seeds());
+    }
     /// Guards against leases so long that a service task assigned to a lost worker is down for
     /// longer than the limit.
     void lasting_tasks_that_were_recorded_without_an_order_run_in_time() {
--- a/tests/cell/history_faults.cpp
+++ b/tests/cell/history_faults.cpp
@@ -48,6 +48,18 @@
         schedule_fault({"shrink_worker", &history_faults::shrink_worker}, fault_phase);
 }
 
+void history_faults::schedule_slow_coordinators(std::size_t times, duration fault_phase) {
+    for (std::size_t count = 0; count < times; ++count)
+        schedule_fault({"slow_coordinator", &history_faults::slow_coordinator}, fault_phase);
+}
+
+void history_faults::slow_coordinator() {
+    const std::size_t host = world_.coordinator().value_or(draw_host());
+    const double factor = 2 + 3 * world_.draw_share();
+    if (world_.host(host) != nullptr)
+        world_.host(host)->processor().slow_down(factor, world_.time().now() + draw_duration());
+}
+
 /// A worker's capacity shrinks while it runs, and grows back later.
 void history_faults::shrink_worker() {
     const std::optional<std::string> worker = draw_worker();
@@ -326,6 +338,7 @@
         world_.host(host)->way_to_log().lost_answers = 0;
         world_.host(host)->way_to_workers().cut = false;
         world_.host(host)->way_to_workers().cut_from.clear();
+        world_.host(host)->processor().slow_down(1, world_.time().now());
         world_.cut_from_peers(host, false);
     }
 }
--- a/tests/cell/history_faults.h
+++ b/tests/cell/history_faults.h
@@ -19,6 +19,8 @@
     void schedule_relay_faults(std::size_t faults, duration fault_phase);
     /// Schedules changes of workers' capacities at random times within the fault phase.
     void schedule_capacity_changes(std::size_t changes, duration fault_phase);
+    /// Schedules times during which the coordinator's processor is slower.
+    void schedule_slow_coordinators(std::size_t times, duration fault_phase);
     /// Schedules moments at which the log discards the election's records.
     void schedule_lost_history(std::size_t times, duration fault_phase);
     /// Ends at once all faults of hosts, store and orders.
@@ -57,6 +59,7 @@
     void partition_coordinator();
     void restart_with_unreachable_worker();
     void shrink_worker();
+    void slow_coordinator();
     void kill_relay();
     void freeze_relay();
     void cut_relay_from_peers();
