--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -216,6 +216,11 @@
         /// Per pass.
         std::uint64_t max_failed_searches = 0;
     };
+    /// Position in `waiting_jobs::by_wait` of the last job that couldn't start.
+    struct aging_cursor {
+        instant waiting_since = instant::min();
+        std::string id;
+    };
     round_limits limits_of_round(duration elapsed) const;
     std::uint64_t starts_so_far() const;
     bool place_batch(const round_limits& limits);
@@ -402,7 +407,7 @@
     /// among them: those whose prospect isn't lost, and the others.
     double aging_credit_ = 0;
     std::uint64_t aging_rounds_ = 0;
-    std::array<instant, 2> aging_cursors_{instant::min(), instant::min()};
+    std::array<aging_cursor, 2> aging_cursors_;
     instant next_placement_{};
     instant next_sweep_{};
     instant next_stragglers_{};
--- a/src/cell/coordinator_queues.cpp
+++ b/src/cell/coordinator_queues.cpp
@@ -52,7 +52,8 @@
         const bool was_waiting = job->positions.batch.has_value();
         queue_positions wanted = positions_of(*job);
         if (wanted.waits && !was_waiting)
-            wanted.waits->waiting_since = job->waiting_since = deps_.time.now();
+            wanted.waits->waiting_since = job->waiting_since =
+                job->waiting_since == instant{} ? job->submitted_at : deps_.time.now();
         queues_.move(*job, wanted);
     }
 }
@@ -126,19 +127,23 @@
     const bool lost = ++aging_rounds_ % rounds_per_lost_job == 0;
     const ordered_jobs<wait_order>& waiting = queues_.by_wait();
     const instant now = deps_.time.now();
-    instant& cursor = aging_cursors_.at(lost ? 1 : 0);
-    auto next = waiting.lower_bound({lost, cursor, {}});
+    aging_cursor& cursor = aging_cursors_.at(lost ? 1 : 0);
+    auto next = waiting.upper_bound({lost, cursor.waiting_since, cursor.id});
     for (std::size_t examined = 0; examined < max_aging_jobs && aging_credit_ >= 1;
          ++examined, ++next) {
-        const bool at_end = next == waiting.end() || next->first.lost != lost ||
-                            now - next->first.waiting_since < min_aging_wait;
-        cursor = at_end ? instant::min() : next->first.waiting_since + duration(1);
-        if (at_end)
+        if (next == waiting.end() || next->first.lost != lost ||
+            now - next->first.waiting_since < min_aging_wait) {
+            cursor = {};
             return;
+        }
         ++counts_.jobs_examined;
         const std::uint64_t before = starts_so_far();
         place_job(*next->second, placement_pass::batch_tasks);
-        aging_credit_ -= static_cast<double>(starts_so_far() - before);
+        const std::uint64_t started = starts_so_far() - before;
+        aging_credit_ -= static_cast<double>(started);
+        // The next round goes on after the jobs that can't start.
+        if (started == 0)
+            cursor = {next->first.waiting_since, std::string(next->first.id)};
     }
 }
 
@@ -148,15 +153,20 @@
 bool cell_coordinator::place_in_order(const ordered_jobs<service_order>& waiting,
                                       placement_pass pass, const round_limits& limits) {
     std::optional<service_order>& cursor = round_cursors_.at(static_cast<std::size_t>(pass));
+    const bool is_first = pass == placement_pass::service_restarts;
     const bool is_last = pass == placement_pass::service_first_starts;
-    const std::uint64_t max_starts = limits.max_starts + (is_last ? first_start_reserve : 0);
+    const std::uint64_t max_starts =
+        is_last ? std::max(limits.max_starts, starts_so_far() + first_start_reserve)
+                : limits.max_starts;
+    // Services that ran before are down while they wait.
+    const std::uint64_t max_failed =
+        is_first ? std::uint64_t{max_failed_searches} : limits.max_failed_searches;
     const std::uint64_t failed_before = failed_search_count_;
     std::size_t examined = 0;
     bool has_jumped = false;
     for (auto next = waiting.begin(); next != waiting.end(); ++next) {
         const std::uint64_t failed = failed_search_count_ - failed_before;
-        const bool half_done =
-            examined >= max_jobs_per_pass / 2 || failed >= limits.max_failed_searches / 2;
+        const bool half_done = examined >= max_jobs_per_pass / 2 || failed >= max_failed / 2;
         if (half_done && cursor && next->first < *cursor) {
             next = waiting.lower_bound(*cursor);
             has_jumped = true;
@@ -165,7 +175,7 @@
             break;
         if (starts_so_far() >= max_starts)
             return false;
-        if (examined++ == max_jobs_per_pass || failed >= limits.max_failed_searches) {
+        if (examined++ == max_jobs_per_pass || failed >= max_failed) {
             cursor = next->first;
             // The job, which owns the text, may be gone by the next round.
             cursor->id = {};
