--- a/tests/cell/history_checker.cpp
+++ b/tests/cell/history_checker.cpp
@@ -74,6 +74,7 @@
             const std::string task = to_string(task_name{job_id(id), 0, step, index});
             description += "\n " + task + " " + to_string(spec.steps[step].size) +
                            (spec.steps[step].is_service ? " lasting" : "") +
+                           (spec.steps[step].is_best_effort ? " best effort" : "") +
                            (world_.checker().has_succeeded(task) ? " succeeded" : "") +
                            (world_.checker().is_running(task) ? " runs" : "");
             description += world_.checker().events_of(task);
