Age jobs only while the limit on starts decides who is served

Where room lacks, a start for an old job takes it from one in time, and overdue jobs have their throttled starts.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -403,6 +403,8 @@
     instant last_round_at_{};
     /// Where the next placement round goes on, by pass; nothing where the last one looked at all.
     std::array<std::optional<service_order>, placement_passes> round_cursors_;
+    /// The last round started as many batch tasks as a round may.
+    bool starts_limited_ = false;
     /// Starts that are due to the jobs that have waited longest, and where the next round goes on
     /// among them: those whose prospect isn't lost, and the others.
     double aging_credit_ = 0;
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -152,8 +152,9 @@
     requeue_changed();
 }
 
-/// Starts one task or gang of an overdue job: as usual where a worker admits it, else throttled
-/// from the start, so that it harms little, and faster when its neighbours allow it.
+/// Starts one task or gang of an overdue job, throttled from the start, so that it harms little,
+/// and faster when its neighbours allow it. A job that is overdue because starts are limited begins
+/// as usual where a worker admits it.
 bool cell_coordinator::start_overdue(job_state& job) {
     for (const auto& [number, occurrence] : job.occurrences) {
         for (step_state& step : occurrence->steps) {
@@ -161,7 +162,9 @@
                 !step.spec->is_best_effort || step.spec->is_service ||
                 !may_start(step.tasks.front()))
                 continue;
-            if (start_overdue_step(job, step, false) || start_overdue_step(job, step, true))
+            if (starts_limited_ && start_overdue_step(job, step, false))
+                return true;
+            if (start_overdue_step(job, step, true))
                 return true;
         }
     }
--- a/src/cell/coordinator_queues.cpp
+++ b/src/cell/coordinator_queues.cpp
@@ -114,15 +114,19 @@
     const std::uint64_t before = starts_so_far();
     const bool complete = place_in_order(queues_.batch(), placement_pass::batch_tasks, limits);
     const auto started = static_cast<double>(starts_so_far() - before);
-    aging_credit_ = std::min(max_aging_credit, aging_credit_ + started * aging_share);
+    starts_limited_ = starts_so_far() >= limits.max_starts;
+    // Where room is what lacks, starts for old jobs would only take it from jobs in time.
+    const double earned = starts_limited_ ? started * aging_share : 0;
+    aging_credit_ = std::min(max_aging_credit, aging_credit_ + earned);
     return complete;
 }
 
-/// Starts tasks of the jobs that have waited for a start for longest. In scheduling order alone, a
-/// large job would wait for as long as smaller ones keep coming. A job starts all its ready tasks
-/// at once; what exceeds the credit is made up for by later rounds.
+/// Starts tasks of the jobs that have waited for a start for longest, while the limit on starts
+/// decides who is served. In scheduling order alone, a large job would wait for as long as smaller
+/// ones keep coming. A job starts all its ready tasks at once; what exceeds the credit is made up
+/// for by later rounds.
 void cell_coordinator::place_longest_waiting() {
-    if (aging_credit_ < 1)
+    if (!starts_limited_ || aging_credit_ < 1)
         return;
     const bool lost = ++aging_rounds_ % rounds_per_lost_job == 0;
     const ordered_jobs<wait_order>& waiting = queues_.by_wait();
