Bound failed searches by the workers looked at, and retry overdue jobs each round

A pass had 4 failed searches in 8 ms whatever they cost: in a cell of 66 workers, where one looks at few, that hid jobs that could start. The bound counts the workers looked at instead.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -213,8 +213,8 @@
     struct round_limits {
         /// Number of starts of this term at which the round ends.
         std::uint64_t max_starts = 0;
-        /// Per pass.
-        std::uint64_t max_failed_searches = 0;
+        /// Workers that searches of one pass may look at without finding one.
+        std::uint64_t max_failed_visits = 0;
     };
     /// Position in `waiting_jobs::by_wait` of the last job that couldn't start.
     struct aging_cursor {
@@ -374,8 +374,8 @@
     std::uint64_t searches_ = 0;
     /// Failed searches of this round, by image.
     absl::flat_hash_map<image_number, std::vector<failed_search>> failed_searches_;
-    /// Searches of this term that found no worker.
-    std::uint64_t failed_search_count_ = 0;
+    /// Workers looked at in this term by searches that found none.
+    std::uint64_t failed_visits_ = 0;
     /// Lease renewals by due time; an entry is valid while it equals the worker's `next_renewal`.
     std::priority_queue<due_renewal, std::vector<due_renewal>, std::greater<>> due_renewals_;
     /// Workers on which a predecessor may have started tasks and that have not reported yet, and
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -22,8 +22,6 @@
 constexpr int max_overdue_starts = 8;
 constexpr int max_overdue_tries = 32;
 constexpr std::size_t max_overdue_examined = 256;
-// An overdue job for which no worker was found is looked at again after this time.
-constexpr duration overdue_retry = std::chrono::milliseconds(500);
 // Ranks workers on which best-effort tasks are paused behind all others.
 constexpr double paused_penalty = 100;
 constexpr duration waiting_log_period = std::chrono::seconds(1);
@@ -146,7 +144,7 @@
         const bool has_started = !too_early && start_overdue(*job);
         started += has_started ? 1 : 0;
         tried += too_early ? 0 : 1;
-        job->next_overdue_try = now + overdue_retry;
+        job->next_overdue_try = now + overdue_period;
         mark_changed(*job);
     }
     requeue_changed();
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -17,6 +17,8 @@
 // Maximum number of workers that a search visits because they are near the step's data or already
 // run its latency-critical image.
 constexpr std::size_t max_visited_tagged = 128;
+// What a search costs at least, in visits of workers.
+constexpr std::size_t min_visits_per_search = 8;
 constexpr double failed_there_penalty = 10;
 // Maximum age of a report that shows a worker to be responsive; reports of a busy worker are up to
 // a second apart.
@@ -101,7 +103,7 @@
     });
     if (!found.empty())
         return found;
-    ++failed_search_count_;
+    failed_visits_ += std::max(visited, min_visits_per_search);
     if (only_rack.empty() && is_failure_conclusive(job, step))
         failed_searches_[step.image].push_back(
             {job.service, step.spec->is_best_effort, step.spec->size});
@@ -189,7 +191,7 @@
         }
     }
     if (best == nullptr)
-        ++failed_search_count_;
+        failed_visits_ += workers_.size();
     return best;
 }
 
--- a/src/cell/coordinator_queues.cpp
+++ b/src/cell/coordinator_queues.cpp
@@ -13,12 +13,12 @@
 constexpr std::uint64_t max_starts_per_round = 40;
 // Starts that a round has left for new service tasks when batch tasks have used its limit.
 constexpr std::uint64_t first_start_reserve = 8;
-// Bounds on the work of a pass that isn't a start: jobs looked at, and searches among workers that
-// found none.
+// Bounds on the work of a pass that isn't a start: jobs looked at, and workers looked at by
+// searches that find none.
 constexpr std::size_t max_jobs_per_pass = 256;
-constexpr duration time_per_failed_search = std::chrono::milliseconds(2);
-constexpr std::int64_t min_failed_searches = 4;
-constexpr std::int64_t max_failed_searches = 32;
+constexpr std::int64_t failed_visits_per_ms = 500;
+constexpr std::int64_t min_failed_visits = 4'000;
+constexpr std::int64_t max_failed_visits = 16'000;
 // Aging: a job that has waited this long without a start has a share of the starts of batch tasks,
 // whatever its place in the scheduling order; bounds on the starts that may be due, and on the jobs
 // looked at in a round.
@@ -95,12 +95,13 @@
     requeue_changed();
 }
 
-/// Returns the limits of a round. Failed searches follow the time since the last one, so that
-/// rounds in quick succession don't repeat them.
+/// Returns the limits of a round. What failed searches may take follows the time since the last
+/// round, so that rounds in quick succession don't repeat them.
 cell_coordinator::round_limits cell_coordinator::limits_of_round(duration elapsed) const {
-    const std::int64_t searches = std::clamp<std::int64_t>(
-        elapsed / time_per_failed_search, min_failed_searches, max_failed_searches);
-    return {counts_.starts + max_starts_per_round, static_cast<std::uint64_t>(searches)};
+    const std::int64_t elapsed_ms = elapsed / std::chrono::milliseconds(1);
+    const std::int64_t visits =
+        std::clamp(elapsed_ms * failed_visits_per_ms, min_failed_visits, max_failed_visits);
+    return {counts_.starts + max_starts_per_round, static_cast<std::uint64_t>(visits)};
 }
 
 std::uint64_t cell_coordinator::starts_so_far() const {
@@ -164,12 +165,12 @@
                 : limits.max_starts;
     // Services that ran before are down while they wait.
     const std::uint64_t max_failed =
-        is_first ? std::uint64_t{max_failed_searches} : limits.max_failed_searches;
-    const std::uint64_t failed_before = failed_search_count_;
+        is_first ? std::uint64_t{max_failed_visits} : limits.max_failed_visits;
+    const std::uint64_t failed_before = failed_visits_;
     std::size_t examined = 0;
     bool has_jumped = false;
     for (auto next = waiting.begin(); next != waiting.end(); ++next) {
-        const std::uint64_t failed = failed_search_count_ - failed_before;
+        const std::uint64_t failed = failed_visits_ - failed_before;
         const bool half_done = examined >= max_jobs_per_pass / 2 || failed >= max_failed / 2;
         if (half_done && cursor && next->first < *cursor) {
             next = waiting.lower_bound(*cursor);
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -212,8 +212,9 @@
     task.down_since = deps_.time.now();
     --task.step->assigned;
     --task.job->assigned;
+    task.job->usual_runs -= task.is_throttled_start ? 0 : 1;
     // A start that was refused, or got no answer, is no run.
-    if (!task.is_throttled_start && --task.job->usual_runs == 0 && task.run.has_started)
+    if (!task.is_throttled_start && task.run.has_started)
         task.job->last_usual_run_at = deps_.time.now();
     mark_changed(*task.job);
     resources requested = spec.size;
