--- a/tests/cell/invariant_checker_test.cpp
+++ b/tests/cell/invariant_checker_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST_SUITE(invariant_checker_test);
     CPPUNIT_TEST(each_capacity_before_two_shrinks_counts_for_its_notice);
     CPPUNIT_TEST(a_capacity_counts_no_longer_than_its_notice);
+    CPPUNIT_TEST(failed_runs_of_a_gang_count_together);
+    CPPUNIT_TEST(failed_runs_of_single_tasks_count_by_task);
     CPPUNIT_TEST_SUITE_END();
 
     sim_time time_;
@@ -36,7 +38,27 @@
         checker_.on_start("w0", order, false);
     }
 
+    /// Three failed runs of a job with three attempts, each of another of its three tasks.
+    void fail_each_task_once(bool gang) {
+        step_spec step = cell_world::make_step(3, 500);
+        step.gang = gang;
+        checker_.jobs["a"].spec = cell_world::make_job({step});
+        for (std::uint32_t run = 1; run <= 3; ++run)
+            checker_.on_end("w0", "a.0.0." + std::to_string(run - 1), run_number(run),
+                            run_end::failed);
+    }
+
 public:
+    /// Guards against blaming the scheduler for a gang that failed each time by another member.
+    void failed_runs_of_a_gang_count_together() {
+        fail_each_task_once(true);
+        CPPUNIT_ASSERT(checker_.may_have_failed("a"));
+    }
+    /// Guards against allowing a job to fail none of whose tasks used up its attempts.
+    void failed_runs_of_single_tasks_count_by_task() {
+        fail_each_task_once(false);
+        CPPUNIT_ASSERT(!checker_.may_have_failed("a"));
+    }
     /// Guards against blaming a start that was sent before any shrink could be known.
     void each_capacity_before_two_shrinks_counts_for_its_notice() {
         shrink_twice();
