--- a/tests/cell/slow_coordinator_test.cpp
+++ b/tests/cell/slow_coordinator_test.cpp
@@ -18,11 +18,10 @@
     CPPUNIT_TEST(a_backlog_drains_after_an_overload_with_a_third_of_the_processor);
     CPPUNIT_TEST(a_backlog_drains_after_an_overload_and_a_handover);
     CPPUNIT_TEST(a_backlog_drains_beside_further_jobs);
-    CPPUNIT_TEST(a_backlog_of_best_effort_jobs_drains_after_an_overload);
-    CPPUNIT_TEST(a_backlog_of_best_effort_jobs_drains_after_an_overload_with_half_the_processor);
-    CPPUNIT_TEST(
-        a_backlog_of_best_effort_jobs_drains_after_an_overload_with_a_third_of_the_processor);
-    CPPUNIT_TEST(a_backlog_of_best_effort_jobs_drains_after_an_overload_and_a_handover);
+    CPPUNIT_TEST(best_effort_jobs_drain_after_an_overload);
+    CPPUNIT_TEST(best_effort_jobs_drain_after_an_overload_with_half_the_processor);
+    CPPUNIT_TEST(best_effort_jobs_drain_after_an_overload_with_a_third_of_the_processor);
+    CPPUNIT_TEST(best_effort_jobs_drain_after_an_overload_and_a_handover);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t hosts = 3;
@@ -219,16 +218,16 @@
         drain(task_kind::ordinary, small_share, meanwhile::further_jobs);
     }
     /// The same for best-effort jobs.
-    void a_backlog_of_best_effort_jobs_drains_after_an_overload() {
+    void best_effort_jobs_drain_after_an_overload() {
         drain(task_kind::best_effort, small_share, meanwhile::nothing);
     }
-    void a_backlog_of_best_effort_jobs_drains_after_an_overload_with_half_the_processor() {
+    void best_effort_jobs_drain_after_an_overload_with_half_the_processor() {
         drain(task_kind::best_effort, small_share / 2, meanwhile::nothing);
     }
-    void a_backlog_of_best_effort_jobs_drains_after_an_overload_with_a_third_of_the_processor() {
+    void best_effort_jobs_drain_after_an_overload_with_a_third_of_the_processor() {
         drain(task_kind::best_effort, small_share / 3, meanwhile::nothing);
     }
-    void a_backlog_of_best_effort_jobs_drains_after_an_overload_and_a_handover() {
+    void best_effort_jobs_drain_after_an_overload_and_a_handover() {
         drain(task_kind::best_effort, small_share, meanwhile::handover);
     }
 };
