--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -63,9 +63,10 @@
 
 void cell_coordinator::apply_config(const cell_config& config) {
     config_ = config;
-    for (const auto& [id, job] : jobs_)
+    for (const auto& [id, job] : jobs_) {
         apply_queue_config(*job);
-    sort_due_ = true;
+        mark_changed(*job);
+    }
     placement_due_ = true;
 }
 
@@ -102,16 +103,13 @@
         expire_leases();
         resolve_expired();
         drain_leaving_workers();
+        requeue_changed();
         update_reservations();
         remove_unlisted_workers();
         drop_ended_jobs();
         for (job_state* const job : open_jobs_)
             make_due_occurrences(*job);
-        for (job_state* const job : open_jobs_)
-            update_outlook(*job);
-        counts_.jobs_examined += 2 * open_jobs_.size();
-        sort_due_ = true;
-        update_idle_jobs();
+        update_due_estimates();
         record_slowdowns();
         if (now >= next_stragglers_) {
             next_stragglers_ = now + stragglers_period;
@@ -119,11 +117,11 @@
         }
         log_waiting_service_tasks();
         log_waiting_best_effort();
+        log_scarce_starts();
         if (current_log_level() == log_level::debug)
             log_waiting_tasks();
     }
-    if (std::exchange(sort_due_, false))
-        sort_jobs();
+    requeue_changed();
     if (placement_due_ || now >= next_placement_) {
         placement_due_ = false;
         next_placement_ = now + placement_period;
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -8,6 +8,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <queue>
@@ -17,6 +18,11 @@
 /// A worker whose last report is older gets no new runs.
 inline constexpr duration max_report_age = std::chrono::milliseconds(2200);
 
+/// A best-effort job none of whose tasks has run for this long is overdue: it is started even where
+/// it is expected to slow down latency-critical tasks, at a low speed. A job that has had no start
+/// for this long gets a share of the starts even if others are served before it.
+inline constexpr duration max_idle_time = std::chrono::seconds(2);
+
 /// Interval at which overdue jobs are looked for.
 inline constexpr duration overdue_period = std::chrono::milliseconds(100);
 
@@ -65,11 +71,17 @@
     bool may_drop(const job_state& job) const;
     void drop_job(job_state& job);
     void update_outlook(job_state& job) const;
-    void sort_jobs();
     job_state* find_job(const job_id& id);
     task_state* find_task(const task_name& name);
     static task_name name_of(const task_state& task);
 
+    // coordinator_queues.cpp
+    void mark_changed(job_state& job);
+    void requeue_changed();
+    static queue_positions positions_of(const job_state& job);
+    void update_due_estimates();
+    void log_scarce_starts();
+
     // coordinator_records.cpp
     void mark_dirty(job_state& job);
     void add_ordered_to(job_state& job, const worker_state& worker);
@@ -195,14 +207,17 @@
 
     // coordinator_placement.cpp
     enum class placement_pass { service_restarts, batch_tasks, service_first_starts };
-    struct waiting_step {
-        job_state* job = nullptr;
-        step_state* step = nullptr;
-    };
+    static constexpr std::size_t placement_passes = 3;
+    template <class Order>
+    using ordered_jobs = waiting_jobs::queue<Order>;
     void place_all();
-    std::vector<waiting_step> waiting_steps();
-    bool place_steps(const std::vector<waiting_step>& waiting, placement_pass pass,
-                     std::uint64_t max_starts);
+    std::uint64_t max_starts_of_round();
+    std::uint64_t starts_so_far() const;
+    bool place_batch(std::uint64_t max_starts);
+    void place_longest_waiting();
+    bool place_in_order(const ordered_jobs<service_order>& waiting, placement_pass pass,
+                        std::uint64_t max_starts);
+    void place_job(job_state& job, placement_pass pass);
     bool place_step(job_state& job, step_state& step, placement_pass pass);
     bool place_gang(job_state& job, step_state& step);
     bool is_usable(const worker_state& worker, const job_state& job) const;
@@ -239,12 +254,10 @@
     best_effort_check check_best_effort(const worker_state& worker, const step_state& step) const;
     best_effort_check check_overdue(const worker_state& worker, const step_state& step) const;
     double score_best_effort(const worker_state& worker, const step_state& step) const;
-    void update_idle_jobs();
     void update_busy();
-    static bool has_run(const job_state& job);
-    bool is_overdue(const job_state& job) const;
     void start_overdue_jobs();
     bool start_overdue(job_state& job);
+    bool start_overdue_step(job_state& job, step_state& step, bool throttled);
     bool start_overdue_task(job_state& job, step_state& step);
     void log_waiting_best_effort();
     const step_state* idle_best_effort_step(const job_state& job) const;
@@ -289,7 +302,6 @@
     /// Requirements of a step for which this placement round found no worker.
     struct failed_search {
         service_id service;
-        image_number image = 0;
         bool best_effort = false;
         resources size;
     };
@@ -335,8 +347,10 @@
     absl::flat_hash_map<job_id, job_state*> job_index_;
     /// Ended jobs, the first to end in front.
     std::deque<job_state*> ended_jobs_;
-    /// Open jobs in scheduling order.
     std::vector<job_state*> open_jobs_;
+    waiting_jobs queues_;
+    /// Jobs whose positions in `queues_` may be out of date.
+    std::vector<job_state*> changed_jobs_;
     /// Jobs whose progress, or whose set of workers, has changed since it was last written.
     std::vector<job_state*> dirty_;
     std::vector<job_state*> ordered_to_changed_;
@@ -348,7 +362,9 @@
     /// Tag of each image in the candidate index, by image number.
     std::vector<tag_number> image_tags_;
     std::uint64_t searches_ = 0;
-    std::vector<failed_search> failed_searches_;
+    /// Failed searches of this round, by image.
+    absl::flat_hash_map<image_number, std::vector<failed_search>> failed_searches_;
+    std::size_t failed_search_count_ = 0;
     /// Lease renewals by due time; an entry is valid while it equals the worker's `next_renewal`.
     std::priority_queue<due_renewal, std::vector<due_renewal>, std::greater<>> due_renewals_;
     /// Workers on which a predecessor may have started tasks and that have not reported yet, and
@@ -373,14 +389,23 @@
     std::uint64_t last_run_ = 0;
     bool superseded_ = false;
     bool placement_due_ = true;
-    /// Jobs were added or their outlook changed: `open_jobs_` must be sorted.
-    bool sort_due_ = true;
+    instant last_round_at_{};
+    /// Where the next placement round goes on, by pass; nothing where the last one looked at all.
+    std::array<std::optional<service_order>, placement_passes> round_cursors_;
+    /// Starts that are due to the jobs that have waited longest, and where the next round goes on
+    /// among them: those still of use to their callers, and the others.
+    double wait_credit_ = 0;
+    std::uint64_t wait_turn_ = 0;
+    std::array<instant, 2> wait_cursors_{instant::min(), instant::min()};
     instant next_placement_{};
     instant next_sweep_{};
     instant next_stragglers_{};
     instant next_waiting_log_{};
     instant next_best_effort_log_{};
     instant next_overdue_{};
+    instant next_scarce_log_{};
+    /// `counts_` when they were last logged.
+    coordinator_counts logged_counts_;
     bool is_busy_ = false;
     /// At most one request to the placement advisor is in flight.
     bool advice_in_flight_ = false;
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -15,13 +15,15 @@
 constexpr double load_margin = 0.25;
 // One unit of expected slowdown of a neighbour weighs as much as this share of a worker's CPU.
 constexpr double slowdown_weight = 5;
-// A job none of whose tasks has run for this long is overdue: it is started even where it is
-// expected to slow down latency-critical tasks, at a low speed. It waits longer while most of the
-// workers' CPU is in use, since it may then find room when others end.
-constexpr duration max_idle_time = std::chrono::seconds(2);
+// A job that is overdue by `max_idle_time` waits longer while most of the workers' CPU is in use,
+// since it may then find room when others end.
 constexpr duration max_idle_time_when_busy = std::chrono::seconds(10);
-// Throttled starts per placement round.
+// Starts of overdue jobs in a round, jobs for which workers are searched, and jobs looked at.
 constexpr int max_overdue_starts = 8;
+constexpr int max_overdue_tries = 32;
+constexpr std::size_t max_overdue_examined = 256;
+// An overdue job for which no worker was found is looked at again after this time.
+constexpr duration overdue_retry = std::chrono::milliseconds(500);
 // Ranks workers on which best-effort tasks are paused behind all others.
 constexpr double paused_penalty = 100;
 constexpr duration waiting_log_period = std::chrono::seconds(1);
@@ -106,21 +108,6 @@
     return score - (paused ? paused_penalty : 0);
 }
 
-/// Notes which jobs have a run that was placed as usual: a job of which only throttled starts run
-/// stays overdue. Called often enough to measure `max_idle_time`.
-void cell_coordinator::update_idle_jobs() {
-    counts_.jobs_examined += open_jobs_.size();
-    const instant now = deps_.time.now();
-    const auto is_usual = [](const task_state& task) {
-        return task.assigned_worker != nullptr && !task.is_throttled_start;
-    };
-    for (job_state* const job : open_jobs_)
-        for (const auto& [number, occurrence] : job->occurrences)
-            for (const step_state& step : occurrence->steps)
-                if (step.assigned > 0 && std::ranges::any_of(step.tasks, is_usual))
-                    job->last_usual_run_at = now;
-}
-
 /// Notes whether service and batch tasks use most of the CPU of the workers that take tasks.
 void cell_coordinator::update_busy() {
     std::int64_t capacity = 0;
@@ -134,61 +121,60 @@
     is_busy_ = used * 2 >= capacity;
 }
 
-bool cell_coordinator::has_run(const job_state& job) {
-    return std::ranges::any_of(job.occurrences, [](const auto& entry) {
-        return std::ranges::any_of(entry.second->steps,
-                                   [](const step_state& step) { return step.assigned > 0; });
-    });
-}
-
-bool cell_coordinator::is_overdue(const job_state& job) const {
-    const duration limit = is_busy_ ? max_idle_time_when_busy : max_idle_time;
-    return job.phase == job_phase::open && deps_.time.now() - job.last_usual_run_at >= limit &&
-           !has_run(job);
-}
-
 /// Starts one task, or one gang, of each best-effort job that has had no run for too long: the
 /// expected harm to latency-critical tasks, or best-effort service tasks that have taken the CPU,
-/// may keep it from every worker for good. Such a run is throttled from the start, so that it
-/// harms little, and runs faster when its neighbours allow it. The oldest jobs come first.
+/// may keep it from every worker for good. The jobs that are overdue for longest come first.
 void cell_coordinator::start_overdue_jobs() {
     const instant now = deps_.time.now();
     if (now < next_overdue_)
         return;
     next_overdue_ = now + overdue_period;
     update_busy();
-    counts_.jobs_examined += open_jobs_.size();
-    std::vector<job_state*> overdue;
-    for (job_state* const job : open_jobs_)
-        if (is_overdue(*job))
-            overdue.push_back(job);
-    std::ranges::sort(overdue, [](const job_state* one, const job_state* other) {
-        return std::pair(one->priority, one->intake_offset) <
-               std::pair(other->priority, other->intake_offset);
-    });
+    std::vector<job_state*> due;
+    for (const auto& [order, job] : queues_.idle()) {
+        if (order.at > now || due.size() == max_overdue_examined)
+            break;
+        due.push_back(job);
+    }
+    counts_.jobs_examined += due.size();
     int started = 0;
-    for (job_state* const job : overdue)
-        if (started < max_overdue_starts)
-            started += start_overdue(*job) ? 1 : 0;
+    int tried = 0;
+    for (job_state* const job : due) {
+        if (started == max_overdue_starts || tried == max_overdue_tries)
+            break;
+        const bool too_early = is_busy_ && now - job->last_usual_run_at < max_idle_time_when_busy;
+        const bool has_started = !too_early && start_overdue(*job);
+        started += has_started ? 1 : 0;
+        tried += too_early ? 0 : 1;
+        job->next_overdue_try = now + overdue_retry;
+        mark_changed(*job);
+    }
+    requeue_changed();
 }
 
+/// Starts one task or gang of an overdue job: as usual where a worker admits it, else throttled
+/// from the start, so that it harms little, and faster when its neighbours allow it.
 bool cell_coordinator::start_overdue(job_state& job) {
     for (const auto& [number, occurrence] : job.occurrences) {
         for (step_state& step : occurrence->steps) {
-            if (!step.ready || step.unfinished == 0 || !step.spec->is_best_effort ||
-                step.spec->is_service || !may_start(step.tasks.front()))
+            if (job.phase != job_phase::open || !step.ready || step.unfinished == 0 ||
+                !step.spec->is_best_effort || step.spec->is_service ||
+                !may_start(step.tasks.front()))
                 continue;
-            step.is_overdue = true;
-            const bool started =
-                step.spec->gang ? place_gang(job, step) : start_overdue_task(job, step);
-            step.is_overdue = false;
-            if (started)
+            if (start_overdue_step(job, step, false) || start_overdue_step(job, step, true))
                 return true;
         }
     }
     return false;
 }
 
+bool cell_coordinator::start_overdue_step(job_state& job, step_state& step, bool throttled) {
+    step.is_overdue = throttled;
+    const bool started = step.spec->gang ? place_gang(job, step) : start_overdue_task(job, step);
+    step.is_overdue = false;
+    return started;
+}
+
 bool cell_coordinator::start_overdue_task(job_state& job, step_state& step) {
     const auto startable = std::ranges::find_if(step.tasks, [&](const task_state& task) {
         return !task.progress.done && task.assigned_worker == nullptr &&
@@ -247,7 +233,7 @@
 
 /// Returns a ready best-effort step of a job that has had no run for `max_idle_time`, or null.
 const step_state* cell_coordinator::idle_best_effort_step(const job_state& job) const {
-    if (deps_.time.now() - job.last_usual_run_at < max_idle_time || has_run(job))
+    if (deps_.time.now() - job.last_usual_run_at < max_idle_time || job.assigned > 0)
         return nullptr;
     for (const auto& [number, occurrence] : job.occurrences)
         for (const step_state& step : occurrence->steps)
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -99,9 +99,12 @@
             found.push_back({&worker, score(worker, step)});
         return found.size() < max_candidates && visited < max_visited;
     });
-    if (found.empty() && only_rack.empty() && is_failure_conclusive(job, step))
-        failed_searches_.push_back(
-            {job.service, step.image, step.spec->is_best_effort, step.spec->size});
+    if (!found.empty())
+        return found;
+    ++failed_search_count_;
+    if (only_rack.empty() && is_failure_conclusive(job, step))
+        failed_searches_[step.image].push_back(
+            {job.service, step.spec->is_best_effort, step.spec->size});
     return found;
 }
 
@@ -148,9 +151,11 @@
 bool cell_coordinator::has_failed_search(const job_state& job, const step_state& step) const {
     if (!is_failure_conclusive(job, step))
         return false;
-    return std::ranges::any_of(failed_searches_, [&](const failed_search& failed) {
-        return failed.service == job.service && failed.image == step.image &&
-               failed.best_effort == step.spec->is_best_effort &&
+    const auto of_image = failed_searches_.find(step.image);
+    if (of_image == failed_searches_.end())
+        return false;
+    return std::ranges::any_of(of_image->second, [&](const failed_search& failed) {
+        return failed.service == job.service && failed.best_effort == step.spec->is_best_effort &&
                fits(failed.size, step.spec->size);
     });
 }
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -11,18 +11,14 @@
 // How much longer than promised the state of a finished job is kept for callers.
 constexpr duration status_slack = std::chrono::seconds(30);
 
+// A job's prospect is estimated again after this time at the earliest.
+constexpr duration min_estimate_age = std::chrono::milliseconds(100);
+
 bool all_done(const occurrence_state& occurrence, const std::vector<std::uint32_t>& steps) {
     return std::ranges::all_of(
         steps, [&](std::uint32_t number) { return occurrence.steps[number].unfinished == 0; });
 }
 
-bool has_runs(const job_state& job) {
-    return std::ranges::any_of(job.occurrences, [](const auto& entry) {
-        return std::ranges::any_of(entry.second->steps,
-                                   [](const step_state& step) { return step.assigned > 0; });
-    });
-}
-
 /// Returns the longest chain of dependent steps by the submitter's estimates.
 duration longest_chain(const job_spec& spec) {
     std::vector<duration> ends;
@@ -72,6 +68,7 @@
     job.phase = entry.phase;
     job.begun = entry.begun;
     job.last_usual_run_at = deps_.time.now();
+    job.last_start_at = job.submitted_at;
     job.ordered_to = entry.ordered_to;
     job.recorded_to = entry.ordered_to;
     apply_queue_config(job);
@@ -88,9 +85,8 @@
     if (entry.cancel_wanted)
         return end_job(job, job_phase::cancelled);
     make_due_occurrences(job);
-    update_outlook(job);
     give_up_recorded(job);
-    sort_due_ = true;
+    mark_changed(job);
     placement_due_ = true;
 }
 
@@ -143,6 +139,7 @@
     }
     job.occurrences[number] = std::move(created);
     update_ready(occurrence);
+    mark_changed(job);
     return occurrence;
 }
 
@@ -180,13 +177,7 @@
     const job_estimate outlook = estimate_job(job, deps_.time.now());
     job.prospect = outlook.prospect;
     job.work_left = outlook.work_left;
-}
-
-void cell_coordinator::sort_jobs() {
-    counts_.jobs_examined += open_jobs_.size();
-    std::ranges::sort(open_jobs_, [](const job_state* one, const job_state* other) {
-        return is_served_before(*one, *other);
-    });
+    job.prospect_until = std::max(outlook.prospect_until, deps_.time.now() + min_estimate_age);
 }
 
 job_state* cell_coordinator::find_job(const job_id& id) {
@@ -217,6 +208,7 @@
     task.progress.done = true;
     task.progress.checkpoint.clear();
     mark_dirty(*task.job);
+    mark_changed(*task.job);
     placement_due_ = true;
     if (--task.step->unfinished == 0)
         end_step(*task.job, *task.step);
@@ -243,6 +235,7 @@
     std::erase(open_jobs_, &job);
     ended_jobs_.push_back(&job);
     mark_dirty(job);
+    mark_changed(job);
     for (const auto& [number, occurrence] : job.occurrences)
         for (step_state& step : occurrence->steps)
             for (task_state& task : step.tasks)
@@ -273,7 +266,7 @@
 }
 
 bool cell_coordinator::may_drop(const job_state& job) const {
-    return !job.dirty && !job.ordered_to_changed && !has_runs(job);
+    return !job.dirty && !job.ordered_to_changed && !job.requeue_due && job.assigned == 0;
 }
 
 void cell_coordinator::drop_job(job_state& job) {
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -10,9 +10,23 @@
 namespace figwinch {
 namespace {
 
-// Maximum number of starts per tick. The rest follows at the next tick, so that reports are
+// Bounds on the starts of a placement round. The rest follows in the next one, so that reports are
 // processed in between.
-constexpr std::size_t max_starts_per_tick = 40;
+constexpr std::int64_t max_starts_per_ms = 5;
+constexpr std::int64_t min_starts_per_round = 40;
+constexpr std::int64_t max_starts_per_round = 400;
+// Bounds on the work of a round that isn't a start: jobs looked at, and searches among workers that
+// found none.
+constexpr std::size_t max_jobs_per_round = 256;
+constexpr std::size_t max_failed_searches = 32;
+// Share of the starts of batch tasks that goes to the jobs that have waited longest, and how many
+// starts may be due to them.
+constexpr double longest_waiting_share = 0.25;
+constexpr double max_wait_credit = 40;
+constexpr std::size_t max_longest_waiting = 16;
+// One round in this many serves the longest waiting jobs that are of no use to their callers any
+// more, so that they end too.
+constexpr std::uint64_t turns_per_lost_job = 4;
 // Weights that group latency-critical tasks of one image on a worker, so that other workers are
 // left to the best-effort images that slow this image. Worth more than an even spread.
 constexpr double other_image_penalty = 1;
@@ -37,49 +51,109 @@
     ++counts_.placement_rounds;
     update_unresolved_marks();
     failed_searches_.clear();
+    failed_search_count_ = 0;
     start_overdue_jobs();
-    const std::vector<waiting_step> waiting = waiting_steps();
-    const std::uint64_t max_starts = counts_.starts + max_starts_per_tick;
-    for (const placement_pass pass : {placement_pass::service_restarts, placement_pass::batch_tasks,
-                                      placement_pass::service_first_starts})
-        if (!place_steps(waiting, pass, max_starts)) {
-            ++counts_.rounds_cut_short;
-            placement_due_ = true;
+    const std::uint64_t max_starts = counts_.starts + max_starts_of_round();
+    const bool complete =
+        place_in_order(queues_.services(), placement_pass::service_restarts, max_starts) &&
+        place_batch(max_starts) &&
+        place_in_order(queues_.services(), placement_pass::service_first_starts, max_starts);
+    if (complete)
+        return;
+    ++counts_.rounds_cut_short;
+    placement_due_ = true;
+}
+
+/// Returns the limit on starts of this round. It follows the time since the last one, so that a
+/// host whose ticks are late doesn't also start less.
+std::uint64_t cell_coordinator::max_starts_of_round() {
+    const instant now = deps_.time.now();
+    const auto elapsed_ms =
+        (now - std::exchange(last_round_at_, now)) / std::chrono::milliseconds(1);
+    return static_cast<std::uint64_t>(
+        std::clamp(elapsed_ms * max_starts_per_ms, min_starts_per_round, max_starts_per_round));
+}
+
+std::uint64_t cell_coordinator::starts_so_far() const {
+    return counts_.starts + unrecorded_starts_.size();
+}
+
+/// Starts batch tasks: first of the jobs that have waited longest, as far as their share of the
+/// starts allows, then in scheduling order.
+bool cell_coordinator::place_batch(std::uint64_t max_starts) {
+    place_longest_waiting();
+    const std::uint64_t before = starts_so_far();
+    const bool complete = place_in_order(queues_.batch(), placement_pass::batch_tasks, max_starts);
+    const auto started = static_cast<double>(starts_so_far() - before);
+    wait_credit_ = std::min(max_wait_credit, wait_credit_ + started * longest_waiting_share);
+    return complete;
+}
+
+/// Starts tasks of the jobs that have had no start for longest. In scheduling order alone, a large
+/// job would wait for as long as smaller ones keep coming.
+void cell_coordinator::place_longest_waiting() {
+    const bool lost = ++wait_turn_ % turns_per_lost_job == 0;
+    const ordered_jobs<wait_order>& waiting = queues_.by_wait();
+    const instant now = deps_.time.now();
+    instant& cursor = wait_cursors_.at(lost ? 1 : 0);
+    auto next = waiting.lower_bound({lost, cursor, {}});
+    for (std::size_t examined = 0; examined < max_longest_waiting && wait_credit_ >= 1;
+         ++examined, ++next) {
+        const bool at_end = next == waiting.end() || next->first.lost != lost ||
+                            now - next->first.last_start_at < max_idle_time;
+        cursor = at_end ? instant::min() : next->first.last_start_at + duration(1);
+        if (at_end)
             return;
-        }
+        ++counts_.jobs_examined;
+        const std::uint64_t before = starts_so_far();
+        place_job(*next->second, placement_pass::batch_tasks);
+        wait_credit_ -= static_cast<double>(starts_so_far() - before);
+    }
 }
 
-/// Returns ready steps that have tasks without a run, in the scheduling order of their jobs.
-std::vector<cell_coordinator::waiting_step> cell_coordinator::waiting_steps() {
-    counts_.jobs_examined += open_jobs_.size();
-    std::vector<waiting_step> waiting;
-    for (job_state* const job : open_jobs_)
-        for (const auto& [number, occurrence] : job->occurrences)
-            for (step_state& step : occurrence->steps)
-                if (step.ready && step.assigned < step.unfinished)
-                    waiting.push_back({job, &step});
-    return waiting;
-}
-
-/// Starts the tasks of one pass. Returns whether all that can start have been started before the
-/// total number of starts reached `max_starts`.
-bool cell_coordinator::place_steps(const std::vector<waiting_step>& waiting, placement_pass pass,
-                                   std::uint64_t max_starts) {
-    const bool lasting = pass != placement_pass::batch_tasks;
-    for (const auto& [job, step] : waiting) {
-        if (job->phase != job_phase::open || step->spec->is_service != lasting ||
-            step->assigned >= step->unfinished)
-            continue;
-        if (step->spec->gang && may_start(step->tasks.front()))
-            place_gang(*job, *step);
-        else if (!step->spec->gang)
-            place_step(*job, *step, pass);
-        if (counts_.starts + unrecorded_starts_.size() >= max_starts)
+/// Starts the tasks of one pass, job by job. Returns false if the round ended before all jobs were
+/// looked at: the total number of starts reached `max_starts`, or too many jobs couldn't start.
+/// The next round then looks at the first jobs again, and goes on where this one ended.
+bool cell_coordinator::place_in_order(const ordered_jobs<service_order>& waiting,
+                                      placement_pass pass, std::uint64_t max_starts) {
+    std::optional<service_order>& cursor = round_cursors_.at(static_cast<std::size_t>(pass));
+    std::size_t examined = 0;
+    for (auto next = waiting.begin(); next != waiting.end(); ++next) {
+        if (examined == max_jobs_per_round / 2 && cursor && next->first < *cursor)
+            next = waiting.lower_bound(*cursor);
+        if (next == waiting.end())
+            break;
+        if (examined++ == max_jobs_per_round || failed_search_count_ >= max_failed_searches) {
+            cursor = next->first;
+            // The job, which owns the text, may be gone by the next round.
+            cursor->id = {};
+            return false;
+        }
+        ++counts_.jobs_examined;
+        place_job(*next->second, pass);
+        if (starts_so_far() >= max_starts)
             return false;
     }
+    cursor.reset();
     return true;
 }
 
+/// Starts tasks of the job's ready steps that belong to the pass.
+void cell_coordinator::place_job(job_state& job, placement_pass pass) {
+    const bool services = pass != placement_pass::batch_tasks;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (step_state& step : occurrence->steps) {
+            if (job.phase != job_phase::open || step.spec->is_service != services || !step.ready ||
+                step.assigned >= step.unfinished)
+                continue;
+            if (!step.spec->gang)
+                place_step(job, step, pass);
+            else if (may_start(step.tasks.front()))
+                place_gang(job, step);
+        }
+    }
+}
+
 bool cell_coordinator::place_step(job_state& job, step_state& step, placement_pass pass) {
     const instant now = deps_.time.now();
     // Tasks of other steps share one record of workers, so either all of them or none may start.
@@ -132,6 +206,7 @@
     settle_earlier_trial(first.progress);
     if (give_up_if_due(first))
         return false;
+    const instant last_usual_run_at = job.last_usual_run_at;
     // The members of a one-rack gang must share a rack; each rack is tried once.
     absl::flat_hash_set<rack_id> racks;
     if (step.spec->one_rack)
@@ -158,6 +233,8 @@
         }
         for (std::size_t index = 0; index < chosen.size(); ++index)
             release(step.tasks[index]);
+        // No run was ordered.
+        job.last_usual_run_at = last_usual_run_at;
     }
     placement_due_ = false;
     return false;
--- a/src/cell/coordinator_reservations.cpp
+++ b/src/cell/coordinator_reservations.cpp
@@ -41,7 +41,7 @@
 
 std::vector<const task_state*> cell_coordinator::service_tasks_without_run() const {
     std::vector<const task_state*> waiting;
-    for (const job_state* const job : open_jobs_)
+    for (const auto& [order, job] : queues_.services())
         for (const auto& [number, occurrence] : job->occurrences)
             for (const step_state& step : occurrence->steps) {
                 if (!step.spec->is_service || step.spec->is_best_effort || !step.ready ||
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -30,6 +30,7 @@
     task.run = task_run{};
     task.run.number = run;
     task.run.checkpoint = checkpoint;
+    task.job->last_start_at = deps_.time.now();
     if (task.assigned_worker == nullptr)
         assign(task, worker);
     const bool is_trial = is_crash_suspect(crash_record_of(task));
@@ -189,6 +190,9 @@
     task.is_throttled_start = task.step->is_overdue;
     worker.tasks.push_back(&task);
     ++task.step->assigned;
+    ++task.job->assigned;
+    task.job->usual_runs += task.is_throttled_start ? 0 : 1;
+    mark_changed(*task.job);
     resources requested = spec.size;
     if (spec.is_best_effort) {
         worker.best_effort_cpu += best_effort_millis(task);
@@ -207,6 +211,10 @@
     task.assigned_worker = nullptr;
     task.down_since = deps_.time.now();
     --task.step->assigned;
+    --task.job->assigned;
+    if (!task.is_throttled_start && --task.job->usual_runs == 0)
+        task.job->last_usual_run_at = deps_.time.now();
+    mark_changed(*task.job);
     resources requested = spec.size;
     if (spec.is_best_effort) {
         worker.best_effort_cpu -= best_effort_millis(task);
--- a/src/cell/coordinator_view.cpp
+++ b/src/cell/coordinator_view.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/cell_coordinator.h"
 #include "cell/crash_history.h"
+#include "cell/job_estimate.h"
 #include "figwinch/observe.h"
 
 #include <algorithm>
@@ -40,7 +41,11 @@
         shown.workers.push_back({id, worker->listing.data_centre, status_of(*worker),
                                  worker->tasks.size(),
                                  worker->listing.capacity - worker->allocated});
-    for (const job_state* const job : open_jobs_) {
+    std::vector<const job_state*> in_order(open_jobs_.begin(), open_jobs_.end());
+    std::ranges::sort(in_order, [](const job_state* one, const job_state* other) {
+        return is_served_before(*one, *other);
+    });
+    for (const job_state* const job : in_order) {
         if (shown.jobs.size() == max_jobs_shown) {
             shown.jobs_left_out = open_jobs_.size() - max_jobs_shown;
             break;
--- a/src/cell/job_estimate.cpp
+++ b/src/cell/job_estimate.cpp
@@ -1,7 +1,6 @@
 #include "cell/job_estimate.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace figwinch {
 namespace {
@@ -61,17 +60,25 @@
     const instant end = now + critical_path;
     const instant useless_after =
         job.submitted_at + (job.objective_at - job.submitted_at) * max_useful_factor;
-    result.prospect = end <= job.objective_at ? job_prospect::in_time
-                      : end <= useless_after  ? job_prospect::late
-                                              : job_prospect::lost;
+    if (end <= job.objective_at) {
+        result.prospect_until = job.objective_at - critical_path;
+        return result;
+    }
+    if (end <= useless_after) {
+        result.prospect = job_prospect::late;
+        result.prospect_until = useless_after - critical_path;
+        return result;
+    }
+    result.prospect = job_prospect::lost;
     return result;
 }
 
+service_order service_order_of(const job_state& job) {
+    return {job.priority, job.prospect, job.work_left, job.intake_offset, job.id.str()};
+}
+
 bool is_served_before(const job_state& one, const job_state& other) {
-    const auto key = [](const job_state& job) {
-        return std::tuple(job.priority, job.prospect, job.work_left, job.intake_offset);
-    };
-    return key(one) < key(other);
+    return service_order_of(one) < service_order_of(other);
 }
 
 } // namespace figwinch
--- a/src/cell/job_estimate.h
+++ b/src/cell/job_estimate.h
@@ -9,14 +9,15 @@
     job_prospect prospect = job_prospect::in_time;
     /// The estimated remaining CPU time, in core-seconds.
     double work_left = 0;
+    /// When the prospect changes if the job makes no progress; never if it is lost.
+    instant prospect_until = instant::max();
 };
 
 job_estimate estimate_job(const job_state& job, instant now);
 
-/// Whether `one` is served before `other`. Orders jobs by priority, then by prospect (in time,
-/// late, lost), then by the remaining work, least first. Under overload, first-come first-served
-/// would make all jobs late, and earliest-deadline-first would spend most capacity on jobs that
-/// narrowly miss their deadline.
+service_order service_order_of(const job_state& job);
+
+/// Whether `one` is served before `other`.
 bool is_served_before(const job_state& one, const job_state& other);
 
 } // namespace figwinch
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -3,6 +3,7 @@
 #include "cell/slowdown_model.h"
 #include "cell/step_advice.h"
 #include "cell/task_state.h"
+#include "cell/waiting_jobs.h"
 #include "figwinch/cell/job_spec.h"
 #include "figwinch/cell/worker_fingerprints.h"
 
@@ -45,14 +46,6 @@
     std::uint32_t unfinished_steps = 0;
 };
 
-/// Whether a job can still finish by its objective.
-enum class job_prospect {
-    in_time,
-    /// The job can finish only after its objective, but is still useful then.
-    late,
-    lost,
-};
-
 /// The coordinator's state of a job.
 struct job_state {
     job_id id;
@@ -91,9 +84,21 @@
     /// Latest result of `estimate_job`; the remaining work is in core-seconds.
     job_prospect prospect = job_prospect::in_time;
     double work_left = 0;
+    /// When `prospect` may change if nothing happens to the job.
+    instant prospect_until = instant::max();
     instant ended_at{};
+    /// Tasks that are assigned to a worker, and those of them that are not throttled starts.
+    std::uint32_t assigned = 0;
+    std::uint32_t usual_runs = 0;
     /// When the job last had a run that is not a throttled start, or was first read.
     instant last_usual_run_at{};
+    /// When a task of the job was last started; the job's submission before the first start.
+    instant last_start_at{};
+    /// Not before this time is the job started again as an overdue one.
+    instant next_overdue_try{};
+    queue_positions positions;
+    /// `positions` may be out of date.
+    bool requeue_due = false;
     /// A predecessor may have started tasks of the job.
     bool may_have_earlier_runs = false;
 
