--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -364,7 +364,7 @@
     std::uint64_t searches_ = 0;
     /// Failed searches of this round, by image.
     absl::flat_hash_map<image_number, std::vector<failed_search>> failed_searches_;
-    std::size_t failed_search_count_ = 0;
+    std::uint64_t failed_searches_in_term_ = 0;
     /// Lease renewals by due time; an entry is valid while it equals the worker's `next_renewal`.
     std::priority_queue<due_renewal, std::vector<due_renewal>, std::greater<>> due_renewals_;
     /// Workers on which a predecessor may have started tasks and that have not reported yet, and
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -101,7 +101,7 @@
     });
     if (!found.empty())
         return found;
-    ++failed_search_count_;
+    ++failed_searches_in_term_;
     if (only_rack.empty() && is_failure_conclusive(job, step))
         failed_searches_[step.image].push_back(
             {job.service, step.spec->is_best_effort, step.spec->size});
@@ -172,6 +172,10 @@
 /// when no other worker can be recorded.
 worker_state* cell_coordinator::choose_recorded(const job_state& job, const task_state& task) {
     const step_state& step = *task.step;
+    const bool is_named =
+        has_record_per_task(*step.spec) ? task.recorded : !job.recorded_to.empty();
+    if (!is_named)
+        return nullptr;
     worker_state* best = nullptr;
     double best_score = 0;
     for (const auto& [id, worker] : workers_) {
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -15,9 +15,9 @@
 constexpr std::int64_t max_starts_per_ms = 5;
 constexpr std::int64_t min_starts_per_round = 40;
 constexpr std::int64_t max_starts_per_round = 400;
-// Bounds on the work of a round that isn't a start: jobs looked at, and searches among workers that
+// Bounds on the work of a pass that isn't a start: jobs looked at, and searches among workers that
 // found none.
-constexpr std::size_t max_jobs_per_round = 256;
+constexpr std::size_t max_jobs_per_pass = 256;
 constexpr std::size_t max_failed_searches = 32;
 // Share of the starts of batch tasks that goes to the jobs that have waited longest, and how many
 // starts may be due to them.
@@ -51,13 +51,14 @@
     ++counts_.placement_rounds;
     update_unresolved_marks();
     failed_searches_.clear();
-    failed_search_count_ = 0;
     start_overdue_jobs();
     const std::uint64_t max_starts = counts_.starts + max_starts_of_round();
-    const bool complete =
-        place_in_order(queues_.services(), placement_pass::service_restarts, max_starts) &&
-        place_batch(max_starts) &&
-        place_in_order(queues_.services(), placement_pass::service_first_starts, max_starts);
+    bool complete =
+        place_in_order(queues_.services(), placement_pass::service_restarts, max_starts);
+    complete = place_batch(max_starts) && complete;
+    complete =
+        place_in_order(queues_.services(), placement_pass::service_first_starts, max_starts) &&
+        complete;
     if (complete)
         return;
     ++counts_.rounds_cut_short;
@@ -111,19 +112,25 @@
     }
 }
 
-/// Starts the tasks of one pass, job by job. Returns false if the round ended before all jobs were
-/// looked at: the total number of starts reached `max_starts`, or too many jobs couldn't start.
-/// The next round then looks at the first jobs again, and goes on where this one ended.
+/// Starts the tasks of one pass, job by job. Returns false if not all jobs were looked at: the
+/// total number of starts reached `max_starts`, or too many jobs couldn't start. The next round
+/// then looks at the first jobs again, and goes on where this one ended.
 bool cell_coordinator::place_in_order(const ordered_jobs<service_order>& waiting,
                                       placement_pass pass, std::uint64_t max_starts) {
     std::optional<service_order>& cursor = round_cursors_.at(static_cast<std::size_t>(pass));
+    const std::uint64_t failed_before = failed_searches_in_term_;
     std::size_t examined = 0;
     for (auto next = waiting.begin(); next != waiting.end(); ++next) {
-        if (examined == max_jobs_per_round / 2 && cursor && next->first < *cursor)
+        const std::uint64_t failed = failed_searches_in_term_ - failed_before;
+        const bool half_done =
+            examined >= max_jobs_per_pass / 2 || failed >= max_failed_searches / 2;
+        if (half_done && cursor && next->first < *cursor)
             next = waiting.lower_bound(*cursor);
         if (next == waiting.end())
             break;
-        if (examined++ == max_jobs_per_round || failed_search_count_ >= max_failed_searches) {
+        if (starts_so_far() >= max_starts)
+            return false;
+        if (examined++ == max_jobs_per_pass || failed >= max_failed_searches) {
             cursor = next->first;
             // The job, which owns the text, may be gone by the next round.
             cursor->id = {};
@@ -131,8 +138,6 @@
         }
         ++counts_.jobs_examined;
         place_job(*next->second, pass);
-        if (starts_so_far() >= max_starts)
-            return false;
     }
     cursor.reset();
     return true;
