Decide in the order of sending and of acceptance, not of hash tables

Cause: the orders of a lost relay session ended in the order of a hash table, which depends on addresses, and so did the order in which a new coordinator numbers the images of the jobs it knows, and in which a gang tries the racks.

The new test of the session fails before: 100 stops end in another order.

--- a/include/figwinch/link/relay_client.h
+++ b/include/figwinch/link/relay_client.h
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 
 namespace figwinch {
@@ -78,7 +79,8 @@
     std::uint64_t last_order_ = 0;
     /// Number of the newest order that was sent to the relay.
     std::uint64_t last_sent_order_ = 0;
-    absl::flat_hash_map<std::uint64_t, pending_order> pending_;
+    /// By number, so that orders that get no reply are completed in the order of their sending.
+    std::map<std::uint64_t, pending_order> pending_;
     std::uint32_t last_worker_ = 0;
     absl::flat_hash_map<worker_id, known_worker> workers_;
     std::uint64_t last_payload_ = 0;
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -4,6 +4,7 @@
 #include "figwinch/observe.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace figwinch {
 namespace {
@@ -48,10 +49,16 @@
     }
     update_unresolved_marks();
     slowdowns_.restore(known.slowdowns());
+    // In the order of acceptance, since that of the known jobs depends on their hashes.
+    std::vector<const job_entry*> entries;
+    entries.reserve(known.jobs().size());
     for (const auto& [id, entry] : known.jobs())
-        add_job(entry, true);
-    // The order of the known jobs depends on their hashes.
-    std::ranges::sort(open_jobs_, {}, &job_state::intake_offset);
+        entries.push_back(&entry);
+    std::ranges::sort(entries, {}, [](const job_entry* entry) {
+        return std::tuple(entry->intake_offset, entry->id.str());
+    });
+    for (const job_entry* const entry : entries)
+        add_job(*entry, true);
     log_event(log_level::info, "reign_begun",
               {{"epoch", static_cast<std::int64_t>(epoch_.value())},
                {"jobs", static_cast<std::int64_t>(jobs_.size())},
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -2,10 +2,9 @@
 #include "cell/crash_history.h"
 #include "figwinch/observe.h"
 
-#include <absl/container/flat_hash_set.h>
-
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace figwinch {
 namespace {
@@ -118,7 +117,7 @@
         return false;
     const instant last_usual_run_at = job.last_usual_run_at;
     // The members of a one-rack gang must share a rack; each rack is tried once.
-    absl::flat_hash_set<rack_id> racks;
+    std::set<rack_id> racks;
     if (step.spec->one_rack)
         for (const auto& [id, worker] : workers_)
             racks.insert(worker->listing.rack);
--- a/tests/link/relay_client_test.cpp
+++ b/tests/link/relay_client_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(orders_reach_their_workers_and_answers_come_back);
     CPPUNIT_TEST(a_start_that_reached_one_incarnation_only_is_reported_as_such);
     CPPUNIT_TEST(a_lost_session_leaves_sent_orders_unknown);
+    CPPUNIT_TEST(orders_of_a_lost_session_end_in_the_order_of_their_sending);
     CPPUNIT_TEST(a_payload_is_sent_once_per_job);
     CPPUNIT_TEST(an_evicted_payload_is_sent_again);
     CPPUNIT_TEST(known_runs_arent_named);
@@ -120,6 +121,17 @@
         CPPUNIT_ASSERT((outcomes == std::vector{order_outcome::not_sent, order_outcome::unknown,
                                                 order_outcome::unknown}));
     }
+    /// Guards against decisions that depend on the order of a hash table, which no run repeats.
+    void orders_of_a_lost_session_end_in_the_order_of_their_sending() {
+        constexpr int orders = 100;
+        std::vector<int> ended;
+        for (int index = 0; index < orders; ++index)
+            client_.stop(worker_, "job1.0.0.0", run_number(1),
+                         [&ended, index](const order_answer&) { ended.push_back(index); });
+        client_.complete_pending();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{orders}, ended.size());
+        CPPUNIT_ASSERT(std::ranges::is_sorted(ended));
+    }
     /// Guards against wasting bandwidth by sending a job's payload again for each of its tasks.
     void a_payload_is_sent_once_per_job() {
         start_order start = start_of("job1.0.0.0", 1);
