Keep a gang's run that a report shows without its task's name

What callers would see: TWICE, a member of a gang started on a second worker while it runs on the first.

Cause: a relay leaves out the names of runs whose number it knows, unless a report has two of that number. The members of a gang share one. Where one of two on a worker had started and the other's start was lost, the row was ambiguous to the coordinator alone, so that it counted for neither and both were taken for gone.

Change: all runs of such a number count as shown until the next report, which names them.

Evidence: the new test fails before, TWICE job31.0.1.0 at 10616 ms.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -121,6 +121,7 @@
     void process_ended_runs(worker_state& worker, const worker_report& report);
     void stop_reading_ends(worker_state& worker);
     void apply_running_runs(worker_state& worker, const worker_report& report, instant asked);
+    static void mark_shown(const worker_state& worker, run_number run);
     task_state* task_of(const worker_state& worker, const active_run& row);
     void apply_running_run(worker_state& worker, const active_run& row, task_state* task);
     void release_missing_runs(worker_state& worker, const worker_report& report, instant asked);
--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -76,6 +76,7 @@
         shown.push_back(task);
         if (task == nullptr && row.task.empty()) {
             worker.needs_task_names = true;
+            mark_shown(worker, row.run);
             continue;
         }
         apply_running_run(worker, row, task);
@@ -86,6 +87,14 @@
     worker.orphaned = orphan_resources(worker, report, shown);
 }
 
+/// Marks all runs of that number as shown in the worker's newest report, which has a run of one of
+/// them but doesn't name its task: any of them may be the one that isn't gone.
+void cell_coordinator::mark_shown(const worker_state& worker, run_number run) {
+    for (task_state* const task : worker.tasks)
+        if (task->run.number == run)
+            task->run.shown_in_report = worker.report_count;
+}
+
 /// Returns the task of a row in a worker's report. Nearly all rows show runs known to be there,
 /// which are found without a lookup by name.
 task_state* cell_coordinator::task_of(const worker_state& worker, const active_run& row) {
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(a_task_that_crashes_workers_beside_six_faults_is_given_up_in_time);
     CPPUNIT_TEST(a_start_keeps_a_capacity_of_a_worker_that_shrinks_twice);
     CPPUNIT_TEST(a_task_that_ended_in_an_unread_term_is_not_started_again);
+    CPPUNIT_TEST(a_member_of_a_gang_that_a_report_does_not_name_is_not_started_again);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t seed_recorded_during_partitions = 4'001'194;
@@ -69,6 +70,7 @@
     static constexpr std::array<std::uint64_t, 2> seeds_of_crashes = {24'500'036, 24'500'418};
     static constexpr std::uint64_t seed_of_two_shrinks = 27'000'263;
     static constexpr std::uint64_t seed_of_unread_term = 30'000'169;
+    static constexpr std::array<std::uint64_t, 2> seeds_of_unnamed_runs = {33'000'874, 33'001'425};
 
     /// The number of seeds of each kind of history. FIGWINCH_HISTORY_SEEDS overrides it for long
     /// searches, FIGWINCH_HISTORY_SEED runs a single seed.
@@ -99,7 +101,8 @@
                    seed == seed_of_many_suspects || seed == seed_of_many_trials ||
                    seed == seed_of_late_crashes || seed == seeds_of_crashes[0] ||
                    seed == seeds_of_crashes[1] || seed == seed_of_two_shrinks ||
-                   seed == seed_of_unread_term;
+                   seed == seed_of_unread_term ||
+                   std::ranges::count(seeds_of_unnamed_runs, seed) > 0;
         };
         // Continues after a violation, so that a seed that is known to fail doesn't hide others.
         for (std::uint64_t seed = first; seed < first + count; ++seed) {
@@ -209,6 +212,12 @@
         for (const std::uint64_t seed : seeds_of_slow_coordinators_and_faults)
             CPPUNIT_ASSERT_EQUAL(std::string(), run_history(seed, 4).violation);
     }
+    /// Guards against taking a gang's member for gone whose run the worker shows, because another
+    /// member with the same run number has not started there.
+    void a_member_of_a_gang_that_a_report_does_not_name_is_not_started_again() {
+        for (const std::uint64_t seed : seeds_of_unnamed_runs)
+            CPPUNIT_ASSERT_EQUAL(std::string(), run_history(seed, 4).violation);
+    }
     /// Guards against a service task that waits for its first start while all workers with room are
     /// kept free for the trials of suspects.
     void a_new_lasting_task_among_many_trials_runs_in_time() {
