Start a gang's members without the state of their last runs

What callers would see: LOST, a best-effort gang that was stopped once never runs again, though every worker has room and admits it.

Cause: members of a gang are assigned one by one before any run is made, with the run that they had before. Where that had been stopped, a worker with the first member counted as one on which a best-effort run is being stopped, and took no further throttled start; the gang was given back, each time anew.

Change: an assigned member has a new run at once. The job's time of its last usual run then needs no restoring.

--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -115,7 +115,6 @@
     settle_earlier_trial(first.progress);
     if (give_up_if_due(first))
         return false;
-    const instant last_usual_run_at = job.last_usual_run_at;
     // The members of a one-rack gang must share a rack; each rack is tried once.
     std::set<rack_id> racks;
     if (step.spec->one_rack)
@@ -131,6 +130,8 @@
                 request_advice(job, task);
                 break;
             }
+            // The member's last run must not count as one on its new worker.
+            task.run = task_run{};
             assign(task, *worker);
             chosen.push_back(worker);
         }
@@ -142,8 +143,6 @@
         }
         for (std::size_t index = 0; index < chosen.size(); ++index)
             release(step.tasks[index]);
-        // No run was ordered.
-        job.last_usual_run_at = last_usual_run_at;
     }
     placement_due_ = false;
     return false;
--- a/tests/cell/overdue_jobs_test.cpp
+++ b/tests/cell/overdue_jobs_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(a_job_beside_best_effort_services_that_take_the_cpu_runs);
     CPPUNIT_TEST(a_job_that_is_expected_to_harm_every_service_runs_and_harms_none_for_long);
     CPPUNIT_TEST(a_gang_that_is_expected_to_harm_every_service_runs);
+    CPPUNIT_TEST(a_gang_that_was_stopped_is_started_again);
     CPPUNIT_TEST(a_large_job_behind_a_stream_of_others_runs);
     CPPUNIT_TEST(a_job_that_harms_nobody_is_not_throttled);
     CPPUNIT_TEST_SUITE_END();
@@ -19,6 +20,8 @@
     static constexpr std::uint32_t workers = 4;
     /// The limit for a cell that is not busy, and the time to start after it.
     static constexpr duration calm_wait = milliseconds(3500);
+    /// The limit in histories for jobs to end after the last fault.
+    static constexpr duration max_end_delay = seconds(45);
 
     static step_spec filling(std::uint32_t tasks, std::int64_t cpu) {
         step_spec step = cell_world::make_step(tasks, cpu);
@@ -101,6 +104,22 @@
         CPPUNIT_ASSERT(has_succeeded("a", 3));
         assert_invariants();
     }
+    /// Guards against members of a gang that count as being stopped on their new workers, since
+    /// their last runs were.
+    void a_gang_that_was_stopped_is_started_again() {
+        constexpr std::uint32_t members = 2 * workers;
+        start_services(0.6);
+        step_spec gang = filling(members, 1500);
+        gang.gang = true;
+        world_.fleet().dropped_starts = 0.9;
+        world_.submit(0, "a", cell_world::make_job({gang}));
+        world_.time().run_for(seconds(10));
+        CPPUNIT_ASSERT(!has_succeeded("a", members));
+        world_.fleet().dropped_starts = 0;
+        world_.time().run_for(max_end_delay);
+        CPPUNIT_ASSERT(has_succeeded("a", members));
+        assert_invariants();
+    }
     /// Guards against a job that is too late to be of use and comes behind all others for ever.
     void a_large_job_behind_a_stream_of_others_runs() {
         start_cell();
