Throttle best-effort services before best-effort batch tasks

What callers would see: LOST and SHORT, jobs whose tasks stand at 0% of their speed while services that run best effort work beside them, or that have one slow task at a time.

Cause: the tasks to throttle were chosen by the slowdown that they cause alone, so that tasks that never end could keep the headroom of a worker's targets for good. The search for a worker counted these services' full CPU and slowdown, so that no worker admitted a batch task.

Change: services are throttled first and don't count when a batch task looks for a worker; a batch task gives back in seconds what it takes.

--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -47,6 +47,12 @@
            worker.best_effort_cpu;
 }
 
+/// The same for batch tasks. Best-effort services are throttled before these, and never return
+/// their CPU.
+std::int64_t cell_coordinator::best_effort_batch_cpu_left(const worker_state& worker) const {
+    return best_effort_cpu_left(worker) + worker.best_effort_service_cpu;
+}
+
 cell_coordinator::best_effort_check
 cell_coordinator::check_best_effort(const worker_state& worker, const step_state& step) const {
     // A best-effort service task has to run all the time, if slowly. Others of its kind that have
@@ -55,7 +61,7 @@
         return best_effort_check::admitted;
     if (step.is_overdue)
         return check_overdue(worker, step);
-    if (best_effort_cpu_left(worker) < step.spec->size.cpu_millis)
+    if (best_effort_batch_cpu_left(worker) < step.spec->size.cpu_millis)
         return best_effort_check::cpu;
     if (!worker.sharing.admits_best_effort(deps_.time.now()))
         return best_effort_check::paused;
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -77,7 +77,7 @@
         return index_.remove(worker.slot);
     worker.offer.service = worker.listing.service;
     worker.offer.free_millis = worker.listing.capacity.cpu_millis - worker.allocated.cpu_millis;
-    worker.offer.best_effort_millis = best_effort_cpu_left(worker);
+    worker.offer.best_effort_millis = best_effort_batch_cpu_left(worker);
     index_.put(worker.slot, worker.offer);
 }
 
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -161,10 +161,10 @@
     worker.latency_critical_images.clear();
     for (const task_state* const task : worker.tasks) {
         const step_spec& spec = *task->step->spec;
-        if (spec.is_best_effort)
+        if (spec.is_best_effort && !spec.is_service)
             worker.best_effort_images.push_back(
                 {task->step->image, static_cast<double>(best_effort_millis(*task)) / cores});
-        else if (spec.latency_target > duration::zero())
+        else if (!spec.is_best_effort && spec.latency_target > duration::zero())
             ++worker.latency_critical_images[task->step->image];
     }
     update_image_tags(worker);
@@ -196,6 +196,7 @@
     resources requested = spec.size;
     if (spec.is_best_effort) {
         worker.best_effort_cpu += best_effort_millis(task);
+        worker.best_effort_service_cpu += spec.is_service ? best_effort_millis(task) : 0;
         requested.cpu_millis = 0;
     }
     worker.allocated += requested;
@@ -220,6 +221,7 @@
     resources requested = spec.size;
     if (spec.is_best_effort) {
         worker.best_effort_cpu -= best_effort_millis(task);
+        worker.best_effort_service_cpu -= spec.is_service ? best_effort_millis(task) : 0;
         requested.cpu_millis = 0;
     }
     task.is_throttled_start = false;
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -45,6 +45,7 @@
 best_effort_view cell_coordinator::best_effort_view_of(const task_state& task, double cores) const {
     best_effort_view view{task.step->image,
                           static_cast<double>(task.step->spec->size.cpu_millis) / cores};
+    view.is_service = task.step->spec->is_service;
     if (!task.is_throttled_start)
         return view;
     view.first_throttled_to = throttled_start_percent;
--- a/src/cell/throttle_controller.cpp
+++ b/src/cell/throttle_controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace figwinch {
@@ -45,7 +46,8 @@
 }
 
 /// Throttles the best-effort neighbours of one serving task until the slowdown that they cause is
-/// within its headroom, beginning with those that cause the most slowdown per core.
+/// within its headroom: throttled starts first, then service tasks, then the others; of each, those
+/// that cause the most slowdown per core first.
 void throttle_neighbours(const slowdown_model& model, const serving_view& served,
                          std::vector<best_effort_view>& best_effort) {
     std::vector<std::size_t> order(best_effort.size());
@@ -54,7 +56,8 @@
         return model.slowdown(served.image, best_effort[index].image);
     };
     std::ranges::sort(order, std::greater{}, [&](std::size_t index) {
-        return std::pair(best_effort[index].first_throttled_to > 0, cost(index));
+        const best_effort_view& other = best_effort[index];
+        return std::tuple(other.first_throttled_to > 0, other.is_service, cost(index));
     });
     double sum = 0;
     for (const best_effort_view& other : best_effort)
--- a/src/cell/throttle_controller.h
+++ b/src/cell/throttle_controller.h
@@ -34,6 +34,9 @@
     /// The task is throttled before all others, but not below this speed, in percent, unless it is
     /// paused. 0: a task like others.
     int first_throttled_to = 0;
+    /// A service task, which never ends. It is throttled before the batch tasks that aren't
+    /// throttled first: these free the CPU within seconds, if they get it.
+    bool is_service = false;
     /// Limit on the speed that the task may get.
     int max_percent = 100;
     /// Output of `throttle_controller::decide`: the speed to which the task is throttled, in
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -79,6 +79,8 @@
     resources reserved;
     /// CPU that best-effort tasks here request, in thousandths of a core.
     std::int64_t best_effort_cpu = 0;
+    /// The part of `best_effort_cpu` that service tasks request.
+    std::int64_t best_effort_service_cpu = 0;
     /// CPU that service tasks here request, in thousandths of a core; part of `allocated`.
     std::int64_t service_cpu = 0;
     std::vector<task_state*> tasks;
@@ -88,8 +90,8 @@
     std::uint32_t consecutive_failures = 0;
     job_id last_failed_job;
     throttle_controller sharing;
-    /// For placement: CPU share of each best-effort image at full speed, and number of tasks of
-    /// each latency-critical image.
+    /// For placement: CPU share of each best-effort batch image at full speed, and number of tasks
+    /// of each latency-critical image.
     std::vector<image_share> best_effort_images;
     std::map<image_number, int> latency_critical_images;
     /// The worker's entry in the candidate index while it accepts starts.
--- a/tests/cell/overdue_jobs_test.cpp
+++ b/tests/cell/overdue_jobs_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_job_that_is_expected_to_harm_every_service_runs_and_harms_none_for_long);
     CPPUNIT_TEST(a_gang_that_is_expected_to_harm_every_service_runs);
     CPPUNIT_TEST(a_gang_that_was_stopped_is_started_again);
+    CPPUNIT_TEST(a_wide_job_beside_best_effort_services_ends);
     CPPUNIT_TEST(a_large_job_behind_a_stream_of_others_runs);
     CPPUNIT_TEST(a_job_that_harms_nobody_is_not_throttled);
     CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,22 @@
         CPPUNIT_ASSERT(has_succeeded("a", members));
         assert_invariants();
     }
+    /// Guards against best-effort services that take what the others' targets leave for good, so
+    /// that batch jobs have one slow task at a time.
+    void a_wide_job_beside_best_effort_services_ends() {
+        constexpr std::uint32_t tasks = 40;
+        start_services(0.3);
+        step_spec lasting = filling(2 * workers, 300);
+        lasting.is_service = true;
+        world_.submit(0, "lasting", cell_world::make_job({lasting}));
+        world_.time().run_for(seconds(5));
+        assert_all_run("lasting", 2 * workers);
+        world_.submit(0, "a", cell_world::make_job({filling(tasks, 250)}));
+        world_.time().run_for(max_end_delay);
+        CPPUNIT_ASSERT(has_succeeded("a", tasks));
+        assert_all_run("lasting", 2 * workers);
+        assert_invariants();
+    }
     /// Guards against a job that is too late to be of use and comes behind all others for ever.
     void a_large_job_behind_a_stream_of_others_runs() {
         start_cell();
--- a/tests/cell/sharing_test.cpp
+++ b/tests/cell/sharing_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(harmless_neighbours_work_at_full_speed);
     CPPUNIT_TEST(only_the_harmful_neighbour_is_slowed);
     CPPUNIT_TEST(harmful_neighbours_work_at_low_load);
+    CPPUNIT_TEST(a_batch_task_is_throttled_after_a_service);
     CPPUNIT_TEST(targets_hold_beside_a_harmful_neighbour);
     CPPUNIT_TEST(everything_stands_still_before_the_promise_breaks);
     CPPUNIT_TEST(a_successor_goes_on_from_the_record);
@@ -130,6 +131,19 @@
         CPPUNIT_ASSERT_EQUAL(100, beside[0].speed_percent);
         CPPUNIT_ASSERT(beside[1].speed_percent <= 30);
     }
+    /// Guards against batch tasks that stand still beside best-effort services, which never end.
+    void a_batch_task_is_throttled_after_a_service() {
+        observe(5, 1500);
+        sim_serving task(0);
+        for (double s = 0; s <= 3.6; s += report_period_s)
+            model_.learn(serving_, task.tail_ratio(s, 0), {}, task.estimate, at(s));
+        throttle_controller control;
+        std::vector<best_effort_view> beside = {{hard_, 0.1}, {hard_, 0.1}};
+        beside[1].is_service = true;
+        control.decide(model_, {{serving_, 0.6, &task.estimate, &task.tail}}, beside, at(3.6));
+        CPPUNIT_ASSERT(beside[0].speed_percent > 0);
+        CPPUNIT_ASSERT(beside[1].speed_percent < beside[0].speed_percent);
+    }
     /// A neighbour that must be throttled at the peak of the serving task's own load can run at
     /// full speed while that load is low.
     void harmful_neighbours_work_at_low_load() {
