Start further tasks of an overdue job while it has only slow ones

A wide best-effort job that every worker turns down for the harm that it may do ran one task at a time, at a tenth of its speed: 20 tasks of a second take minutes.

Cause: a job counted as overdue only while it had no run at all, so that its first slow task kept the rest waiting.

Change: a job that has none but throttled starts is overdue again two seconds after the last of them.

--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -108,8 +108,12 @@
         worst = std::max(worst, slowdowns_.slowdown(served, step.image) * added_share);
     const double score =
         share(best_effort_cpu_left(worker), cores) - added_share - slowdown_weight * worst;
-    const bool paused = step.is_overdue && !worker.sharing.admits_best_effort(deps_.time.now());
-    return score - (paused ? paused_penalty : 0);
+    if (!step.is_overdue)
+        return score;
+    // Throttled starts are spread: each works at full speed until it is throttled.
+    const auto throttled = std::ranges::count_if(worker.tasks, &task_state::is_throttled_start);
+    const bool paused = !worker.sharing.admits_best_effort(deps_.time.now());
+    return score - static_cast<double>(throttled) - (paused ? paused_penalty : 0);
 }
 
 /// Notes whether service and batch tasks use most of the CPU of the workers that take tasks.
@@ -125,9 +129,10 @@
     is_busy_ = used * 2 >= capacity;
 }
 
-/// Starts one task, or one gang, of each best-effort job that has had no run for too long: the
-/// expected harm to latency-critical tasks, or best-effort service tasks that have taken the CPU,
-/// may keep it from every worker for good. The jobs that are overdue for longest come first.
+/// Starts one task, or one gang, of each best-effort job that has had none but throttled starts for
+/// too long: the expected harm to latency-critical tasks may keep it from every worker for good. The
+/// jobs that are overdue for longest come first, and are tried again, since a wide one would take
+/// very long with one slow task at a time.
 void cell_coordinator::start_overdue_jobs() {
     const instant now = deps_.time.now();
     if (now < next_overdue_)
@@ -151,6 +156,8 @@
         started += has_started ? 1 : 0;
         tried += too_early ? 0 : 1;
         job->next_overdue_try = now + overdue_period;
+        if (has_started)
+            job->last_overdue_start_at = now;
         mark_changed(*job);
     }
     requeue_changed();
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -96,6 +96,8 @@
     instant waiting_since{};
     /// Not before this time is the job started again as an overdue one.
     instant next_overdue_try{};
+    /// When it was last started as an overdue job.
+    instant last_overdue_start_at{};
     queue_positions positions;
     /// `positions` may be out of date.
     bool requeue_due = false;
--- a/tests/cell/overdue_jobs_test.cpp
+++ b/tests/cell/overdue_jobs_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(overdue_jobs_test);
     CPPUNIT_TEST(a_job_beside_best_effort_services_that_take_the_cpu_runs);
     CPPUNIT_TEST(a_job_that_is_expected_to_harm_every_service_runs_and_harms_none_for_long);
+    CPPUNIT_TEST(a_wide_job_that_is_expected_to_harm_every_service_runs_side_by_side);
     CPPUNIT_TEST(a_late_job_on_idle_workers_is_not_kept_slow);
     CPPUNIT_TEST(a_gang_that_is_expected_to_harm_every_service_runs);
     CPPUNIT_TEST(a_gang_that_was_stopped_is_started_again);
@@ -94,6 +95,20 @@
         CPPUNIT_ASSERT(has_succeeded("a", 2));
         assert_invariants();
     }
+    /// Guards against a wide job that has one slow task at a time.
+    void a_wide_job_that_is_expected_to_harm_every_service_runs_side_by_side() {
+        constexpr std::uint32_t tasks = 5 * workers;
+        constexpr duration time_per_start = seconds(2);
+        start_services(0.65);
+        world_.checker().best_effort_length = seconds(3);
+        world_.submit(0, "a", cell_world::make_job({filling(tasks, 2000)}));
+        world_.time().run_for(calm_wait + 3 * time_per_start);
+        std::uint32_t running = 0;
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            running += world_.checker().is_running(task("a", index)) ? 1 : 0;
+        CPPUNIT_ASSERT(running >= 3);
+        assert_invariants();
+    }
     /// Guards against a job that stays at a tenth of its speed, since its callers don't wait for it
     /// any more and services elsewhere have requested most of the CPU.
     void a_late_job_on_idle_workers_is_not_kept_slow() {
