Try suspects of overdue best-effort jobs too

What callers would see: LOST, a best-effort job whose tasks once ran on a worker that crashed, and that every worker turns down for the harm that it may do, never runs again.

Cause: starts of overdue jobs passed over suspects, and the trials of suspects look for a worker that admits the task at full speed.

Change: if an overdue job has nobody but suspects to start, one begins its trial as a throttled start.

--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -190,12 +190,20 @@
 }
 
 bool cell_coordinator::start_overdue_task(job_state& job, step_state& step) {
-    const auto startable = std::ranges::find_if(step.tasks, [&](const task_state& task) {
+    const auto is_startable = [this](const task_state& task) {
         return !task.progress.done && task.assigned_worker == nullptr &&
-               deps_.time.now() >= task.not_before && !is_crash_suspect(task.progress);
+               deps_.time.now() >= task.not_before;
+    };
+    const auto startable = std::ranges::find_if(step.tasks, [&](const task_state& task) {
+        return is_startable(task) && !is_crash_suspect(task.progress);
     });
-    if (startable == step.tasks.end())
-        return false;
+    if (startable == step.tasks.end()) {
+        const auto suspect = std::ranges::find_if(step.tasks, is_startable);
+        if (suspect == step.tasks.end())
+            return false;
+        start_trial(job, *suspect);
+        return suspect->assigned_worker != nullptr;
+    }
     worker_state* const worker = log_confirms() ? choose_worker(job, *startable, rack_id())
                                                 : choose_recorded(job, *startable);
     if (worker == nullptr) {
