--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -130,9 +130,9 @@
 }
 
 /// Starts one task, or one gang, of each best-effort job that has had none but throttled starts for
-/// too long: the expected harm to latency-critical tasks may keep it from every worker for good. The
-/// jobs that are overdue for longest come first, and are tried again, since a wide one would take
-/// very long with one slow task at a time.
+/// too long: the expected harm to latency-critical tasks may keep it from every worker for good.
+/// The jobs that are overdue for longest come first, and are tried again, since a wide one would
+/// take very long with one slow task at a time.
 void cell_coordinator::start_overdue_jobs() {
     const instant now = deps_.time.now();
     if (now < next_overdue_)
--- a/src/cell/coordinator_queues.cpp
+++ b/src/cell/coordinator_queues.cpp
@@ -77,11 +77,11 @@
     if (positions.batch)
         positions.waits = wait_order{job.prospect == job_prospect::lost, job.waiting_since, id};
     if (has_best_effort && job.usual_runs == 0) {
-        const instant idle_since = job.assigned == 0 ? job.last_usual_run_at
-                                                     : std::max(job.last_usual_run_at,
-                                                                job.last_overdue_start_at);
-        positions.idle = due_order{std::max(idle_since + max_idle_time, job.next_overdue_try),
-                                   job.priority, id};
+        const instant idle_since = job.assigned == 0
+                                       ? job.last_usual_run_at
+                                       : std::max(job.last_usual_run_at, job.last_overdue_start_at);
+        positions.idle =
+            due_order{std::max(idle_since + max_idle_time, job.next_overdue_try), job.priority, id};
     }
     if (job.prospect != job_prospect::lost)
         positions.estimate = due_order{job.prospect_until, job.priority, id};
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -40,8 +40,8 @@
                {"tasks", tasks}});
 }
 
-/// Describes a best-effort task on a worker. Where other tasks need the CPU, a throttled start stays
-/// slow if nobody waits for its job any more.
+/// Describes a best-effort task on a worker. Where other tasks need the CPU, a throttled start
+/// stays slow if nobody waits for its job any more.
 best_effort_view cell_coordinator::best_effort_view_of(const task_state& task,
                                                        const worker_state& worker) const {
     const std::int64_t requested = task.step->spec->size.cpu_millis;
--- a/src/cell/waiting_jobs.h
+++ b/src/cell/waiting_jobs.h
@@ -84,7 +84,8 @@
     const queue<service_order>& services() const { return services_; }
     /// The jobs of `batch`, the one that has waited for longest first.
     const queue<wait_order>& by_wait() const { return by_wait_; }
-    /// Best-effort jobs without any run but throttled starts, by the time at which they are overdue.
+    /// Best-effort jobs without any run but throttled starts, by the time at which they are
+    /// overdue.
     const queue<due_order>& idle() const { return idle_; }
     /// Jobs by the time at which their prospect may change.
     const queue<due_order>& estimates() const { return estimates_; }
