Bound how long a best-effort run stands still

What callers would see: LOST, a best-effort job that never ends: its tasks started while the services beside them had little load, and stand at 0% of their speed for as long as that load is high.

Cause: a run counts as a run of its job whatever its speed, so that the job is never overdue, and nothing bounds the pause.

Change: a batch run that has stood still for ten seconds is throttled no further than a throttled start, one run of a worker at a time.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -132,6 +132,7 @@
     // coordinator_sharing.cpp
     static void log_sharing(const worker_state& worker);
     best_effort_view best_effort_view_of(const task_state& task, const worker_state& worker) const;
+    void give_least_speed(const std::vector<task_state*>& best_effort) const;
     void update_throttles(worker_state& worker);
     void learn_slowdowns(const worker_state& worker, const std::vector<serving_view>& serving);
 
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -9,6 +9,9 @@
 // Maximum CPU utilisation at which slowdowns are learned: above it, tail latencies show the lack of
 // CPU rather than the interference between two images.
 constexpr double max_learning_utilisation = 0.95;
+// A run that stands still for longer has the speed of a throttled start. Longer than the load of
+// services usually stays high.
+constexpr duration max_pause = std::chrono::seconds(10);
 
 /// Returns whether the run uses CPU. A run that is being stopped works until its end, if it ever
 /// started.
@@ -49,15 +52,35 @@
                           static_cast<double>(requested) /
                               static_cast<double>(worker.listing.capacity.cpu_millis)};
     view.is_service = task.step->spec->is_service;
+    if (task.is_throttled_start || task.run.has_least_speed)
+        view.first_throttled_to = throttled_start_percent;
     if (!task.is_throttled_start)
         return view;
-    view.first_throttled_to = throttled_start_percent;
     const std::int64_t left = best_effort_batch_cpu_left(worker) + best_effort_millis(task);
     if (left < requested && task.job->prospect == job_prospect::lost)
         view.max_percent = throttled_start_percent;
     return view;
 }
 
+/// Gives a batch run that has stood still for too long the speed of a throttled start: the services
+/// beside it may stay as busy for ever. One run of a worker has it at a time.
+void cell_coordinator::give_least_speed(const std::vector<task_state*>& best_effort) const {
+    if (std::ranges::any_of(best_effort,
+                            [](const task_state* task) { return task->run.has_least_speed; }))
+        return;
+    const instant now = deps_.time.now();
+    task_state* longest = nullptr;
+    for (task_state* const task : best_effort) {
+        const std::optional<instant>& since = task->run.paused_since;
+        if (task->step->spec->is_service || !since || now - *since < max_pause)
+            continue;
+        if (longest == nullptr || *since < *longest->run.paused_since)
+            longest = task;
+    }
+    if (longest != nullptr)
+        longest->run.has_least_speed = true;
+}
+
 void cell_coordinator::update_throttles(worker_state& worker) {
     std::vector<serving_view> serving;
     std::vector<best_effort_view> filling;
@@ -67,7 +90,6 @@
         if (!uses_cpu(worker, task->run))
             continue;
         if (spec.is_best_effort) {
-            filling.push_back(best_effort_view_of(*task, worker));
             filling_tasks.push_back(task);
         } else if (spec.latency_target > duration::zero() && task->run.recent > 0) {
             const double tail_us = static_cast<double>(task->run.recent) * 1000.0;
@@ -79,9 +101,18 @@
     if (current_log_level() == log_level::debug)
         log_sharing(worker);
     learn_slowdowns(worker, serving);
-    worker.sharing.decide(slowdowns_, serving, filling, deps_.time.now());
+    give_least_speed(filling_tasks);
+    for (const task_state* const task : filling_tasks)
+        filling.push_back(best_effort_view_of(*task, worker));
+    const instant now = deps_.time.now();
+    worker.sharing.decide(slowdowns_, serving, filling, now);
     for (std::size_t index = 0; index < filling.size(); ++index) {
-        filling_tasks[index]->run.throttle_wanted = filling[index].speed_percent;
+        task_run& run = filling_tasks[index]->run;
+        run.throttle_wanted = filling[index].speed_percent;
+        if (run.throttle_wanted > 0)
+            run.paused_since.reset();
+        else if (!run.paused_since)
+            run.paused_since = now;
         send_throttle(*filling_tasks[index]);
     }
 }
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -56,6 +56,10 @@
     load_estimate load;
     tail_estimate tail;
     int throttle_wanted = 100;
+    /// Since when a best-effort run is to stand still; nothing while it isn't.
+    std::optional<instant> paused_since;
+    /// The run has stood still for too long and is throttled no further than a throttled start.
+    bool has_least_speed = false;
     static constexpr int throttle_unknown = -1;
     /// CPU throttle in force, in percent of full speed, or `throttle_unknown`.
     int throttle_in_force = 100;
--- a/tests/cell/overdue_jobs_test.cpp
+++ b/tests/cell/overdue_jobs_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_job_that_is_expected_to_harm_every_service_runs_and_harms_none_for_long);
     CPPUNIT_TEST(a_wide_job_that_is_expected_to_harm_every_service_runs_side_by_side);
     CPPUNIT_TEST(a_late_job_on_idle_workers_is_not_kept_slow);
+    CPPUNIT_TEST(a_job_whose_tasks_were_paused_goes_on_and_harms_none_for_long);
     CPPUNIT_TEST(a_gang_that_is_expected_to_harm_every_service_runs);
     CPPUNIT_TEST(a_gang_that_was_stopped_is_started_again);
     CPPUNIT_TEST(a_wide_job_beside_best_effort_services_ends);
@@ -61,6 +62,22 @@
         return true;
     }
 
+    /// The job's tasks succeed within that time, and no service is over its target by their doing
+    /// for longer than its objective allows.
+    void assert_done_without_harm(const std::string& job, std::uint32_t tasks, duration within) {
+        std::map<std::string, duration> harmed;
+        constexpr duration step = milliseconds(100);
+        for (duration passed{}; passed < within; passed += step) {
+            world_.time().run_for(step);
+            for (const auto& [name, entry] : world_.fleet().workers) {
+                harmed[name] = entry.worker->harms() ? harmed[name] + step : duration::zero();
+                CPPUNIT_ASSERT(harmed[name] < seconds(4));
+            }
+        }
+        CPPUNIT_ASSERT(has_succeeded(job, tasks));
+        assert_invariants();
+    }
+
 public:
     /// Guards against batch jobs that wait for CPU which best-effort services never return.
     void a_job_beside_best_effort_services_that_take_the_cpu_runs() {
@@ -83,17 +100,7 @@
         world_.submit(0, "a", cell_world::make_job({filling(2, 3500)}));
         world_.time().run_for(calm_wait);
         CPPUNIT_ASSERT(is_running("a", 2) || has_succeeded("a", 2));
-        std::map<std::string, duration> harmed;
-        constexpr duration step = milliseconds(100);
-        for (int steps = 0; steps < 600; ++steps) {
-            world_.time().run_for(step);
-            for (const auto& [name, entry] : world_.fleet().workers) {
-                harmed[name] = entry.worker->harms() ? harmed[name] + step : duration::zero();
-                CPPUNIT_ASSERT(harmed[name] < seconds(4));
-            }
-        }
-        CPPUNIT_ASSERT(has_succeeded("a", 2));
-        assert_invariants();
+        assert_done_without_harm("a", 2, seconds(60));
     }
     /// Guards against a wide job that has one slow task at a time.
     void a_wide_job_that_is_expected_to_harm_every_service_runs_side_by_side() {
@@ -123,6 +130,17 @@
         CPPUNIT_ASSERT(has_succeeded("a", tasks));
         assert_invariants();
     }
+    /// Guards against runs that stand at no speed for as long as the services beside them are busy.
+    void a_job_whose_tasks_were_paused_goes_on_and_harms_none_for_long() {
+        start_services(0.2);
+        world_.checker().best_effort_length = seconds(2);
+        world_.submit(0, "a", cell_world::make_job({filling(workers, 700)}));
+        world_.time().run_for(milliseconds(500));
+        assert_all_run("a", workers);
+        for (const auto& [name, entry] : world_.fleet().workers)
+            entry.worker->serving_load = 0.79;
+        assert_done_without_harm("a", workers, seconds(120));
+    }
     /// The same for a gang, which is placed as a whole.
     void a_gang_that_is_expected_to_harm_every_service_runs() {
         start_services(0.6);
