Start further slow tasks only where the CPU is idle

Cause: further throttled starts of late jobs went to workers whose CPU was taken, and a throttled start counted as a tenth of its CPU also where it was allowed more.

Change: a job that has a run gets a further throttled start only on a worker that has the CPU for all its best-effort tasks at full speed, and a late job's throttled start is allowed more than a tenth only there.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -264,6 +264,7 @@
     static std::int64_t best_effort_millis(const task_state& task);
     std::int64_t best_effort_cpu_left(const worker_state& worker) const;
     std::int64_t best_effort_batch_cpu_left(const worker_state& worker) const;
+    std::int64_t unthrottled_cpu_left(const worker_state& worker) const;
     best_effort_check check_best_effort(const worker_state& worker, const step_state& step) const;
     best_effort_check check_overdue(const worker_state& worker, const step_state& step) const;
     double score_best_effort(const worker_state& worker, const step_state& step) const;
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -53,6 +53,15 @@
     return best_effort_cpu_left(worker) + worker.best_effort_service_cpu;
 }
 
+/// The same if every throttled start there worked at full speed; negative where they can't.
+std::int64_t cell_coordinator::unthrottled_cpu_left(const worker_state& worker) const {
+    std::int64_t left = best_effort_batch_cpu_left(worker);
+    for (const task_state* const task : worker.tasks)
+        if (task->is_throttled_start)
+            left -= task->step->spec->size.cpu_millis - best_effort_millis(*task);
+    return left;
+}
+
 cell_coordinator::best_effort_check
 cell_coordinator::check_best_effort(const worker_state& worker, const step_state& step) const {
     // A best-effort service task has to run all the time, if slowly. Others of its kind that have
@@ -88,6 +97,10 @@
     });
     if (is_busy_ && has_other)
         return best_effort_check::throttled_starts;
+    // Further tasks of a job that has one at work only take CPU that nobody else has a use for.
+    const bool has_runs = !step.spec->gang && step.tasks.front().job->assigned > 0;
+    if (has_runs && unthrottled_cpu_left(worker) < step.spec->size.cpu_millis)
+        return best_effort_check::cpu;
     const bool stopping = std::ranges::any_of(worker.tasks, [](const task_state* task) {
         return task->step->spec->is_best_effort &&
                task->run.current_phase == task_run::phase::stopping;
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -56,8 +56,7 @@
         view.first_throttled_to = throttled_start_percent;
     if (!task.is_throttled_start)
         return view;
-    const std::int64_t left = best_effort_batch_cpu_left(worker) + best_effort_millis(task);
-    if (left < requested && task.job->prospect == job_prospect::lost)
+    if (task.job->prospect == job_prospect::lost && unthrottled_cpu_left(worker) < 0)
         view.max_percent = throttled_start_percent;
     return view;
 }
