Keep CPU for jobs of use before further slow tasks of late ones

Cause: further throttled starts of late jobs, though slow, take CPU and starts from jobs that wait and can still be in time.

Change: there are none while such a job waits. When what waits is late, as after an overload, they let wide jobs end.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -270,6 +270,7 @@
     double score_best_effort(const worker_state& worker, const step_state& step) const;
     void update_busy();
     void start_overdue_jobs();
+    bool useful_job_waits() const;
     bool start_overdue(job_state& job);
     bool start_overdue_step(job_state& job, step_state& step, bool throttled);
     bool start_overdue_task(job_state& job, step_state& step);
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -164,7 +164,9 @@
     for (job_state* const job : due) {
         if (started == max_overdue_starts || tried == max_overdue_tries)
             break;
-        const bool too_early = is_busy_ && now - job->last_usual_run_at < max_idle_time_when_busy;
+        const bool too_early =
+            (is_busy_ && now - job->last_usual_run_at < max_idle_time_when_busy) ||
+            (job->assigned > 0 && useful_job_waits());
         const bool has_started = !too_early && start_overdue(*job);
         started += has_started ? 1 : 0;
         tried += too_early ? 0 : 1;
@@ -176,6 +178,11 @@
     requeue_changed();
 }
 
+/// Whether a job waits that can still be of use to its callers. The CPU is for such jobs first.
+bool cell_coordinator::useful_job_waits() const {
+    return !queues_.by_wait().empty() && !queues_.by_wait().begin()->first.lost;
+}
+
 /// Starts one task or gang of an overdue job, throttled from the start, so that it harms little,
 /// and faster when its neighbours allow it. A job that is overdue because starts are limited begins
 /// as usual where a worker admits it.
