--- a/tests/cell/overdue_jobs_test.cpp
+++ b/tests/cell/overdue_jobs_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(a_job_beside_best_effort_services_that_take_the_cpu_runs);
     CPPUNIT_TEST(a_job_that_is_expected_to_harm_every_service_runs_and_harms_none_for_long);
     CPPUNIT_TEST(a_wide_job_that_is_expected_to_harm_every_service_runs_side_by_side);
+    CPPUNIT_TEST(a_late_job_has_one_slow_task_while_others_can_be_in_time);
     CPPUNIT_TEST(a_late_job_on_idle_workers_is_not_kept_slow);
     CPPUNIT_TEST(a_job_whose_tasks_were_paused_goes_on_and_harms_none_for_long);
     CPPUNIT_TEST(a_gang_that_is_expected_to_harm_every_service_runs);
@@ -62,6 +63,22 @@
         return true;
     }
 
+    /// Submits a wide job that every worker turns down for the harm that it may do, and another one
+    /// if there is one. Returns how many tasks of the wide job run after the time for three starts.
+    std::uint32_t start_wide_job_and_count_runs(const std::optional<job_spec>& other = {}) {
+        constexpr std::uint32_t tasks = 5 * workers;
+        constexpr duration time_per_start = seconds(2);
+        start_services(0.65);
+        world_.checker().best_effort_length = seconds(3);
+        if (other)
+            world_.submit(0, "large", *other);
+        world_.submit(0, "a", cell_world::make_job({filling(tasks, 2000)}));
+        world_.time().run_for(calm_wait + 3 * time_per_start);
+        std::uint32_t running = 0;
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            running += world_.checker().is_running(task("a", index)) ? 1 : 0;
+        return running;
+    }
     /// The job's tasks succeed within that time, and no service is over its target by their doing
     /// for longer than its objective allows.
     void assert_done_without_harm(const std::string& job, std::uint32_t tasks, duration within) {
@@ -104,16 +121,15 @@
     }
     /// Guards against a wide job that has one slow task at a time.
     void a_wide_job_that_is_expected_to_harm_every_service_runs_side_by_side() {
-        constexpr std::uint32_t tasks = 5 * workers;
-        constexpr duration time_per_start = seconds(2);
-        start_services(0.65);
-        world_.checker().best_effort_length = seconds(3);
-        world_.submit(0, "a", cell_world::make_job({filling(tasks, 2000)}));
-        world_.time().run_for(calm_wait + 3 * time_per_start);
-        std::uint32_t running = 0;
-        for (std::uint32_t index = 0; index < tasks; ++index)
-            running += world_.checker().is_running(task("a", index)) ? 1 : 0;
-        CPPUNIT_ASSERT(running >= 3);
+        CPPUNIT_ASSERT(start_wide_job_and_count_runs() >= 3);
+        assert_invariants();
+    }
+    /// Guards against slow tasks of late jobs that take CPU from jobs which can still be in time.
+    void a_late_job_has_one_slow_task_while_others_can_be_in_time() {
+        job_spec large = cell_world::make_job({cell_world::make_step(1, 3900)});
+        large.target = seconds(60);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, start_wide_job_and_count_runs(large));
+        CPPUNIT_ASSERT(!is_running("large", 1));
         assert_invariants();
     }
     /// Guards against a job that stays at a tenth of its speed, since its callers don't wait for it
