Leave suspects that a worker admits to the usual trials

What callers would see: a new service task that waits for over 6 s beside the trials of many suspects (DOWN).

Cause: since an overdue job with nobody but suspects to start asks for a trial each 100 ms, also where workers admit the task as usual and only the trials of others are in the way.

Change: the throttled trial is for suspects that no worker admits. A vector's capacity is reserved, as the linter asks.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -273,6 +273,7 @@
     bool useful_job_waits() const;
     bool start_overdue(job_state& job);
     bool start_overdue_step(job_state& job, step_state& step, bool throttled);
+    bool is_admitted_as_usual(const job_state& job, step_state& step);
     bool start_overdue_task(job_state& job, step_state& step);
     void log_waiting_best_effort();
     const step_state* idle_best_effort_step(const job_state& job) const;
--- a/src/cell/coordinator_best_effort.cpp
+++ b/src/cell/coordinator_best_effort.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace figwinch {
 namespace {
@@ -209,6 +210,15 @@
     return started;
 }
 
+/// Whether a worker admits the step's tasks other than as throttled starts: suspects among them
+/// wait for their trials then.
+bool cell_coordinator::is_admitted_as_usual(const job_state& job, step_state& step) {
+    const bool overdue = std::exchange(step.is_overdue, false);
+    const bool admitted = !search(job, step, rack_id()).empty();
+    step.is_overdue = overdue;
+    return admitted;
+}
+
 bool cell_coordinator::start_overdue_task(job_state& job, step_state& step) {
     const auto is_startable = [this](const task_state& task) {
         return !task.progress.done && task.assigned_worker == nullptr &&
@@ -219,7 +229,7 @@
     });
     if (startable == step.tasks.end()) {
         const auto suspect = std::ranges::find_if(step.tasks, is_startable);
-        if (suspect == step.tasks.end())
+        if (suspect == step.tasks.end() || is_admitted_as_usual(job, step))
             return false;
         start_trial(job, *suspect);
         return suspect->assigned_worker != nullptr;
--- a/src/cell/coordinator_sharing.cpp
+++ b/src/cell/coordinator_sharing.cpp
@@ -101,6 +101,7 @@
         log_sharing(worker);
     learn_slowdowns(worker, serving);
     give_least_speed(filling_tasks);
+    filling.reserve(filling_tasks.size());
     for (const task_state* const task : filling_tasks)
         filling.push_back(best_effort_view_of(*task, worker));
     const instant now = deps_.time.now();
