Log what tells a lease's end and a restarted worker's first report apart

worker_reborn names both incarnations, the new one's clock, and how many runs and ends its first report shows: the coordinator has ordered none there, so any of them came from an order for the earlier incarnation. lease_over names the incarnation, the end of the lease by its clock and the age of the last report. No logic is changed.

--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -60,7 +60,12 @@
     }
     if (!lost.empty())
         log_event(log_level::warn, "lease_over",
-                  {{"worker", id.str()}, {"runs", static_cast<std::int64_t>(lost.size())}});
+                  {{"worker", id.str()},
+                   {"runs", static_cast<std::int64_t>(lost.size())},
+                   {"born_ms", static_cast<std::int64_t>(worker.born_ms)},
+                   {"lease_until_ms", worker.latest_lease_expiry_ms},
+                   {"reported_ms_ago",
+                    (deps_.time.now() - worker.reported_at) / std::chrono::milliseconds(1)}});
     if (!lost.empty() && worker.lost_at != instant())
         record_crash(worker, false);
     for (task_state* const task : lost) {
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -33,6 +33,18 @@
                {"memory_mib", row.capacity.memory_mib}});
 }
 
+/// Logs what tells whether orders for the earlier incarnation have reached the new one: this
+/// coordinator has not ordered any run there yet.
+void log_new_incarnation(const worker_state& worker, const worker_report& report) {
+    log_event(log_level::info, "worker_reborn",
+              {{"worker", worker.listing.id.str()},
+               {"born_ms", static_cast<std::int64_t>(report.incarnation)},
+               {"former_born_ms", static_cast<std::int64_t>(worker.born_ms)},
+               {"clock_ms", report.clock_ms},
+               {"runs_shown", static_cast<std::int64_t>(report.running.size())},
+               {"ends_shown", static_cast<std::int64_t>(report.ended.size())}});
+}
+
 } // namespace
 
 worker_state* cell_coordinator::find_worker(const worker_id& id) {
@@ -210,7 +222,7 @@
 
 void cell_coordinator::handle_new_incarnation(worker_state& worker, const worker_report& report) {
     if (worker.born_ms != 0) {
-        log_event(log_level::info, "worker_reborn", {{"worker", worker.listing.id.str()}});
+        log_new_incarnation(worker, report);
         if (worker.lost_at == instant())
             mark_lost(worker);
         record_crash(worker, true);
