Reproduce orders that reach a later incarnation of a worker

A start or a lease renewal names times on the clock of the worker's incarnation that it is meant for. A restarted worker keeps its id and address, so an order over a connection opened after the restart reaches the next incarnation, whose clock began anew: it takes the start, and grants its longest lease to all that runs there, while the coordinator counts on the lease that it asked for.

--- a/tests/cell/new_life_test.cpp
+++ b/tests/cell/new_life_test.cpp
@@ -13,12 +13,31 @@
     CPPUNIT_TEST(tasks_of_a_new_worker_run_again_within_its_lease);
     CPPUNIT_TEST(tasks_of_a_restarted_worker_run_again_within_its_lease);
     CPPUNIT_TEST(tasks_of_a_worker_that_began_anew_out_of_reach_dont_wait_for_the_longest_lease);
+    CPPUNIT_TEST(a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for);
+    CPPUNIT_TEST(tasks_of_a_restarted_worker_that_is_cut_off_soon_after_run_once);
     CPPUNIT_TEST_SUITE_END();
 
     /// The 10 s lease that workers grant, by the slowest clock, and the validity of a start order
     /// before it.
     static constexpr duration longest_grant = milliseconds(12'000);
 
+    /// Lets a task fail and restarts the worker that its next start is sent to, as it is sent;
+    /// returns that worker.
+    std::string restart_worker_at_a_start() {
+        const std::string failing = task_on("w0", "a", 8);
+        std::string to_worker;
+        world_.fleet().on_start_sent = [&](const std::string& to, const std::string& started) {
+            if (started != failing || !to_worker.empty())
+                return;
+            to_worker = to;
+            worker(to).reborn();
+        };
+        worker("w0").fail_run(failing);
+        run_until([&] { return !to_worker.empty(); });
+        world_.fleet().on_start_sent = nullptr;
+        return to_worker;
+    }
+
 public:
     /// Guards against comparing an expiry on the clock of a worker's earlier incarnation with the
     /// clock of a later one.
@@ -96,6 +115,33 @@
         assert_all_run("a", 8);
         assert_invariants();
     }
+    /// Guards against a task that runs twice: a start for a worker's earlier incarnation reaches
+    /// the later one, which grants its longest lease to everything that runs there.
+    void a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for() {
+        start_cell();
+        world_.submit(0, "a", service_job(8));
+        world_.time().run_for(seconds(20));
+        world_.fleet().is_kept = [](run_number) { return false; };
+        const std::string to_worker = restart_worker_at_a_start();
+        world_.time().run_for(milliseconds(1200));
+        world_.fleet().workers.at(to_worker).cut = true;
+        world_.time().run_for(longest_grant);
+        assert_invariants();
+        assert_all_run("a", 8);
+    }
+    /// The same where the start isn't sent to the later incarnation. Guards too against waiting for
+    /// a longer lease than was asked for.
+    void tasks_of_a_restarted_worker_that_is_cut_off_soon_after_run_once() {
+        start_cell();
+        world_.submit(0, "a", service_job(8));
+        world_.time().run_for(seconds(20));
+        const std::string to_worker = restart_worker_at_a_start();
+        world_.time().run_for(milliseconds(1200));
+        lose_worker(to_worker);
+        world_.time().run_for(max_down_time_after_loss);
+        assert_invariants();
+        assert_all_run("a", 8);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(new_life_test);
