Send a worker's times only over connections of its incarnation

Cause: a start and a lease renewal name times on the clock of the incarnation that they are meant for. Neither the worker's id nor its address tells two incarnations apart, so an order over a connection opened after a restart reached the next one. Its clock begins anew, so such a time lies far ahead: the start was taken, and everything there was granted the longest lease (10 s) while the coordinator counted on the one that it had asked for (5.2 s). The bound for the started run ended with the first report that showed it. The class: a time read on another clock than it was made for.

Change: worker_client sends an order that names a time, or numbers of ended runs, only over a connection that leads to the incarnation meant: one over which it has reported, or that was open before it was asked for a report. Otherwise a hold without a lease asks first. A connection ends with its process, so such an order reaches that incarnation or none, also if it is carried out late. The coordinator gives no starts to a worker of which another incarnation has answered, until that one reports. If a new incarnation has runs in its first report all the same, the longest lease is counted.

--- a/include/figwinch/net/http_client.h
+++ b/include/figwinch/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figwinch/base/clock.h"
+#include "figwinch/base/strong_number.h"
 #include "figwinch/net/event_loop.h"
 #include "figwinch/net/http_message.h"
 
@@ -36,6 +37,16 @@
     unknown,
 };
 
+/// A connection of an `http_client`; none for a call that got no connection.
+struct connection_tag;
+using connection_id = strong_number<connection_tag>;
+
+/// A free connection that has carried a call before and was kept alive.
+struct kept_connection {
+    connection_id id;
+    instant kept_since;
+};
+
 /// The end of one call.
 struct call_result {
     call_outcome outcome = call_outcome::not_sent;
@@ -45,6 +56,7 @@
     /// Since when the connection that carried the call has been kept alive after an answer; nothing
     /// on its first call. Only what listened then can have got the request.
     std::optional<instant> kept_since{};
+    connection_id connection{};
 };
 
 /// How long a call may take.
@@ -74,6 +86,12 @@
     void call(http_request request, duration timeout, callback done) {
         call(std::move(request), call_bounds{timeout, timeout}, std::move(done));
     }
+    /// The connection that the next call will take; nothing if that call will open one.
+    virtual std::optional<kept_connection> next_connection() = 0;
+    /// The same as `call`, but over one connection: if it is closed or busy, the call ends as
+    /// `not_sent`. Whatever process the connection leads to, no other gets the request.
+    virtual void call_over(connection_id connection, http_request request,
+                           const call_bounds& bounds, callback done) = 0;
     virtual std::size_t open_connections() const = 0;
     /// Closes connections that have been idle for at least `age`, so that one which has silently
     /// died is not used for the next call.
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -109,7 +109,9 @@
     void handle_report(const worker_id& id, instant asked, order_outcome outcome,
                        const worker_report& report);
     bool is_other_incarnation(const worker_id& id, std::uint64_t born_ms) const;
-    duration max_predecessor_lease(const worker_id& id, std::uint64_t born_ms) const;
+    duration max_lease_at_first_report(const worker_state& worker,
+                                       const worker_report& report) const;
+    void handle_restart(worker_state& worker);
     void handle_new_incarnation(worker_state& worker, const worker_report& report);
     void register_incarnation(worker_state& worker);
     void handle_unanswered_renewal(worker_state& worker);
@@ -185,7 +187,7 @@
     bool is_start_wanted(const task_name& name, run_number run, const worker_id& worker,
                          std::uint64_t born_ms);
     void handle_start_answer(const task_name& name, run_number run, const worker_id& worker,
-                             const order_answer& answer);
+                             std::uint64_t born_ms, const order_answer& answer);
     void handle_refused_start(task_state& task, worker_state& worker, std::string_view why,
                               duration quarantine);
     void apply_ended_run(worker_state& worker, const ended_run& row);
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -67,7 +67,7 @@
 /// The conditions of `is_usable` that do not change with time alone.
 bool cell_coordinator::accepts_starts(const worker_state& worker) const {
     return worker.listed && !worker.listing.leaving && worker.reported_this_term &&
-           worker.registered && !worker.unresponsive &&
+           worker.registered && !worker.unresponsive && !worker.has_restarted &&
            !evacuated_.contains(worker.listing.data_centre);
 }
 
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -70,10 +70,10 @@
                {"worker", worker.listing.id.str()},
                {"resumed", !checkpoint.empty()}});
     deps_.orders.start(worker.listing, order,
-                       [this, weak = std::weak_ptr(alive_), name, run,
-                        id = worker.listing.id](const order_answer& answer) {
+                       [this, weak = std::weak_ptr(alive_), name, run, id = worker.listing.id,
+                        born_ms = worker.born_ms](const order_answer& answer) {
                            if (!weak.expired() && !superseded_)
-                               handle_start_answer(name, run, id, answer);
+                               handle_start_answer(name, run, id, born_ms, answer);
                        });
 }
 
@@ -93,13 +93,18 @@
 }
 
 void cell_coordinator::handle_start_answer(const task_name& name, run_number run,
-                                           const worker_id& id, const order_answer& answer) {
+                                           const worker_id& id, std::uint64_t born_ms,
+                                           const order_answer& answer) {
     const instant now = deps_.time.now();
     if (answer.outcome == order_outcome::superseded)
         return handle_superseded();
     worker_state* const worker = find_worker(id);
-    if (worker != nullptr && answer.clock_ms)
-        worker->clock.observe(*answer.clock_ms, now);
+    if (worker != nullptr && worker->born_ms == born_ms) {
+        if (answer.clock_ms && !answer.may_reach_other_incarnation)
+            worker->clock.observe(*answer.clock_ms, now);
+        if (answer.outcome == order_outcome::other_incarnation)
+            handle_restart(*worker);
+    }
     task_state* const task = find_task(name);
     if (task == nullptr || worker == nullptr || task->assigned_worker != worker ||
         task->run.number != run)
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -177,6 +177,8 @@
     }
     worker->reported_at = now;
     worker->unanswered_renewals = 0;
+    worker->has_restarted = false;
+    const duration longest_lease = max_lease_at_first_report(*worker, report);
     if (worker->unresponsive)
         handle_recovery(*worker);
     if (worker->born_ms != report.incarnation)
@@ -187,8 +189,7 @@
     // A predecessor may have renewed the lease until now, but not later: the worker now rejects its
     // orders.
     if (!std::exchange(worker->reported_this_term, true))
-        worker->latest_lease_expiry_ms =
-            report.clock_ms + max_predecessor_lease(id, report.incarnation).count() / 1000;
+        worker->latest_lease_expiry_ms = report.clock_ms + longest_lease.count() / 1000;
     const std::uint64_t ends_before = worker->ends_processed;
     process_ended_runs(*worker, report);
     mark_resolved(*worker);
@@ -211,15 +212,28 @@
     return born_ms != 0 && held != leased_incarnations_.end() && held->second != born_ms;
 }
 
-/// Returns how long leases and starts of predecessors may still last on a worker that reports for
-/// the first time.
-duration cell_coordinator::max_predecessor_lease(const worker_id& id, std::uint64_t born_ms) const {
-    if (!is_other_incarnation(id, born_ms))
+/// Returns how long the lease may still last of a worker incarnation that reports for the first
+/// time in this term. This coordinator has granted it none; if it has runs all the same, orders for
+/// an earlier incarnation have reached it, whose times it can't tell from longer ones.
+duration cell_coordinator::max_lease_at_first_report(const worker_state& worker,
+                                                     const worker_report& report) const {
+    const bool is_successor = worker.born_ms != 0 && worker.born_ms != report.incarnation;
+    if (is_successor && (!report.running.empty() || !report.ended.empty()))
+        return settings_.max_granted_lease;
+    if (!is_other_incarnation(worker.listing.id, report.incarnation))
         return settings_.lease();
     const duration left = longest_leases_expired_at_ - deps_.time.now();
     return std::clamp(left, settings_.lease(), settings_.max_granted_lease);
 }
 
+/// The worker takes no starts until its report tells the new incarnation.
+void cell_coordinator::handle_restart(worker_state& worker) {
+    worker.has_restarted = true;
+    update_index(worker);
+    if (!worker.renewal_in_flight)
+        schedule_renewal(worker, deps_.time.now());
+}
+
 void cell_coordinator::handle_new_incarnation(worker_state& worker, const worker_report& report) {
     if (worker.born_ms != 0) {
         log_new_incarnation(worker, report);
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -39,6 +39,8 @@
     bool registering = false;
     /// The worker has reported under this epoch, so it rejects orders of earlier ones.
     bool reported_this_term = false;
+    /// Another incarnation than `born_ms` has answered an order; its report is awaited.
+    bool has_restarted = false;
     bool renewal_in_flight = false;
     /// Consecutive lease renewals without an answer. Until one is answered, the lease is not
     /// extended.
--- a/src/link/relay_session.cpp
+++ b/src/link/relay_session.cpp
@@ -99,6 +99,7 @@
     relayed.acknowledged = order.noted();
     relayed.max_wait = std::chrono::milliseconds(order.wait_ms());
     relayed.epoch = epoch_;
+    relayed.incarnation = order.born_ms();
     orders_.renew_lease(
         to.listing, relayed,
         [weak = weak_from_this(), order](order_outcome outcome, const worker_report& report) {
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -93,9 +93,10 @@
 
 } // namespace
 
-client_connection::client_connection(event_loop& loop, const endpoint& server)
-    : loop_(loop), evcon_(evhttp_connection_base_bufferevent_new(
-                       loop.base(), nullptr, nullptr, server.address.c_str(), server.port)) {
+client_connection::client_connection(event_loop& loop, const endpoint& server, connection_id id)
+    : loop_(loop), id_(id),
+      evcon_(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, nullptr,
+                                                    server.address.c_str(), server.port)) {
     // A failed call must end at once and as it is: what may be tried again is the caller's
     // decision, since the server may have run the first.
     evhttp_connection_set_retries(evcon_, 0);
@@ -255,6 +256,7 @@
     const finished done = std::exchange(done_, nullptr);
     idle_since_ = system_clock().now();
     result.kept_since = kept_since_;
+    result.connection = id_;
     if (reusable && !kept_since_)
         kept_since_ = idle_since_;
     done(std::move(result), reusable);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -18,7 +18,7 @@
 public:
     using finished = std::function<void(call_result, bool reusable)>;
 
-    client_connection(event_loop& loop, const endpoint& server);
+    client_connection(event_loop& loop, const endpoint& server, connection_id id);
     ~client_connection();
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
@@ -30,6 +30,9 @@
 
     bool is_idle() const { return !done_; }
     instant idle_since() const { return idle_since_; }
+    connection_id id() const { return id_; }
+    /// Since when the connection has been kept alive after an answer; nothing before the first one.
+    std::optional<instant> kept_since() const { return kept_since_; }
     /// False when the server has closed the idle connection, or has sent bytes that nobody asked
     /// for, even if the loop has not seen it yet.
     bool is_usable() const;
@@ -49,6 +52,7 @@
     call_result failed(std::string reason) const;
 
     event_loop& loop_;
+    connection_id id_;
     evhttp_connection* evcon_;
     std::function<void()> idle_closed_;
     instant idle_since_;
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -18,13 +18,30 @@
     connection_ptr connection = idle_connection();
     if (!connection)
         connection = new_connection();
-    if (!connection) {
-        loop_.post([weak = std::weak_ptr(alive_), done = std::move(done)] {
-            if (!weak.expired())
-                done({call_outcome::not_sent, {}, "no free connection"});
-        });
-        return;
-    }
+    if (!connection)
+        return refuse("no free connection", std::move(done));
+    send(connection, request, bounds, std::move(done));
+}
+
+std::optional<kept_connection> pooled_http_client::next_connection() {
+    const connection_ptr next = idle_connection();
+    if (!next || !next->kept_since())
+        return std::nullopt;
+    return kept_connection{next->id(), *next->kept_since()};
+}
+
+void pooled_http_client::call_over(connection_id connection, http_request request,
+                                   const call_bounds& bounds, callback done) {
+    remove_closed();
+    const auto known = std::ranges::find(connections_, connection, &client_connection::id);
+    if (known == connections_.end() || !(*known)->is_idle())
+        return refuse("connection closed or busy", std::move(done));
+    const connection_ptr kept = *known;
+    send(kept, request, bounds, std::move(done));
+}
+
+void pooled_http_client::send(const connection_ptr& connection, const http_request& request,
+                              const call_bounds& bounds, callback done) {
     const client_connection* const key = connection.get();
     connection->start(request, bounds,
                       [this, key, done = std::move(done)](call_result result, bool reusable) {
@@ -35,10 +52,21 @@
                       });
 }
 
-pooled_http_client::connection_ptr pooled_http_client::idle_connection() {
+void pooled_http_client::refuse(const char* reason, callback done) {
+    loop_.post([weak = std::weak_ptr(alive_), reason, done = std::move(done)] {
+        if (!weak.expired())
+            done({call_outcome::not_sent, {}, reason});
+    });
+}
+
+void pooled_http_client::remove_closed() {
     std::erase_if(connections_, [](const connection_ptr& connection) {
         return connection->is_idle() && !connection->is_usable();
     });
+}
+
+pooled_http_client::connection_ptr pooled_http_client::idle_connection() {
+    remove_closed();
     connection_ptr newest;
     for (const connection_ptr& connection : connections_) {
         if (!connection->is_idle())
@@ -52,7 +80,8 @@
 pooled_http_client::connection_ptr pooled_http_client::new_connection() {
     if (connections_.size() >= max_connections_)
         return nullptr;
-    auto connection = std::make_shared<client_connection>(loop_, server_);
+    last_connection_ = last_connection_.next();
+    auto connection = std::make_shared<client_connection>(loop_, server_, last_connection_);
     connection->on_idle_close([this, key = connection.get()] { drop(key); });
     connections_.push_back(connection);
     return connection;
--- a/src/net/pooled_http_client.h
+++ b/src/net/pooled_http_client.h
@@ -15,6 +15,9 @@
 
     using http_client::call;
     void call(http_request request, const call_bounds& bounds, callback done) override;
+    std::optional<kept_connection> next_connection() override;
+    void call_over(connection_id connection, http_request request, const call_bounds& bounds,
+                   callback done) override;
     std::size_t open_connections() const override { return connections_.size(); }
     void close_idle(duration age) override;
 
@@ -23,12 +26,17 @@
 
     connection_ptr idle_connection();
     connection_ptr new_connection();
+    void send(const connection_ptr& connection, const http_request& request,
+              const call_bounds& bounds, callback done);
+    void refuse(const char* reason, callback done);
+    void remove_closed();
     void drop(const client_connection* connection);
 
     event_loop& loop_;
     endpoint server_;
     std::size_t max_connections_;
     std::vector<connection_ptr> connections_;
+    connection_id last_connection_;
     /// Ends with the client: calls refused but not yet called back are dropped with it.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/log/fake_http_client.h
+++ b/tests/log/fake_http_client.h
@@ -19,6 +19,11 @@
         requests.push_back(std::move(request));
         done(next);
     }
+    std::optional<kept_connection> next_connection() override { return std::nullopt; }
+    void call_over(connection_id /*connection*/, http_request request, const call_bounds& bounds,
+                   callback done) override {
+        call(std::move(request), bounds, std::move(done));
+    }
     std::size_t open_connections() const override { return 0; }
     void close_idle(duration /*age*/) override {}
 
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(a_server_that_resets_after_reading_sees_one_request);
     CPPUNIT_TEST(a_kept_alive_connection_closed_on_the_second_request_is_not_resent);
     CPPUNIT_TEST(a_connection_closed_while_idle_is_not_used);
+    CPPUNIT_TEST(a_call_over_a_kept_connection_uses_that_one);
+    CPPUNIT_TEST(a_call_over_a_closed_connection_is_not_sent);
+    CPPUNIT_TEST(a_call_over_a_busy_connection_is_not_sent);
     CPPUNIT_TEST(a_refused_port_is_not_sent);
     CPPUNIT_TEST(a_truncated_body_is_no_answer);
     CPPUNIT_TEST(a_truncated_chunked_body_is_no_answer);
@@ -189,6 +192,44 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->accepted());
     }
 
+    call_result call_over(connection_id connection) {
+        std::optional<call_result> result;
+        client_->call_over(connection, ticket(), {long_timeout, long_timeout},
+                           [&](call_result ended) { result = std::move(ended); });
+        run_until(loop_, [&] { return result.has_value(); });
+        return *result;
+    }
+
+    void a_call_over_a_kept_connection_uses_that_one() {
+        serve_text(whole_answer, false);
+        CPPUNIT_ASSERT(!client_->next_connection());
+        const connection_id first = call().connection;
+        CPPUNIT_ASSERT(client_->next_connection()->id == first);
+        const call_result second = call_over(first);
+        CPPUNIT_ASSERT(second.outcome == call_outcome::answered);
+        CPPUNIT_ASSERT(second.connection == first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->accepted());
+    }
+
+    /// Guards against a request for one process that another one gets, which listens at the same
+    /// address.
+    void a_call_over_a_closed_connection_is_not_sent() {
+        serve_text(whole_answer, false);
+        const connection_id first = call().connection;
+        server_->close_all();
+        CPPUNIT_ASSERT(call_over(first).outcome == call_outcome::not_sent);
+        CPPUNIT_ASSERT(!client_->next_connection());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests());
+    }
+
+    void a_call_over_a_busy_connection_is_not_sent() {
+        serve_text(whole_answer, false);
+        const connection_id first = call().connection;
+        client_->call_over(first, ticket(), {long_timeout, long_timeout},
+                           [](const call_result&) {});
+        CPPUNIT_ASSERT(call_over(first).outcome == call_outcome::not_sent);
+    }
+
     void a_refused_port_is_not_sent() {
         serve_text("", true);
         server_.reset();
