--- a/include/figwinch/net/http_client.h
+++ b/include/figwinch/net/http_client.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace figwinch {
 
@@ -86,8 +87,9 @@
     void call(http_request request, duration timeout, callback done) {
         call(std::move(request), call_bounds{timeout, timeout}, std::move(done));
     }
-    /// The connection that the next call will take; nothing if that call will open one.
-    virtual std::optional<kept_connection> next_connection() = 0;
+    /// The free connections, the most recently used one first. The next call takes that one, or
+    /// opens one if there is none.
+    virtual std::vector<kept_connection> free_connections() = 0;
     /// The same as `call`, but over one connection: if it is closed or busy, the call ends as
     /// `not_sent`. Whatever process the connection leads to, no other gets the request.
     virtual void call_over(connection_id connection, http_request request,
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -150,10 +150,8 @@
 
 bool cell_coordinator::is_usable(const worker_state& worker, const job_state& job) const {
     const instant now = deps_.time.now();
-    return worker.listed && !worker.listing.leaving && worker.reported_this_term &&
-           worker.registered && !worker.unresponsive && worker.listing.service == job.service &&
-           now >= worker.quarantined_until && now - worker.reported_at < max_report_age &&
-           !evacuated_.contains(worker.listing.data_centre);
+    return accepts_starts(worker) && worker.listing.service == job.service &&
+           now >= worker.quarantined_until && now - worker.reported_at < max_report_age;
 }
 
 /// Whether the worker's tasks, including those whose starts are on their way, fit its capacity.
--- a/src/net/pooled_http_client.cpp
+++ b/src/net/pooled_http_client.cpp
@@ -1,6 +1,8 @@
 #include "net/pooled_http_client.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace figwinch {
@@ -23,11 +25,18 @@
     send(connection, request, bounds, std::move(done));
 }
 
-std::optional<kept_connection> pooled_http_client::next_connection() {
-    const connection_ptr next = idle_connection();
-    if (!next || !next->kept_since())
-        return std::nullopt;
-    return kept_connection{next->id(), *next->kept_since()};
+std::vector<kept_connection> pooled_http_client::free_connections() {
+    remove_closed();
+    std::vector<connection_ptr> free;
+    std::ranges::copy_if(connections_, std::back_inserter(free), [](const connection_ptr& known) {
+        return known->is_idle() && known->kept_since();
+    });
+    std::ranges::sort(free, std::greater(), &client_connection::idle_since);
+    std::vector<kept_connection> kept;
+    kept.reserve(free.size());
+    for (const connection_ptr& connection : free)
+        kept.push_back({connection->id(), *connection->kept_since()});
+    return kept;
 }
 
 void pooled_http_client::call_over(connection_id connection, http_request request,
--- a/src/net/pooled_http_client.h
+++ b/src/net/pooled_http_client.h
@@ -15,7 +15,7 @@
 
     using http_client::call;
     void call(http_request request, const call_bounds& bounds, callback done) override;
-    std::optional<kept_connection> next_connection() override;
+    std::vector<kept_connection> free_connections() override;
     void call_over(connection_id connection, http_request request, const call_bounds& bounds,
                    callback done) override;
     std::size_t open_connections() const override { return connections_.size(); }
--- a/tests/link/relay_client_test.cpp
+++ b/tests/link/relay_client_test.cpp
@@ -204,6 +204,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, seen.ended.size());
         CPPUNIT_ASSERT(seen.ended.front().reason == run_end::failed);
         CPPUNIT_ASSERT_EQUAL(std::string("job1.0.0.1"), seen.ended.front().task);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, workers_.holds.back().order.incarnation);
         order.incarnation = 99;
         seen = renew_lease(report, order);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.ended.size());
--- a/tests/log/fake_http_client.h
+++ b/tests/log/fake_http_client.h
@@ -19,7 +19,7 @@
         requests.push_back(std::move(request));
         done(next);
     }
-    std::optional<kept_connection> next_connection() override { return std::nullopt; }
+    std::vector<kept_connection> free_connections() override { return {}; }
     void call_over(connection_id /*connection*/, http_request request, const call_bounds& bounds,
                    callback done) override {
         call(std::move(request), bounds, std::move(done));
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -202,9 +202,9 @@
 
     void a_call_over_a_kept_connection_uses_that_one() {
         serve_text(whole_answer, false);
-        CPPUNIT_ASSERT(!client_->next_connection());
+        CPPUNIT_ASSERT(client_->free_connections().empty());
         const connection_id first = call().connection;
-        CPPUNIT_ASSERT(client_->next_connection()->id == first);
+        CPPUNIT_ASSERT(client_->free_connections().at(0).id == first);
         const call_result second = call_over(first);
         CPPUNIT_ASSERT(second.outcome == call_outcome::answered);
         CPPUNIT_ASSERT(second.connection == first);
@@ -218,7 +218,7 @@
         const connection_id first = call().connection;
         server_->close_all();
         CPPUNIT_ASSERT(call_over(first).outcome == call_outcome::not_sent);
-        CPPUNIT_ASSERT(!client_->next_connection());
+        CPPUNIT_ASSERT(client_->free_connections().empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests());
     }
 
--- a/tests/platform/worker_incarnations_test.cpp
+++ b/tests/platform/worker_incarnations_test.cpp
@@ -19,11 +19,16 @@
     CPPUNIT_TEST(a_start_for_an_earlier_incarnation_isnt_carried_out_by_a_later_one);
     CPPUNIT_TEST(a_start_over_a_new_connection_reaches_its_incarnation);
     CPPUNIT_TEST(starts_over_new_connections_reach_their_incarnation);
+    CPPUNIT_TEST(a_start_takes_a_connection_whose_incarnation_is_known);
     CPPUNIT_TEST(a_start_without_proof_of_the_incarnation_isnt_sent);
     CPPUNIT_TEST(a_start_that_is_no_longer_wanted_after_the_proof_isnt_sent);
     CPPUNIT_TEST(a_lease_for_an_earlier_incarnation_isnt_granted_by_a_later_one);
     CPPUNIT_TEST(ends_of_a_later_incarnation_arent_acknowledged_by_numbers_of_an_earlier_one);
     CPPUNIT_TEST(a_superseded_sender_learns_it_from_the_proof);
+    CPPUNIT_TEST(a_start_over_a_connection_opened_after_the_restart_isnt_sent);
+    CPPUNIT_TEST(starts_dropped_after_the_proof_leave_room_for_others);
+    CPPUNIT_TEST(a_renewal_after_the_proof_names_its_time);
+    CPPUNIT_TEST(a_refusal_for_another_worker_is_no_report);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t first_born = 1'750'000'000'000;
@@ -43,6 +48,7 @@
     std::vector<std::shared_ptr<http_responder>> unanswered_;
     bool is_silent_ = false;
     bool is_fenced_ = false;
+    bool has_other_id_ = false;
     worker_client client_{loop_};
 
     /// Ends the worker's process, with its connections, and starts the next one at its address.
@@ -55,6 +61,10 @@
                 if (is_silent_)
                     return unanswered_.push_back(to);
                 http_response answer;
+                if (has_other_id_) {
+                    answer.status = 421;
+                    return to->respond(std::move(answer));
+                }
                 answer.status = is_fenced_ ? 409 : 200;
                 answer.body = absl::StrCat(R"({"clockMs":1000,"born":)", born_ms,
                                            is_fenced_ ? R"(,"reason":"fence"})"
@@ -154,6 +164,22 @@
         CPPUNIT_ASSERT((outcomes == std::vector(count, order_outcome::done)));
         CPPUNIT_ASSERT_EQUAL(count, starts_received());
     }
+    /// Guards against a hold before each order that follows orders which need no proof.
+    void a_start_takes_a_connection_whose_incarnation_is_known() {
+        renew_first_lives_lease();
+        constexpr std::size_t stops = 3;
+        std::size_t stopped = 0;
+        for (std::size_t index = 0; index < stops; ++index)
+            client_.stop(worker(), "5c0e7a21d94b36f8.0.1.13", run_number(1), lease_epoch(5),
+                         [&](const order_answer&) {
+                             if (++stopped == stops)
+                                 loop_.stop();
+                         });
+        loop_.run();
+        received_.clear();
+        CPPUNIT_ASSERT(start(start_for_first_life()) == order_outcome::done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received_.size());
+    }
     /// Guards against a start sent to a worker of which nothing proves that it is the one meant.
     void a_start_without_proof_of_the_incarnation_isnt_sent() {
         is_silent_ = true;
@@ -194,6 +220,41 @@
         is_fenced_ = true;
         CPPUNIT_ASSERT(start(start_for_first_life()) == order_outcome::superseded);
     }
+    /// Guards against taking any kept connection for one that leads to the incarnation which
+    /// reported last.
+    void a_start_over_a_connection_opened_after_the_restart_isnt_sent() {
+        renew_first_lives_lease();
+        begin_life(second_born);
+        client_.stop(worker(), "5c0e7a21d94b36f8.0.1.13", run_number(1), lease_epoch(5),
+                     [this](const order_answer&) { loop_.stop(); });
+        loop_.run();
+        CPPUNIT_ASSERT(start(start_for_first_life()) == order_outcome::other_incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, starts_received());
+        CPPUNIT_ASSERT_EQUAL(second_born, renew(lease_of_first_life()).incarnation);
+        CPPUNIT_ASSERT(!has_second_life_a_time());
+    }
+    /// Guards against dropped starts that block all later orders to the worker.
+    void starts_dropped_after_the_proof_leave_room_for_others() {
+        start_order unwanted = start_for_first_life();
+        unwanted.still_wanted = [] { return false; };
+        constexpr std::size_t count = 25;
+        CPPUNIT_ASSERT((start(count, unwanted) == std::vector(count, order_outcome::dropped)));
+        CPPUNIT_ASSERT(start(start_for_first_life()) == order_outcome::done);
+    }
+    /// Guards against leases that aren't renewed over new connections.
+    void a_renewal_after_the_proof_names_its_time() {
+        CPPUNIT_ASSERT(renew(lease_of_first_life()).outcome == order_outcome::done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, received_.size());
+        CPPUNIT_ASSERT(!absl::StrContains(received_.front().body, "untilMs"));
+        CPPUNIT_ASSERT(absl::StrContains(received_.back().body, "untilMs"));
+    }
+    /// Guards against an empty report in place of the refusal of a worker with another id.
+    void a_refusal_for_another_worker_is_no_report() {
+        has_other_id_ = true;
+        CPPUNIT_ASSERT(renew(lease_of_first_life()).outcome == order_outcome::other_incarnation);
+        CPPUNIT_ASSERT(start(start_for_first_life()) == order_outcome::other_incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, starts_received());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_incarnations_test);
