Play histories in which restarted workers are cut off

Checks: by the users' rules a task under which two executors have crashed may be given up. So far only tasks that crash their workers counted. In these histories count_restart counts, per task, the processes that end while a run of it is there. With two under one task its job may be failed, and its services need not run once a host shows it so.

--- a/tests/cell/history_faults.cpp
+++ b/tests/cell/history_faults.cpp
@@ -53,6 +53,14 @@
         schedule_fault({"slow_coordinator", &history_faults::slow_coordinator}, fault_phase);
 }
 
+void history_faults::schedule_restarts_and_cuts(std::size_t times, duration fault_phase) {
+    for (std::size_t count = 0; count < times; ++count)
+        schedule_fault({"restart_and_cut_worker", &history_faults::restart_and_cut_worker},
+                       fault_phase);
+    if (world_.draw() % 2 == 0)
+        schedule_fault({"delay_orders", &history_faults::delay_orders}, fault_phase);
+}
+
 void history_faults::slow_coordinator() {
     const std::size_t host = world_.coordinator().value_or(draw_host());
     const double factor = 2 + 3 * world_.draw_share();
@@ -277,6 +285,29 @@
     disconnect_worker_for(*worker, draw_duration(), true);
 }
 
+/// A worker's process ends while its host is unreachable, is back under its id soon, and is cut off
+/// before long.
+void history_faults::restart_and_cut_worker() {
+    const std::optional<std::string> worker = draw_worker();
+    if (!worker)
+        return;
+    const duration away = milliseconds(300) + world_.draw_time(milliseconds(900));
+    const duration reachable = milliseconds(500) + world_.draw_time(seconds(2));
+    const duration span = seconds(4) + world_.draw_time(seconds(7));
+    world_.fleet().workers.at(*worker).cut = true;
+    world_.checker().count_restart(*worker);
+    world_.restart_worker(*worker);
+    world_.time().after(away, [this, worker = *worker] {
+        world_.restart_worker(worker);
+        world_.fleet().workers.at(worker).cut = false;
+        world_.list_worker(worker, "ready");
+    });
+    world_.time().after(away + reachable, [this, worker = *worker, span] {
+        world_.checker().record_event("cut off " + worker + " after its restart");
+        disconnect_worker_for(worker, span, false);
+    });
+}
+
 void history_faults::cut_worker() {
     const bool crash = world_.draw() % 4 == 0;
     const duration span = draw_duration();
--- a/tests/cell/history_faults.h
+++ b/tests/cell/history_faults.h
@@ -21,6 +21,8 @@
     void schedule_capacity_changes(std::size_t changes, duration fault_phase);
     /// Schedules times during which the coordinator's processor is slower.
     void schedule_slow_coordinators(std::size_t times, duration fault_phase);
+    /// Schedules restarts of workers that are cut off soon after, some beside late orders.
+    void schedule_restarts_and_cuts(std::size_t times, duration fault_phase);
     /// Schedules moments at which the log discards the election's records.
     void schedule_lost_history(std::size_t times, duration fault_phase);
     /// Ends at once all faults of hosts, store and orders.
@@ -60,6 +62,7 @@
     void restart_with_unreachable_worker();
     void shrink_worker();
     void slow_coordinator();
+    void restart_and_cut_worker();
     void kill_relay();
     void freeze_relay();
     void cut_relay_from_peers();
--- a/tests/cell/service_downtime_rule.h
+++ b/tests/cell/service_downtime_rule.h
@@ -11,8 +11,9 @@
 /// Checks the maximum downtime of service tasks: a task must have a run again within `max_downtime`
 /// after the end of its last run, the acceptance of its job, or the last fault that excuses it,
 /// whichever is latest. This applies if the job is accepted and not cancelled, a worker has free
-/// resources for the task, and the task's last worker is reachable. The loss of any other worker is
-/// no excuse. Reports violations to the invariant checker of the cell. Owned by a test.
+/// resources for the task, and the task's last worker is reachable. It ends when the job is given
+/// up after two workers have restarted under one of its tasks. The loss of any other worker is no
+/// excuse. Reports violations to the invariant checker of the cell. Owned by a test.
 class service_downtime_rule {
 public:
     explicit service_downtime_rule(cell_world& world);
@@ -38,6 +39,7 @@
 
     void check_all();
     bool is_followed(const std::string& job) const;
+    bool is_given_up(const std::string& job);
     void check_task(const std::string& task, bool trouble, std::optional<std::size_t> acting);
     std::string recorded_worker(const std::string& task);
     bool has_cell_wide_fault(std::optional<std::size_t> acting);
