--- a/bench/cell_worker_list.cpp
+++ b/bench/cell_worker_list.cpp
@@ -18,8 +18,8 @@
 public:
     using fake_platform::fake_platform;
 
-    std::optional<worker_listing> decode_listing(std::string_view id,
-                                                 std::string_view bytes) const override {
+    absl::StatusOr<worker_listing> decode_listing(std::string_view id,
+                                                  std::string_view bytes) const override {
         return platform::decode_listing(id, bytes);
     }
     std::optional<std::uint64_t> listing_digest(std::string_view bytes) const override {
--- a/src/cell_host/cell_platform.h
+++ b/src/cell_host/cell_platform.h
@@ -20,12 +20,13 @@
     virtual worker_advisor& advisor() = 0;
     virtual const job_api_codec& job_codec() const = 0;
 
-    /// Decode keys and records of the `operators` and `workers` streams; nullopt if malformed.
+    /// Decode keys and records of the `operators` and `workers` streams; nullopt, or the reason, if
+    /// malformed.
     virtual bool is_config_key(std::string_view key) const = 0;
     virtual std::optional<cell_config> decode_config(std::string_view bytes) const = 0;
     virtual std::optional<data_centre_id> evacuated_by(std::string_view key) const = 0;
-    virtual std::optional<worker_listing> decode_listing(std::string_view id,
-                                                         std::string_view bytes) const = 0;
+    virtual absl::StatusOr<worker_listing> decode_listing(std::string_view id,
+                                                          std::string_view bytes) const = 0;
     /// Digest of a worker's entry without the fields that change on every write, such as sequence
     /// numbers: equal digests mean the same listing. nullopt if the platform has no such digest.
     virtual std::optional<std::uint64_t> listing_digest(std::string_view) const { return {}; }
--- a/src/cell_host/worker_list.cpp
+++ b/src/cell_host/worker_list.cpp
@@ -17,8 +17,8 @@
     const std::optional<std::uint64_t> digest = platform_.listing_digest(bytes);
     if (known != entries_.end() && digest && known->second.digest == digest)
         return;
-    std::optional<worker_listing> listing = platform_.decode_listing(id.str(), bytes);
-    if (!listing)
+    absl::StatusOr<worker_listing> listing = platform_.decode_listing(id.str(), bytes);
+    if (!listing.ok())
         return erase(id);
     if (known == entries_.end()) {
         entries_.emplace(id, entry{digest, std::move(*listing)});
--- a/src/simulation/sim_host.h
+++ b/src/simulation/sim_host.h
@@ -72,8 +72,8 @@
             return data_centre_id(key.substr(4));
         return std::nullopt;
     }
-    std::optional<worker_listing> decode_listing(std::string_view id,
-                                                 std::string_view bytes) const override {
+    absl::StatusOr<worker_listing> decode_listing(std::string_view id,
+                                                  std::string_view bytes) const override {
         worker_listing listing = fleet_.workers.at(std::string(id)).listing;
         listing.leaving = bytes == "leaving";
         return listing;
--- a/tests/cell_host/fake_platform.h
+++ b/tests/cell_host/fake_platform.h
@@ -111,9 +111,9 @@
         return config;
     }
     std::optional<data_centre_id> evacuated_by(std::string_view) const override { return {}; }
-    std::optional<worker_listing> decode_listing(std::string_view,
-                                                 std::string_view) const override {
-        return {};
+    absl::StatusOr<worker_listing> decode_listing(std::string_view,
+                                                  std::string_view) const override {
+        return make_error(result_code::malformed_request, "no workers");
     }
     std::uint64_t log_calls() const override { return 0; }
     std::uint64_t order_calls() const override { return 0; }
--- a/tests/cell_host/worker_list_test.cpp
+++ b/tests/cell_host/worker_list_test.cpp
@@ -16,12 +16,12 @@
     mutable int decoded = 0;
     bool tells_digests = true;
 
-    std::optional<worker_listing> decode_listing(std::string_view id,
-                                                 std::string_view bytes) const override {
+    absl::StatusOr<worker_listing> decode_listing(std::string_view id,
+                                                  std::string_view bytes) const override {
         ++decoded;
         const std::string_view state = bytes.substr(0, bytes.find(' '));
         if (state == "unreadable")
-            return std::nullopt;
+            return make_error(result_code::malformed_request, "unreadable state");
         worker_listing listing;
         listing.id = worker_id(id);
         listing.leaving = state == "leaving";
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -123,7 +123,7 @@
     }
     void a_worker_is_read() {
         const auto read = decode_listing("w1", worker);
-        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read.ok());
         CPPUNIT_ASSERT_EQUAL(std::string("rack-9"), read->rack.str());
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, read->capacity.cpu_millis);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1'700'000'000'000}, read->incarnation);
@@ -138,7 +138,7 @@
               R"({"service":"s","address":"10.9.8.7:80","state":"odd","capacity":{}})",
               R"({"service":7,"address":"10.9.8.7:80","state":"ready","capacity":{}})",
               R"({"service":"s","address":"10.9.8.7:80","state":"ready","capacity":3})"})
-            CPPUNIT_ASSERT_MESSAGE(bytes, !decode_listing("w1", bytes).has_value());
+            CPPUNIT_ASSERT_MESSAGE(bytes, !decode_listing("w1", bytes).ok());
     }
     void only_the_sequence_is_left_out_of_a_digest() {
         const auto changed = [](const std::string& from, const std::string& to) {
@@ -161,7 +161,7 @@
     void entries_of_equal_digests_are_read_alike() {
         std::mt19937 random(11);
         const std::string_view bytes = R"("{}[]:,\ 0123456789sequencready)";
-        std::map<std::uint64_t, std::optional<worker_listing>> read;
+        std::map<std::uint64_t, absl::StatusOr<worker_listing>> read;
         std::size_t again = 0;
         for (int round = 0; round < 20'000; ++round) {
             std::string entry = worker;
@@ -260,7 +260,8 @@
                 bytes.resize(random() % bytes.size());
             if (const auto job = decode_submission(bytes); job.ok())
                 CPPUNIT_ASSERT(validate_job(*job).ok());
-            decode_listing("w", bytes);
+            if (const auto listing = decode_listing("w", bytes); listing.ok())
+                CPPUNIT_ASSERT(!any_negative(listing->capacity));
             decode_report(bytes);
             decode_advice(bytes);
             decode_config(bytes);
