Log worker entries that can't be read

What operators would see: a worker is missing from the list and no line says why, when its entry can't be read.

Cause: worker_list dropped such an entry without a word, and decoded it again at each write of the same version.

Change: `worker_entry_unreadable` (warn) tells the key, the reason and whether the version before could be read, once per version; an unreadable version isn't decoded again. At most 10 lines in 10 s, with the count of those left out, as another writer may leave any number of entries.

--- a/bench/cell_worker_list.cpp
+++ b/bench/cell_worker_list.cpp
@@ -101,7 +101,8 @@
         const auto same = records_in(second_of(workers, cold_ms, 2));
         const auto other = records_in(second_of(workers, cold_ms - 1, 3));
         const double heap_before = heap_bytes();
-        worker_list list(platform);
+        const system_clock time;
+        worker_list list(time, platform);
         take_all(list, first);
         out.add("heap", size, heap_bytes() - heap_before, "bytes");
         out.add("folding nothing new", size, fold_us(list, first, same), "us/s");
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -48,7 +48,7 @@
                          const cell_settings& settings, incarnation_id self, member_info info,
                          double cpu_share)
     : time_(time), platform_(platform), peers_(peers), settings_(settings), self_(std::move(self)),
-      info_(std::move(info)), worker_list_(platform),
+      info_(std::move(info)), worker_list_(time, platform),
       operators_(time, platform.log(), cell_stream::operators, operators_polling,
                  [this](const stored_record& record) { apply_operator_record(record); }),
       workers_(time, platform.log(), cell_stream::workers, workers_polling,
--- a/tests/cell_host/worker_list_test.cpp
+++ b/tests/cell_host/worker_list_test.cpp
@@ -1,5 +1,6 @@
 #include "cell_host/worker_list.h"
 
+#include "tests/cell_host/captured_log.h"
 #include "tests/cell_host/fake_platform.h"
 
 #include <cppunit/TestFixture.h>
@@ -8,7 +9,8 @@
 namespace figwinch {
 namespace {
 
-/// Counts decoded entries. An entry is "STATE SEQUENCE"; the state "unreadable" fails to decode.
+/// Counts decoded entries. An entry is "STATE SEQUENCE"; states that begin with "unreadable" fail
+/// to decode.
 class counting_platform final : public fake_platform {
 public:
     using fake_platform::fake_platform;
@@ -20,7 +22,7 @@
                                                   std::string_view bytes) const override {
         ++decoded;
         const std::string_view state = bytes.substr(0, bytes.find(' '));
-        if (state == "unreadable")
+        if (state.starts_with("unreadable"))
             return make_error(result_code::malformed_request, "unreadable state");
         worker_listing listing;
         listing.id = worker_id(id);
@@ -42,11 +44,16 @@
     CPPUNIT_TEST(a_notice_changes_the_list);
     CPPUNIT_TEST(an_entry_that_cant_be_read_names_no_worker);
     CPPUNIT_TEST(a_worker_that_comes_back_is_listed);
+    CPPUNIT_TEST(an_unreadable_version_is_logged_and_decoded_once);
+    CPPUNIT_TEST(many_unreadable_entries_cost_few_log_lines);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr const char* event = R"("event": "worker_entry_unreadable")";
+
     event_loop loop_;
     counting_platform platform_{loop_};
-    worker_list list_{platform_};
+    manual_clock time_;
+    worker_list list_{time_, platform_};
 
     void write(const std::string& id, const std::string& entry) { list_.apply({id, entry, 0}); }
     void drop(const std::string& id) { list_.apply({id, std::nullopt, 0}); }
@@ -104,6 +111,40 @@
         CPPUNIT_ASSERT(list_.poll_changed());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list_.listings().size());
     }
+    /// Guards against a worker that is left out without a trace, and against a line for each write
+    /// of the same unreadable entry.
+    void an_unreadable_version_is_logged_and_decoded_once() {
+        const captured_log log(log_level::warn);
+        const std::string listed = R"("was_listed": true)";
+        for (int sequence = 2; sequence < 10; ++sequence)
+            write("w1", "unreadable " + std::to_string(sequence));
+        CPPUNIT_ASSERT_EQUAL(1, platform_.decoded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.count(event));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.count(listed));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.count(R"("worker": "w1")"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.count(R"("why": "unreadable state")"));
+        write("w1", "unreadable-too 10");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log.count(event));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.count(listed));
+        write("w1", "ready 11");
+        write("w1", "unreadable-too 12");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, log.count(event));
+        drop("w1");
+        write("w1", "unreadable-too 13");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, log.count(event));
+    }
+    /// Guards against a log that another writer floods with unreadable entries.
+    void many_unreadable_entries_cost_few_log_lines() {
+        const captured_log log(log_level::warn);
+        for (int number = 0; number < 100; ++number)
+            write("odd" + std::to_string(number), "unreadable 1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, log.count(event));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list_.listings().size());
+        time_.advance(std::chrono::seconds(10));
+        write("w2", "unreadable 2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{11}, log.count(event));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.count(R"("suppressed": 90)"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_list_test);
