--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -19,8 +19,17 @@
         self.port = free_port()
         self.ready, self.bus, self.metrics = free_port(), free_port(), free_port()
         self.process = None
+        # Processes that were told to end, and the exit codes of those that ended by themselves.
+        self.asked_to_end = set()
+        self.unasked_ends = {}
+
+    def note_unasked_end(self):
+        process = self.process
+        if process and process.returncode is not None and process.pid not in self.asked_to_end:
+            self.unasked_ends[process.pid] = process.returncode
 
     async def start(self):
+        self.note_unasked_end()
         if self.process and self.process.returncode is None:
             return
         flags = {
@@ -48,6 +57,9 @@
 
     async def stop(self, number):
         """Signals, and waits until the process has gone."""
+        self.note_unasked_end()
+        if self.process:
+            self.asked_to_end.add(self.process.pid)
         self.signal(signal.SIGCONT)
         self.signal(number)
         if self.process:
