--- a/bench/cell_worker_list.cpp
+++ b/bench/cell_worker_list.cpp
@@ -18,8 +18,8 @@
 public:
     using fake_platform::fake_platform;
 
-    std::optional<worker_listing> decode_listing(std::string_view id,
-                                                 std::string_view bytes) const override {
+    absl::StatusOr<worker_listing> decode_listing(std::string_view id,
+                                                  std::string_view bytes) const override {
         return platform::decode_listing(id, bytes);
     }
     std::optional<std::uint64_t> listing_digest(std::string_view bytes) const override {
@@ -101,7 +101,8 @@
         const auto same = records_in(second_of(workers, cold_ms, 2));
         const auto other = records_in(second_of(workers, cold_ms - 1, 3));
         const double heap_before = heap_bytes();
-        worker_list list(platform);
+        const system_clock time;
+        worker_list list(time, platform);
         take_all(list, first);
         out.add("heap", size, heap_bytes() - heap_before, "bytes");
         out.add("folding nothing new", size, fold_us(list, first, same), "us/s");
