Count waiting jobs only from a current replica

Cause: a host with a read replica counted whatever the replica held. A lookup of an unknown job reads the log to its end first; the count didn't, however long ago the last read had succeeded, and neither did it while the replica was being loaded. Hosts without a replica pass the question to one in their data centre, so a calm host returns the count of one that the log refuses.

Change: local_job_lookup counts at once while the intake follower is loaded and reached the end of the stream within the last 2 s; otherwise it reads to the end first, and has no count if that fails. Then the next replica is asked, or the caller gets 503, as for a job that isn't known.

--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -61,9 +61,7 @@
       progress_(
           time, platform.log(), cell_stream::progress, follower_progress_polling,
           [this](const stored_record& record) { state_.apply(cell_stream::progress, record); }),
-      role_(time, self_),
-      local_jobs_(time, state_,
-                  [this](const std::function<void(bool)>& done) { intake_.sync(done); }),
+      role_(time, self_), local_jobs_(time, state_, intake_),
       peer_jobs_({time, peers, role_, info_.data_centre}),
       jobs_(local_jobs_, peer_jobs_,
             [this] { return has_replica() || role_.readers().entries().empty(); }),
--- a/src/cell_host/stream_polling.h
+++ b/src/cell_host/stream_polling.h
@@ -18,8 +18,9 @@
 // On the coordinator, which starts new jobs as they arrive.
 inline constexpr follow_options leader_intake_polling{std::chrono::milliseconds(1000),
                                                       std::chrono::milliseconds(20)};
-// On other hosts, which read on demand when a caller asks for a job that they don't know. Periodic
-// reads only keep counts of waiting jobs current, and these may be 2 s old.
+// On other hosts, which read on demand when a caller asks for a job that they don't know, or for
+// the count of waiting jobs while they haven't reached the end of the stream for 2 s. Periodic
+// reads keep that count current.
 inline constexpr follow_options follower_intake_polling{duration::zero(),
                                                         std::chrono::milliseconds(1000)};
 // Keeps the progress of jobs current for callers' status requests.
--- a/tests/cell_host/caller_patience_test.cpp
+++ b/tests/cell_host/caller_patience_test.cpp
@@ -34,8 +34,10 @@
     std::optional<cell_config> config_ = platform_.decode_config("");
     intake_writer writer_{{time_, platform_.log(), [](const stored_record&) {}, [] { return true; },
                            [](const auto&, const auto&) {}}};
-    // Reads of the log never complete.
-    local_job_lookup jobs_{time_, state_, [](const std::function<void(bool)>&) {}};
+    // Its reads never complete, because `ask` holds them.
+    keyed_follower intake_{
+        time_, platform_.log(), cell_stream::intake, {}, [](const stored_record&) {}};
+    local_job_lookup jobs_{time_, state_, intake_};
     job_api front_{{time_, platform_.job_codec(), config_, state_, jobs_, writer_,
                     [] { return true; }, [](duration) {}}};
 
