--- a/tests/cell_host/local_job_lookup_test.cpp
+++ b/tests/cell_host/local_job_lookup_test.cpp
@@ -27,7 +27,7 @@
     std::size_t follower() const { return (world_.coordinator().value() + 1) % world_.hosts(); }
     sim_log& log_of(std::size_t host) { return world_.host(host)->way_to_log(); }
     std::shared_ptr<count> ask(std::size_t host) {
-        const auto told = std::make_shared<count>();
+        auto told = std::make_shared<count>();
         world_.host(host)->member().jobs().count_waiting(
             queue_name("q"), world_.time().now() + caller_timeout,
             [told](std::optional<std::size_t> waiting) {
