Name workers that are given up in the order of their ids

Cause: the workers that a predecessor's leases leave open were gone through in the order of a hash table. Nothing but the log depends on it.

Evidence and change: the ids are sorted before they are logged.

--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -169,14 +169,18 @@
     // The log must have confirmed the term since then, for the reason given at
     // `is_confirmed_since`.
     const instant confirmed = deps_.confirmed_at();
-    const auto is_over = [confirmed](const auto& worker) {
-        const bool over = confirmed > worker.second;
-        if (over)
-            log_event(log_level::warn, "worker_given_up", {{"worker", worker.first.str()}});
-        return over;
-    };
-    if (absl::erase_if(unresolved_, is_over) == 0)
+    std::vector<worker_id> over;
+    for (const auto& [id, until] : unresolved_)
+        if (confirmed > until)
+            over.push_back(id);
+    if (over.empty())
         return;
+    // In the order of ids, since that of the hash table varies between processes.
+    std::ranges::sort(over);
+    for (const worker_id& id : over) {
+        log_event(log_level::warn, "worker_given_up", {{"worker", id.str()}});
+        unresolved_.erase(id);
+    }
     placement_due_ = true;
     log_resolved();
 }
