Draw the size of a history's step in a fixed order

Cause: two random numbers were drawn in the arguments of one call, whose order is the compiler's choice, so that a seed would be another history with another compiler. Nothing was seen of it: one compiler builds all.

Change: they are drawn one by one, in the order in which GCC drew them, so that seeds keep their histories.

--- a/tests/cell/cell_history.cpp
+++ b/tests/cell/cell_history.cpp
@@ -197,9 +197,10 @@
             world_.time().after(world_.draw_time(fault_phase), [this, index] { submit(index); });
     }
     step_spec draw_step() {
-        step_spec step =
-            cell_world::make_step(static_cast<std::uint32_t>(1 + world_.draw() % 4),
-                                  static_cast<std::int64_t>(300 + world_.draw() % 1200));
+        // Drawn one by one: the order in which arguments are evaluated is the compiler's choice.
+        const auto cpu_millis = static_cast<std::int64_t>(300 + world_.draw() % 1200);
+        const auto tasks = static_cast<std::uint32_t>(1 + world_.draw() % 4);
+        step_spec step = cell_world::make_step(tasks, cpu_millis);
         step.is_best_effort = world_.draw() % 5 == 0;
         if (has_short_lists_ && world_.draw() % 2 == 0) {
             step.tasks += static_cast<std::uint32_t>(world_.draw() % 24);
