--- a/tests/cell/cell_history.cpp
+++ b/tests/cell/cell_history.cpp
@@ -165,6 +165,7 @@
         outcome.starts = world_.checker().starts;
         outcome.fault_count = fault_count_;
         outcome.violation = history_checker(world_).find_violation(accepted_);
+        outcome.digest = digest();
         return outcome;
     }
 
@@ -179,15 +180,27 @@
 
     std::size_t draw_host() { return world_.draw() % world_.hosts(); }
 
+    std::uint64_t digest() {
+        std::string seen;
+        for (const std::string& event : world_.checker().trace)
+            seen += event + '\n';
+        for (const cell_stream stream : all_streams)
+            for (const auto& [key, record] : world_.store().of(stream).newest)
+                seen += key + ' ' + std::to_string(record.offset) + ' ' +
+                        record.value.value_or("") + '\n';
+        return stable_hash(seen);
+    }
+
     void plan_jobs() {
         const std::size_t jobs = (has_slow_hosts_ ? many_jobs : 6) + world_.draw() % 8;
         for (std::size_t index = 0; index < jobs; ++index)
             world_.time().after(world_.draw_time(fault_phase), [this, index] { submit(index); });
     }
     step_spec draw_step() {
-        step_spec step =
-            cell_world::make_step(static_cast<std::uint32_t>(1 + world_.draw() % 4),
-                                  static_cast<std::int64_t>(300 + world_.draw() % 1200));
+        // Drawn one by one: the order in which arguments are evaluated is the compiler's choice.
+        const auto cpu_millis = static_cast<std::int64_t>(300 + world_.draw() % 1200);
+        const auto tasks = static_cast<std::uint32_t>(1 + world_.draw() % 4);
+        step_spec step = cell_world::make_step(tasks, cpu_millis);
         step.is_best_effort = world_.draw() % 5 == 0;
         if (has_short_lists_ && world_.draw() % 2 == 0) {
             step.tasks += static_cast<std::uint32_t>(world_.draw() % 24);
