Start nothing on a restarted worker before the log has its record

What callers saw: nothing yet; found in a review of tasks that ran twice after restarts of workers. In simulated time a task runs twice.

Cause: a worker rejects orders of a superseded coordinator because it has seen a higher epoch. A worker that restarts has seen none, yet the coordinator went on to use it on the strength of the record of the earlier incarnation. A coordinator that had lost the log, and whose successor had already had that worker's report, took the restart for the end of the runs there and started them again on the new incarnation. The successor took them for gone too when it reached the worker, or waited only for the lease that it had granted itself.

Change: each incarnation is recorded before it gets starts, as a new worker is. The log takes a record of no coordinator that has a successor, so one that got this far is the only one, and its successor asks the new incarnation itself. A record that was written for an earlier incarnation doesn't count for a later one.

tasks_of_a_restarted_worker_run_again_within_its_lease relied on tasks that are placed on the worker as soon as it is back. Now they run elsewhere by then, so it gets tasks of a second job; the times and checks are the same, and it fails as before with the longest lease in place of max_lease_at_first_report's.

--- a/src/cell/coordinator_incarnations.cpp
+++ b/src/cell/coordinator_incarnations.cpp
@@ -65,6 +65,9 @@
     worker.clock = {};
     // Orders sent to the worker's earlier incarnation may reach the new one.
     worker.reported_this_term = false;
+    // It has seen no epoch: only the log shows that there is no successor, which may have had a
+    // report of the earlier incarnation.
+    worker.registered = false;
     update_index(worker);
     stop_reading_ends(worker);
     mark_ends_read(worker.listing.id);
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -166,12 +166,12 @@
     worker->unanswered_renewals = 0;
     worker->has_restarted = false;
     const duration longest_lease = max_lease_at_first_report(*worker, report);
-    if (worker->unresponsive)
-        handle_recovery(*worker);
     if (worker->born_ms != report.incarnation)
         handle_new_incarnation(*worker, report);
     else if (worker->lost_at != instant())
         withdraw_lost_runs(*worker);
+    if (worker->unresponsive)
+        handle_recovery(*worker);
     worker->clock.observe(report.clock_ms, now);
     // A predecessor may have renewed the lease until now, but not later: the worker now rejects its
     // orders.
@@ -220,16 +220,17 @@
     const worker_id id = worker.listing.id;
     deps_.progress_log.write(
         {record_key(record_kind::worker, id.str()), encode_worker({worker.born_ms, false}), 0},
-        [this, weak = std::weak_ptr(alive_), id] {
-            if (weak.expired())
+        [this, weak = std::weak_ptr(alive_), id, born_ms = worker.born_ms] {
+            worker_state* const known = weak.expired() ? nullptr : find_worker(id);
+            if (known == nullptr)
                 return;
-            if (worker_state* const known = find_worker(id)) {
-                known->registering = false;
-                known->registered = true;
-                known->unresponsive = false;
-                update_index(*known);
-                placement_due_ = true;
-            }
+            if (known->born_ms != born_ms)
+                return register_incarnation(*known);
+            known->registering = false;
+            known->registered = true;
+            known->unresponsive = false;
+            update_index(*known);
+            placement_due_ = true;
         });
 }
 
--- a/tests/cell/new_life_test.cpp
+++ b/tests/cell/new_life_test.cpp
@@ -89,11 +89,14 @@
         world_.time().run_for(seconds(20));
         world_.fleet().reaches_one_incarnation = [](run_number) { return true; };
         worker("w1").reborn();
-        world_.time().run_for(seconds(1));
+        world_.time().run_for(milliseconds(300));
+        world_.submit(1, "b", service_job(4));
+        world_.time().run_for(milliseconds(700));
         CPPUNIT_ASSERT(worker("w1").running() > 0);
         lose_worker("w1");
         world_.time().run_for(max_down_time_after_loss);
         assert_all_run("a", 8);
+        assert_all_run("b", 4);
         assert_invariants();
     }
     /// Guards against waiting for the longest lease, after a change of coordinator, of a worker
