--- a/tests/cell_host/odd_entries_test.cpp
+++ b/tests/cell_host/odd_entries_test.cpp
@@ -1,9 +1,9 @@
 #include "cell_host/stream_polling.h"
 #include "cell_host/worker_list.h"
-#include "platform/store_records.h"
 #include "platform/worker_codec.h"
 #include "tests/cell_host/captured_log.h"
 #include "tests/cell_host/fake_platform.h"
+#include "tests/cell_host/scripted_log.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -14,36 +14,6 @@
 namespace figwinch {
 namespace {
 
-/// A log whose workers stream holds `records`; reads return what has been added since.
-class scripted_log final : public durable_log {
-public:
-    std::vector<stored_record> records;
-
-    void append(cell_stream, const std::vector<stored_record>&, const append_guard&,
-                std::function<void(append_result)>) override {}
-    /// Encodes and decodes as the platform's store does.
-    void read(cell_stream, std::uint64_t from, duration,
-              std::function<void(read_result)> done) override {
-        const std::vector<stored_record> rest(records.begin() + static_cast<std::ptrdiff_t>(from),
-                                              records.end());
-        std::string body(platform_head_bytes, '\0');
-        body[end_offset_at] = static_cast<char>(records.size());
-        body += platform::encode_records(platform::record_format::keyed, rest);
-        done(*platform::decode_read(platform::record_format::keyed, from, body));
-    }
-    void read_newest(cell_stream, const std::string&,
-                     std::function<void(newest_result)> done) override {
-        newest_result page;
-        page.records = records;
-        page.end_offset = records.size();
-        done(page);
-    }
-
-private:
-    static constexpr std::size_t platform_head_bytes = 16;
-    static constexpr std::size_t end_offset_at = 7;
-};
-
 /// Decodes workers' entries as the users' platform has them.
 class listing_platform final : public fake_platform {
 public:
@@ -70,7 +40,7 @@
     event_loop loop_;
     listing_platform platform_{loop_};
     manual_clock time_;
-    scripted_log log_;
+    scripted_log log_{cell_stream::workers};
     worker_list list_{time_, platform_};
     keyed_follower follower_{time_, log_, cell_stream::workers, workers_polling,
                              [this](const stored_record& record) { list_.apply(record); }};
