Take the lease of refused starts in the soak's workers

Cause: the platform's workers take untilMs also from a start that they refuse as old, and from one whose run is there already. The soak's stand-in took it only from a start that it carried out, so a late start that is refused couldn't prolong the lease of the other runs.

Change: the stand-in prolongs the lease first. A start whose time has passed prolongs nothing, as before.

--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -122,13 +122,14 @@
         if not self.alive:
             return web.Response(status=503)
         task, number = body["task"], body["run"]
+        # The lease of a start that is refused holds all the same.
+        self.prolong(body["untilMs"])
         if task in self.runs and self.runs[task].number == number:
             return self.answer()
         if number <= self.highest.get(task, 0):
             return self.answer(409, reason="old")
         if body["untilMs"] <= self.clock_ms():
             return self.answer(409, reason="late")
-        self.prolong(body["untilMs"])
         self.highest[task] = number
         run = self.run_type(task, number, json.loads(body["spec"]))
         # A second run of a task that runs here is taken, as the platform's workers do.
