Restart a zone's workers in a burst of long tasks in the soak

Seeds from 14000 on restart one worker at a time among many short jobs. Traces of 14000 and 14005 on that code (a trial with a log of each start on the stand-ins) show that the former processes' successors were sent no start before the coordinator had heard of them: starts into the silence went unanswered and rested the worker, those over kept connections were lost, and no job came at that moment.

Change: from seed 18000 on the workers of one or two zones at a time restart together, a job of 40 tasks of 8 to 12 s comes as they are back, other jobs are rare, and what is sent over a former process's connection is reset, as the host that is back does. A tenth of these tasks' runs hang, so that the coordinator moves them, and at times orders are late. These seeds have no odd entries; those before play what they did.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,10 @@
 # Both workers of a label together list more ends than fit into a report each.
 WIDE_TASKS = 1300
 WIDE_JOB = "feed"
+# Jobs of long tasks that are sent while workers restart.
+BURST_TASKS = 40
+BURST_JOB = "b057"
+HANGING_SHARE = 0.1
 # The longest task of a long job, which has one step.
 LONG_MS = 12_000
 
@@ -87,6 +91,16 @@
         self.rules.jobs[job]["refused_only"] = await self.submit(job, body)
         return self.rules.jobs[job]["accepted"]
 
+    async def run_burst(self):
+        """A job of many long tasks, some of whose runs hang and are moved."""
+        job = f"{BURST_JOB}{self.random.getrandbits(48):012x}"
+        steps = [{"count": BURST_TASKS, "cpu": 500, "memMb": 256, "estimateMs": LONG_MS}]
+        self.rules.job_sent(job, steps, False)
+        work = {"ms": self.random.randint(LONG_MS * 2 // 3, LONG_MS), "hangs": HANGING_SHARE}
+        self.rules.jobs[job]["refused_only"] = await self.submit(
+            job, {"spec": json.dumps(work), "steps": steps}
+        )
+
     async def submit(self, job, body):
         """Whether every try was refused with "not run"."""
         refused_only = True
--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -19,8 +19,9 @@
         self.refuse = False
         self.down = False
         self.open = set()
-        # Connections of an earlier generation are silent.
+        # Connections of an earlier generation are silent, or reset by what is sent over them.
         self.generation = 0
+        self.resets_lost = False
         self.server = None
         self.port = 0
 
@@ -33,9 +34,13 @@
         self.delay_s = 0.0
         self.silent_up = self.silent_down = self.refuse = False
 
-    def lose_open(self):
-        """What is open stays silent for good: the process behind it has ended with its host."""
+    def lose_open(self, resets=False):
+        """What is open stays silent for good: the process behind it has ended with its host.
+
+        With `resets` the host is back and resets what is sent over such a connection.
+        """
         self.generation += 1
+        self.resets_lost = resets
 
     def reset_all(self):
         for writer in list(self.open):
@@ -54,17 +59,20 @@
         self.open.update((writer, up_writer))
         try:
             await asyncio.gather(
-                self.pump(reader, up_writer, lambda: self.silent_up, generation),
-                self.pump(up_reader, writer, lambda: self.silent_down, generation),
+                self.pump(reader, up_writer, writer, lambda: self.silent_up, generation),
+                self.pump(up_reader, writer, up_writer, lambda: self.silent_down, generation),
             )
         finally:
             self.open.difference_update((writer, up_writer))
 
-    async def pump(self, reader, writer, is_silent, generation):
+    async def pump(self, reader, writer, sender, is_silent, generation):
         lost_track = False
         try:
             while data := await reader.read(65536):
                 lost_track = lost_track or is_silent() or generation != self.generation
+                if generation != self.generation and self.resets_lost and not is_silent():
+                    sender.transport.abort()
+                    return
                 if lost_track:
                     continue
                 if self.delay_s:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,6 +69,11 @@
 # worker's entry is odd in between.
 FIRST_ODD_SEED = 16000
 ODD_DEPTH = 100_000
+# From this seed on workers restart as from 14000 on, but those of a zone together, and a job of many
+# long tasks comes at that moment. Connections to a former process are reset once they are used. Other
+# jobs are rare, so that few starts are lost while the workers' hosts don't answer.
+FIRST_BURST_SEED = 18000
+BURST_JOBS_PER_S = 1
 # How long a crashed worker's process is gone.
 CRASHED_S = 3.2
 # The longest wait for the status of a host that may not answer.
@@ -133,7 +138,9 @@
         self.worker_links = [Link() for _ in self.workers]
         self.crashing_share = CRASHING_SHARE if seed >= FIRST_CRASHING_SEED else 0
         mbps = NARROW_MBPS if seed >= FIRST_LINKED_SEED else 1000
-        is_restarting = FIRST_RESTARTING_SEED <= seed < FIRST_ODD_SEED
+        has_bursts = seed >= FIRST_BURST_SEED
+        is_restarting = FIRST_RESTARTING_SEED <= seed < FIRST_ODD_SEED or has_bursts
+        self.jobs_per_s = BURST_JOBS_PER_S if has_bursts else JOBS_PER_S
         if is_restarting and seed % 2 == 0:
             mbps = 1000
         max_hold_ms = LONG_HOLD_MS if is_restarting else self.workers[0].hold_limit_ms
@@ -171,12 +178,15 @@
                 worker.labels = [*worker.labels, CROWD_LABEL]
         if FIRST_SLOW_SEED <= seed < FIRST_RESTARTING_SEED:
             self.faults += [self.slow_coordinator] * 3
-        if is_restarting:
+        if is_restarting and not has_bursts:
             self.faults += [self.restart_and_cut] * 12 + [self.delay_orders] * 3
-        self.odd_entries = seed >= FIRST_ODD_SEED
+        if has_bursts:
+            self.faults += [self.restart_zone_in_burst] * 12 + [self.delay_orders] * 2
+        self.odd_entries = FIRST_ODD_SEED <= seed < FIRST_BURST_SEED
         if self.odd_entries:
             self.faults += [self.leave_odd_entry] * 3
         self.callers = None
+        self.zones_restarting = set()
         self.story = []
 
     async def start(self):
@@ -325,6 +335,42 @@
         await asyncio.sleep(self.random.uniform(4, LONG_HOLD_MS / 1000 + 1))
         link.heal()
 
+    async def restart_zone_in_burst(self):
+        """A zone's workers restart together under their ids, are sent long tasks and are cut off.
+
+        What is sent over connections to the former processes is reset from then on.
+        """
+        first = self.random.randrange(len(ZONES))
+        pairs = [
+            (worker, link)
+            for worker, link in zip(self.workers, self.worker_links)
+            if worker.zone == ZONES[first] and worker.alive
+        ]
+        # Where the tasks of lost workers can go on.
+        is_last = len(self.zones_restarting) >= len(ZONES) - 1
+        if not pairs or is_last or first in self.zones_restarting:
+            return
+        self.zones_restarting.add(first)
+        self.note(f"restart {', '.join(w.name for w, _ in pairs)} in a burst and cut them off")
+        for worker, link in pairs:
+            worker.alive = False
+            link.silent_up = link.silent_down = True
+            worker.crash()
+        await asyncio.sleep(self.random.uniform(0.3, 0.7))
+        for worker, link in pairs:
+            link.lose_open(resets=True)
+            self.restart_process(worker, link)
+            link.heal()
+        burst = asyncio.create_task(self.callers.run_burst())
+        await asyncio.sleep(self.random.uniform(1, 2.5))
+        for _, link in pairs:
+            link.silent_up = link.silent_down = True
+        await asyncio.sleep(self.random.uniform(LONG_HOLD_MS / 2000, LONG_HOLD_MS / 1000 + 1))
+        for _, link in pairs:
+            link.heal()
+        self.zones_restarting.discard(first)
+        await burst
+
     def crash_process(self, worker, link):
         """A task ends the worker's process; it is back some seconds later."""
         if not worker.alive:
@@ -382,7 +428,7 @@
         jobs = []
         while not trouble.done():
             jobs.append(asyncio.create_task(callers.run_job(len(jobs))))
-            await asyncio.sleep(self.random.expovariate(JOBS_PER_S))
+            await asyncio.sleep(self.random.expovariate(self.jobs_per_s))
         await trouble
         await asyncio.gather(*jobs)
         for cell in self.cells:
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -1,7 +1,8 @@
 """A stand-in of a worker: runs tasks under leases and fences, and reports them over HTTP.
 
 What a task does stands in its payload, as JSON: how long it runs (`ms`) and in how many of its runs
-it fails (`fails`). The first task of a job with `crashes` ends the worker's process.
+it fails (`fails`). The first task of a job with `crashes` ends the worker's process. Of the runs of a
+job with `hangs` that share makes no progress for a time.
 """
 import asyncio
 import json
@@ -16,6 +17,8 @@
 # How long a late order waits in the worker's process.
 LEAST_LATE_S = 2
 MOST_LATE_S = 8
+# How long a run takes that makes no progress.
+HANG_MS = 25_000
 
 
 class Run:
@@ -26,8 +29,15 @@
         self.ms = payload["ms"]
         self.fails = payload.get("fails", 0)
         self.crashes = bool(payload.get("crashes")) and task.endswith(".0.0.0")
+        self.hangs = False
+
+    def hang(self):
+        self.hangs = True
+        self.ms = HANG_MS
 
     def percent(self):
+        if self.hangs:
+            return 0
         return min(100, int((time.monotonic() - self.begun) * 100_000 / max(1, self.ms)))
 
     def is_due(self):
@@ -131,7 +141,10 @@
         if body["untilMs"] <= self.clock_ms():
             return self.answer(409, reason="late")
         self.highest[task] = number
-        run = self.run_type(task, number, json.loads(body["spec"]))
+        payload = json.loads(body["spec"])
+        run = self.run_type(task, number, payload)
+        if payload.get("hangs") and self.random.random() < payload["hangs"]:
+            run.hang()
         # A second run of a task that runs here is taken, as the platform's workers do.
         self.watch.run_begun(self, run)
         self.runs[task] = run
