Project run times of adopted runs from the progress seen

What callers saw: after a change of coordinator healthy runs are stopped and started again elsewhere (straggler_moved), up to three times a task; tasks without checkpoints lose their work.

Cause: a coordinator that adopts a run counts its working time from the adoption, but divided it by the whole percentage. A run adopted at 77% looked like one that takes 3.4 s in all; its recorded time counted from the adoption, too. The step's usual time became too short, so others of the step were stragglers. And a run that takes more than 2.2 s for a percent stood still 2.2 s after its adoption.

Change: a run keeps the percentage at which it was adopted. Times are projected from the progress since then, and not at all below 30%.

--- a/src/cell/coordinator_reports.cpp
+++ b/src/cell/coordinator_reports.cpp
@@ -129,6 +129,7 @@
         task->run.name = row.task;
         task->run.ordered_at = now;
         task->run.seen_at = now;
+        task->run.first_percent = row.progress_percent;
         task->run.current_phase = task_run::phase::running;
         task->run.no_order_since = now;
         // The report does not tell the CPU throttle of an adopted run.
--- a/src/cell/coordinator_stragglers.cpp
+++ b/src/cell/coordinator_stragglers.cpp
@@ -16,13 +16,15 @@
 constexpr std::uint32_t max_moves = 3;
 constexpr std::size_t max_samples = 64;
 constexpr int full_speed = 100;
+constexpr int complete_percent = 100;
 // Assumed throttle, in percent, of a run whose throttle is unknown: it was adopted from another
 // coordinator, or its throttle order got no answer.
 constexpr int assumed_throttle = 50;
 
 run_progress progress_of(const task_state& task) {
     const task_run& run = task.run;
-    return {run.worked, run.worked - run.worked_at_change, run.percent, task.step->spec->estimate};
+    return {run.worked, run.worked - run.worked_at_change, run.percent, task.step->spec->estimate,
+            run.first_percent};
 }
 
 } // namespace
@@ -41,8 +43,13 @@
 
 void cell_coordinator::record_run_time(task_state& task) {
     std::vector<duration>& times = task.step->run_times;
-    if (times.size() < max_samples)
-        times.push_back(task.run.worked + (deps_.time.now() - task.run.seen_at));
+    if (times.size() >= max_samples)
+        return;
+    run_progress run = progress_of(task);
+    run.active_time += deps_.time.now() - task.run.seen_at;
+    run.percent = complete_percent;
+    if (const auto time = projected_run_time(run))
+        times.push_back(*time);
 }
 
 /// Moves runs that make no progress, or lag so far behind others of their step that a new run
--- a/src/cell/straggler.cpp
+++ b/src/cell/straggler.cpp
@@ -14,7 +14,7 @@
 // A run without any progress is stalled after this fraction (1/n) of the submitter's estimate,
 // which is the only indication there is and may be ten times too low.
 constexpr int stall_estimate_divisor = 4;
-// From this percentage on, the total duration of a run can be projected from its progress.
+// From this progress on, in percent, the total duration of a run can be projected.
 constexpr int min_projection_percent = 30;
 constexpr std::size_t min_samples = 3;
 // The durations of a step's tasks vary by a third. If one takes longer than this factor times the
@@ -31,9 +31,14 @@
     return std::chrono::duration_cast<duration>(span * factor);
 }
 
-/// The projected total duration of a run at its average rate so far.
-duration projected_run_time(const run_progress& run) {
-    return run.active_time * complete_percent / std::max(run.percent, 1);
+/// The progress that was made in the run's active time.
+int observed_percent(const run_progress& run) {
+    return run.percent - run.first_percent;
+}
+
+/// The total duration of a run at its average rate so far.
+duration run_time_at_average_rate(const run_progress& run) {
+    return run.active_time * complete_percent / std::max(observed_percent(run), 1);
 }
 
 } // namespace
@@ -41,17 +46,24 @@
 bool is_stalled(const run_progress& run) {
     if (run.time_since_progress < min_stall_time || run.percent >= complete_percent)
         return false;
-    if (run.percent == 0)
+    const int observed = observed_percent(run);
+    if (observed <= 0)
         return run.time_since_progress > run.estimate / stall_estimate_divisor;
     return run.time_since_progress >
-           (run.active_time - run.time_since_progress) / run.percent * stall_factor;
+           (run.active_time - run.time_since_progress) / observed * stall_factor;
+}
+
+std::optional<duration> projected_run_time(const run_progress& run) {
+    if (observed_percent(run) < min_projection_percent)
+        return std::nullopt;
+    return run_time_at_average_rate(run);
 }
 
 std::optional<duration> typical_run_time(std::vector<duration> ended,
                                          const std::vector<run_progress>& running) {
     for (const run_progress& run : running)
-        if (run.percent >= min_projection_percent)
-            ended.push_back(projected_run_time(run));
+        if (const auto projected = projected_run_time(run))
+            ended.push_back(*projected);
     if (ended.size() < min_samples)
         return std::nullopt;
     const auto middle = ended.begin() + static_cast<std::ptrdiff_t>(ended.size() / 2);
@@ -63,7 +75,7 @@
     if (run.percent >= complete_percent || run.active_time < scaled(typical, straggler_factor))
         return false;
     const duration left_here =
-        projected_run_time(run) * (complete_percent - run.percent) / complete_percent;
+        run_time_at_average_rate(run) * (complete_percent - run.percent) / complete_percent;
     const duration saved = saves_checkpoints
                                ? typical * run.percent / complete_percent - max_lost_work
                                : duration::zero();
--- a/src/cell/straggler.h
+++ b/src/cell/straggler.h
@@ -16,12 +16,18 @@
     int percent = 0;
     /// The submitter's estimate of the total run time. Often inaccurate.
     duration estimate{};
+    /// The percentage when `active_time` began, which for an adopted run is that of the first
+    /// report.
+    int first_percent = 0;
 };
 
 /// Whether a run is stalled: its percentage hasn't changed for much longer than one percent has
 /// taken on average so far, and for longer than the interval between reports.
 bool is_stalled(const run_progress& run);
 
+/// The total run time, projected from the progress in `active_time`. Nothing if that is too little.
+std::optional<duration> projected_run_time(const run_progress& run);
+
 /// The median run time of a step's tasks, from the durations of successful runs (`ended`) and the
 /// projected durations of those that have progressed far enough. Nothing if there are too few
 /// samples.
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -44,6 +44,9 @@
     /// Newest checkpoint that the worker has reported.
     std::string checkpoint;
     int percent = 0;
+    /// The percentage from which on `worked` counts: that of the report by which the run was
+    /// adopted.
+    int first_percent = 0;
     /// Time in which the run may have worked, scaled by its CPU throttle: up to the newest report
     /// (`seen_at`), and up to the last change of its percentage.
     duration worked{};
--- a/tests/cell/straggler_test.cpp
+++ b/tests/cell/straggler_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(a_run_that_is_nearly_done_is_left_alone);
     CPPUNIT_TEST(ordinary_spread_makes_no_stragglers);
     CPPUNIT_TEST(saved_progress_makes_moving_cheaper);
+    CPPUNIT_TEST(an_adopted_run_of_a_slow_task_doesnt_stand_still);
+    CPPUNIT_TEST(progress_before_an_adoption_makes_no_run_time_short);
     CPPUNIT_TEST_SUITE_END();
 
     static run_progress progress(int worked_ms, int unchanged_ms, int percent,
@@ -28,6 +30,14 @@
                 milliseconds(estimate_ms)};
     }
 
+    /// A run that was adopted at `first` percent.
+    static run_progress adopted(int worked_ms, int unchanged_ms, int first, int percent,
+                                int estimate_ms) {
+        run_progress run = progress(worked_ms, unchanged_ms, percent, estimate_ms);
+        run.first_percent = first;
+        return run;
+    }
+
 public:
     void a_run_without_progress_stands_still() {
         CPPUNIT_ASSERT(is_stalled(progress(3000, 2500, 40)));
@@ -70,6 +80,22 @@
         CPPUNIT_ASSERT(!is_straggler(slow, milliseconds(16'000), false));
         CPPUNIT_ASSERT(is_straggler(slow, milliseconds(16'000), true));
     }
+    /// Guards against moving a long run a few seconds after its adoption, as if it had made its
+    /// progress in no time.
+    void an_adopted_run_of_a_slow_task_doesnt_stand_still() {
+        CPPUNIT_ASSERT(!is_stalled(adopted(5900, 5900, 40, 40, 600'000)));
+        CPPUNIT_ASSERT(!is_stalled(adopted(9000, 5900, 40, 41, 600'000)));
+        CPPUNIT_ASSERT(is_stalled(adopted(160'000, 160'000, 40, 40, 600'000)));
+    }
+    /// Guards against healthy runs that are moved because adopted ones of their step seem to have
+    /// been much faster.
+    void progress_before_an_adoption_makes_no_run_time_short() {
+        const run_progress late = adopted(600, 0, 70, 76, 10'000);
+        CPPUNIT_ASSERT(!projected_run_time(late).has_value());
+        CPPUNIT_ASSERT(!typical_run_time({}, {late, late, late}).has_value());
+        const run_progress early = adopted(5000, 0, 10, 60, 10'000);
+        CPPUNIT_ASSERT(typical_run_time({}, {early, early, early}) == milliseconds(10'000));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(straggler_test);
