--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -2,12 +2,14 @@
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/json_reader.h"
+#include "platform/worker_answers.h"
 #include "platform/worker_codec.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace figwinch::platform {
@@ -53,6 +55,8 @@
     CPPUNIT_TEST(counts_of_a_route_arent_truncated);
     CPPUNIT_TEST(an_evacuation_without_a_data_centre_is_ignored);
     CPPUNIT_TEST(a_report_with_a_clock_out_of_range_is_malformed);
+    CPPUNIT_TEST(an_answer_with_a_clock_out_of_range_has_none);
+    CPPUNIT_TEST(a_deeply_nested_answer_keeps_its_outcome);
     CPPUNIT_TEST(a_row_with_a_load_out_of_range_is_still_running);
     CPPUNIT_TEST(a_submission_with_a_number_out_of_range_is_refused);
     CPPUNIT_TEST(advice_with_a_validity_out_of_range_is_malformed);
@@ -74,6 +78,13 @@
         R"({"spec":"s","firstMs":3,"intervalMs":4,"repeats":2,"steps":[)"
         R"({"count":2,"cpu":500,"memMb":64,"gpu":1,"estimateMs":40,"targetMs":50}]})";
 
+    static call_result answer(int status, std::string body) {
+        call_result result;
+        result.outcome = call_outcome::answered;
+        result.response.status = status;
+        result.response.body = std::move(body);
+        return result;
+    }
     static void assert_no_worker(const std::string& entry) {
         CPPUNIT_ASSERT_MESSAGE(entry.substr(0, 300), !decode_listing("w1", entry).ok());
     }
@@ -191,6 +202,25 @@
                 number, !decode_report(with(report, R"("born":5)", R"("born":)" + number)));
         }
     }
+    /// Guards against a clock that is taken for 0, or overflows, when an answer's can't be read.
+    void an_answer_with_a_clock_out_of_range_has_none() {
+        CPPUNIT_ASSERT(answer_of(answer(200, R"({"clockMs":12})")).clock_ms == 12);
+        for (const std::string& number : huge_numbers) {
+            const order_answer read = answer_of(answer(200, R"({"clockMs":)" + number + "}"));
+            CPPUNIT_ASSERT(read.outcome == order_outcome::done);
+            CPPUNIT_ASSERT_MESSAGE(number, !read.clock_ms);
+        }
+    }
+    void a_deeply_nested_answer_keeps_its_outcome() {
+        constexpr std::size_t depth = 100'000;
+        for (const std::string& body : {nested(depth), R"({"clockMs":)" + nested(depth) +
+                                                           R"(,"reason":)" + nested(depth) + "}"}) {
+            const order_answer done = answer_of(answer(200, body));
+            CPPUNIT_ASSERT(done.outcome == order_outcome::done);
+            CPPUNIT_ASSERT(!done.clock_ms);
+            CPPUNIT_ASSERT(answer_of(answer(409, body)).outcome == order_outcome::refused);
+        }
+    }
     /// Guards against a run that is taken for lost because its load can't be read.
     void a_row_with_a_load_out_of_range_is_still_running() {
         for (const std::string& number : huge_numbers) {
