Keep one process a host in the soak when faults overlap

Cause: two faults that end the same host both saw no process and started one. The second couldn't listen, and the first was no longer known to the soak, which never ended it.

Change: starts and stops of a host take turns.

--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -20,6 +20,8 @@
         self.port = free_port()
         self.ready, self.bus, self.metrics = free_port(), free_port(), free_port()
         self.process = None
+        # Faults that overlap start and stop the host in turn, so that it has one process at a time.
+        self.changing = asyncio.Lock()
         # Processes that were told to end, and the exit codes of those that ended by themselves.
         self.asked_to_end = set()
         self.unasked_ends = {}
@@ -30,6 +32,10 @@
             self.unasked_ends[process.pid] = process.returncode
 
     async def start(self):
+        async with self.changing:
+            await self.start_process()
+
+    async def start_process(self):
         self.note_unasked_end()
         if self.process and self.process.returncode is None:
             return
@@ -59,10 +65,11 @@
 
     async def stop(self, number):
         """Signals, and waits until the process has gone."""
-        self.note_unasked_end()
-        if self.process:
-            self.asked_to_end.add(self.process.pid)
-        self.signal(signal.SIGCONT)
-        self.signal(number)
-        if self.process:
-            await self.process.wait()
+        async with self.changing:
+            self.note_unasked_end()
+            if self.process:
+                self.asked_to_end.add(self.process.pid)
+            self.signal(signal.SIGCONT)
+            self.signal(number)
+            if self.process:
+                await self.process.wait()
