--- a/tests/cell/superseded_restart_test.cpp
+++ b/tests/cell/superseded_restart_test.cpp
@@ -3,7 +3,6 @@
 namespace figwinch::sim {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr std::uint32_t task_count = 8;
@@ -36,13 +35,6 @@
                    acting->counts().workers_unresolved == 0;
         });
     }
-    void begin() {
-        start_cell();
-        world_.submit(0, "a", service_job(task_count));
-        world_.time().run_for(seconds(10));
-        assert_all_run("a", task_count);
-    }
-
     /// Restarts a worker that the predecessor reaches and the successor doesn't.
     void restart_beside_predecessor(const std::string& name, duration unreached) {
         start_cell();
