Nest odd entries deep enough to overflow a recursive parser's stack

Tests of deeply nested entries and records passed with a recursive parser, too (a trial: kParseDefaultFlags in json_reader.cpp, RelWithDebInfo): at 100,000 levels its stack didn't overflow, so they couldn't fail.

Change: 1,000,000 levels. With the recursive parser all three suites now end with a segmentation fault (odd_operator_records_test and odd_entries_test of cell_host_test, odd_entries_test of platform_test); with the iterative one they pass: 5, 4 and 17.

--- a/tests/cell_host/odd_entries_test.cpp
+++ b/tests/cell_host/odd_entries_test.cpp
@@ -52,7 +52,7 @@
                R"(,"capacity":{"cpu":)" + cpu + R"(,"memMb":8},"labels":["a","r"]})";
     }
     static std::vector<std::pair<std::string, std::string>> odd_entries() {
-        constexpr std::size_t depth = 100'000;
+        constexpr std::size_t depth = 1'000'000;
         constexpr std::size_t longest_key = 255;
         const std::string deep = std::string(depth, '[') + std::string(depth, ']');
         return {{"a-deep", deep},
--- a/tests/cell_host/odd_operator_records_test.cpp
+++ b/tests/cell_host/odd_operator_records_test.cpp
@@ -52,7 +52,7 @@
     cell_member member_{time_, platform_, peers_, {}, incarnation_id("host-1#1"), {}, 1};
 
     static std::string deep() {
-        constexpr std::size_t depth = 100'000;
+        constexpr std::size_t depth = 1'000'000;
         return std::string(depth, '[') + std::string(depth, ']');
     }
     static std::string config(const std::string& version, const std::string& more_routes = "") {
@@ -69,7 +69,7 @@
                 config("-1"),
                 config("\"9\""),
                 R"({"version":9,"services":)" + deep() + R"(,"routes":{}})",
-                R"({"version":9,"services":[],"routes":)" + std::string(100'000, '['),
+                R"({"version":9,"services":[],"routes":)" + std::string(1'000'000, '['),
                 std::string("\0\xff\xfe{", 4)};
     }
     static std::vector<std::string> odd_routes() {
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -91,7 +91,7 @@
 
 public:
     void a_deeply_nested_entry_names_no_worker() {
-        constexpr std::size_t depth = 100'000;
+        constexpr std::size_t depth = 1'000'000;
         const std::string deep = nested(depth);
         assert_no_worker(deep);
         assert_no_worker(with(worker, R"("s")", deep));
@@ -212,7 +212,7 @@
         }
     }
     void a_deeply_nested_answer_keeps_its_outcome() {
-        constexpr std::size_t depth = 100'000;
+        constexpr std::size_t depth = 1'000'000;
         for (const std::string& body : {nested(depth), R"({"clockMs":)" + nested(depth) +
                                                            R"(,"reason":)" + nested(depth) + "}"}) {
             const order_answer done = answer_of(answer(200, body));
