Tell a successor of a worker that may hold the longest lease

What callers saw: nothing yet; found in a review of tasks that ran twice after restarts of workers. In simulated time a task runs twice.

Cause: a coordinator takes a restarted worker whose first report shows runs to hold the longest lease that workers grant. The log said nothing of it: a successor reckoned with the lease that is requested, by the record of the incarnation. So it did for a worker out of reach that isn't listed with its new incarnation yet, and, since the new incarnation is recorded at once, for one that is.

Change: the record of a worker names no incarnation (0) while a lease longer than those that were requested is possible. A successor then waits until the longest leases of its predecessors have ended.

--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -45,6 +45,8 @@
                                           : before.renewed_until;
         unresolved_[id] = std::max(renewed_until + over_after(settings_.lease()),
                                    before.acted_until + over_after(start_validity));
+        if (worker.incarnation == 0)
+            unresolved_[id] = std::max(unresolved_[id], longest_leases_expired_at_);
         leased_incarnations_[id] = worker.incarnation;
     }
     update_unresolved_marks();
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -32,6 +32,12 @@
                {"memory_mib", row.capacity.memory_mib}});
 }
 
+/// Returns the incarnation that the log names: the only one that has a lease, no longer than those
+/// that were requested for it; 0 if a longer one is possible.
+std::uint64_t recorded_incarnation(const worker_state& worker) {
+    return worker.may_hold_longer_lease ? 0 : worker.born_ms;
+}
+
 } // namespace
 
 worker_state* cell_coordinator::find_worker(const worker_id& id) {
@@ -166,6 +172,8 @@
     worker->unanswered_renewals = 0;
     worker->has_restarted = false;
     const duration longest_lease = max_lease_at_first_report(*worker, report);
+    if (!worker->reported_this_term || worker->born_ms != report.incarnation)
+        worker->may_hold_longer_lease = longest_lease > settings_.lease();
     if (worker->born_ms != report.incarnation)
         handle_new_incarnation(*worker, report);
     else if (worker->lost_at != instant())
@@ -204,7 +212,7 @@
     // Recorded at once, so that a successor knows of it.
     record_crash(worker, false);
     deps_.progress_log.write({record_key(record_kind::worker, worker.listing.id.str()),
-                              encode_worker({worker.born_ms, true}), 0});
+                              encode_worker({recorded_incarnation(worker), true}), 0});
 }
 
 /// The worker answers again. A successor that still reads that it is unresponsive would wait too
@@ -218,20 +226,21 @@
 void cell_coordinator::register_incarnation(worker_state& worker) {
     worker.registering = true;
     const worker_id id = worker.listing.id;
-    deps_.progress_log.write(
-        {record_key(record_kind::worker, id.str()), encode_worker({worker.born_ms, false}), 0},
-        [this, weak = std::weak_ptr(alive_), id, born_ms = worker.born_ms] {
-            worker_state* const known = weak.expired() ? nullptr : find_worker(id);
-            if (known == nullptr)
-                return;
-            if (known->born_ms != born_ms)
-                return register_incarnation(*known);
-            known->registering = false;
-            known->registered = true;
-            known->unresponsive = false;
-            update_index(*known);
-            placement_due_ = true;
-        });
+    deps_.progress_log.write({record_key(record_kind::worker, id.str()),
+                              encode_worker({recorded_incarnation(worker), false}), 0},
+                             [this, weak = std::weak_ptr(alive_), id, born_ms = worker.born_ms] {
+                                 worker_state* const known =
+                                     weak.expired() ? nullptr : find_worker(id);
+                                 if (known == nullptr)
+                                     return;
+                                 if (known->born_ms != born_ms)
+                                     return register_incarnation(*known);
+                                 known->registering = false;
+                                 known->registered = true;
+                                 known->unresponsive = false;
+                                 update_index(*known);
+                                 placement_due_ = true;
+                             });
 }
 
 } // namespace figwinch
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -34,6 +34,8 @@
     worker_clock clock;
     /// Latest lease expiry that was ever ordered, by the worker's clock.
     std::int64_t latest_lease_expiry_ms = 0;
+    /// At its first report this incarnation may have had a longer lease than any requested for it.
+    bool may_hold_longer_lease = false;
     /// The log says that this incarnation may have tasks, so a successor will query it.
     bool registered = false;
     bool registering = false;
--- a/tests/cell/new_life_test.cpp
+++ b/tests/cell/new_life_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(tasks_of_a_restarted_worker_run_again_within_its_lease);
     CPPUNIT_TEST(tasks_of_a_worker_that_began_anew_out_of_reach_dont_wait_for_the_longest_lease);
     CPPUNIT_TEST(a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for);
+    CPPUNIT_TEST(a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for_by_a_successor);
     CPPUNIT_TEST(tasks_of_a_restarted_worker_that_is_cut_off_soon_after_run_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -132,6 +133,20 @@
         assert_invariants();
         assert_all_run("a", 8);
     }
+    /// The same where the coordinator is lost at the same time.
+    void a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for_by_a_successor() {
+        start_cell();
+        world_.submit(0, "a", service_job(8));
+        world_.time().run_for(seconds(20));
+        world_.fleet().reaches_one_incarnation = [](run_number) { return false; };
+        const std::string to_worker = restart_worker_at_a_start();
+        world_.time().run_for(milliseconds(1200));
+        world_.fleet().workers.at(to_worker).cut = true;
+        world_.kill_host(*world_.coordinator());
+        world_.time().run_for(longest_grant + seconds(4));
+        assert_invariants();
+        assert_all_run("a", 8);
+    }
     /// The same where the start isn't sent to the later incarnation. Guards too against waiting for
     /// a longer lease than was asked for.
     void tasks_of_a_restarted_worker_that_is_cut_off_soon_after_run_once() {
