--- a/tests/link/relay_client_test.cpp
+++ b/tests/link/relay_client_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(relay_client_test);
     CPPUNIT_TEST(orders_reach_their_workers_and_answers_come_back);
     CPPUNIT_TEST(a_start_that_reached_one_incarnation_only_is_reported_as_such);
+    CPPUNIT_TEST(a_renewal_names_the_incarnation_it_is_meant_for);
     CPPUNIT_TEST(a_lost_session_leaves_sent_orders_unknown);
     CPPUNIT_TEST(orders_of_a_lost_session_end_in_the_order_of_their_sending);
     CPPUNIT_TEST(a_payload_is_sent_once_per_job);
@@ -102,6 +103,16 @@
         exchange();
         CPPUNIT_ASSERT((others == std::vector{false, true}));
     }
+    /// Guards against a lease that a relay has renewed for whichever incarnation of the worker
+    /// answers, whose clock may be another one.
+    void a_renewal_names_the_incarnation_it_is_meant_for() {
+        constexpr std::uint64_t born = 1'750'000'000'000;
+        renewal_order order;
+        order.lease_until_ms = 5000;
+        order.incarnation = born;
+        renew_lease({}, order);
+        CPPUNIT_ASSERT_EQUAL(born, workers_.holds.back().order.incarnation);
+    }
     /// Guards against starting a task twice: an order sent to a relay that became unreachable may
     /// still be executed, so it must end as `unknown`, not as `not_sent`.
     void a_lost_session_leaves_sent_orders_unknown() {
