Name a worker's incarnation again when its longer lease has ended

A worker's record names no incarnation while a lease longer than those that were requested is possible. It stayed so for the incarnation's whole time, so that a successor, however much later, took the longest lease for possible: tasks that last were down for it when the worker and the coordinator were lost together.

Change: the coordinator keeps until when such a lease may last, by the worker's clock, and writes the record again at the first report after it.

Before: new_life_test::a_successor_doesnt_wait_for_a_longer_lease_that_has_ended, DOWN: not running 9 s after the loss.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -111,6 +111,7 @@
     bool is_other_incarnation(const worker_id& id, std::uint64_t born_ms) const;
     duration max_lease_at_first_report(const worker_state& worker,
                                        const worker_report& report) const;
+    void update_longer_lease(worker_state& worker, const worker_report& report, duration longest);
     void handle_restart(worker_state& worker);
     void handle_new_incarnation(worker_state& worker, const worker_report& report);
     void register_incarnation(worker_state& worker);
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -35,7 +35,7 @@
 /// Returns the incarnation that the log names: the only one that has a lease, no longer than those
 /// that were requested for it; 0 if a longer one is possible.
 std::uint64_t recorded_incarnation(const worker_state& worker) {
-    return worker.may_hold_longer_lease ? 0 : worker.born_ms;
+    return worker.longer_lease_until_ms ? 0 : worker.born_ms;
 }
 
 } // namespace
@@ -172,8 +172,7 @@
     worker->unanswered_renewals = 0;
     worker->has_restarted = false;
     const duration longest_lease = max_lease_at_first_report(*worker, report);
-    if (!worker->reported_this_term || worker->born_ms != report.incarnation)
-        worker->may_hold_longer_lease = longest_lease > settings_.lease();
+    update_longer_lease(*worker, report, longest_lease);
     if (worker->born_ms != report.incarnation)
         handle_new_incarnation(*worker, report);
     else if (worker->lost_at != instant())
@@ -198,6 +197,25 @@
     update_index(*worker);
 }
 
+/// Notes at an incarnation's first report until when it may hold a longer lease than any that was
+/// requested for it. When that is over, the log names the incarnation, so that a successor doesn't
+/// wait for such a lease.
+void cell_coordinator::update_longer_lease(worker_state& worker, const worker_report& report,
+                                           duration longest) {
+    if (!worker.reported_this_term || worker.born_ms != report.incarnation) {
+        worker.longer_lease_until_ms.reset();
+        if (longest > settings_.lease())
+            worker.longer_lease_until_ms = report.clock_ms + longest / std::chrono::milliseconds(1);
+        return;
+    }
+    if (!worker.longer_lease_until_ms || report.clock_ms <= *worker.longer_lease_until_ms)
+        return;
+    worker.longer_lease_until_ms.reset();
+    deps_.progress_log.write({record_key(record_kind::worker, worker.listing.id.str()),
+                              encode_worker({recorded_incarnation(worker), worker.unresponsive}),
+                              0});
+}
+
 void cell_coordinator::handle_unanswered_renewal(worker_state& worker) {
     ++worker.unanswered_renewals;
     stop_reading_ends(worker);
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -34,8 +34,9 @@
     worker_clock clock;
     /// Latest lease expiry that was ever ordered, by the worker's clock.
     std::int64_t latest_lease_expiry_ms = 0;
-    /// At its first report this incarnation may have had a longer lease than any requested for it.
-    bool may_hold_longer_lease = false;
+    /// Until when, by the worker's clock, this incarnation may hold a longer lease than any that
+    /// was requested for it. Nothing if it can't.
+    std::optional<std::int64_t> longer_lease_until_ms{};
     /// The log says that this incarnation may have tasks, so a successor will query it.
     bool registered = false;
     bool registering = false;
--- a/tests/cell/new_life_test.cpp
+++ b/tests/cell/new_life_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(tasks_of_a_worker_that_began_anew_out_of_reach_dont_wait_for_the_longest_lease);
     CPPUNIT_TEST(a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for);
     CPPUNIT_TEST(a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for_by_a_successor);
+    CPPUNIT_TEST(a_successor_doesnt_wait_for_a_longer_lease_that_has_ended);
     CPPUNIT_TEST(tasks_of_a_restarted_worker_that_is_cut_off_soon_after_run_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -147,6 +148,26 @@
         assert_invariants();
         assert_all_run("a", 8);
     }
+    /// Guards against tasks that are down for the longest lease after the loss of a worker and the
+    /// coordinator, because the worker once held such a lease.
+    void a_successor_doesnt_wait_for_a_longer_lease_that_has_ended() {
+        start_cell();
+        world_.submit(0, "a", service_job(8));
+        world_.time().run_for(seconds(20));
+        world_.fleet().reaches_one_incarnation = [](run_number) { return false; };
+        const std::string to_worker = restart_worker_at_a_start();
+        world_.fleet().reaches_one_incarnation = [](run_number) { return true; };
+        world_.time().run_for(longest_grant + seconds(20));
+        world_.submit(0, "b", service_job(4));
+        world_.time().run_for(seconds(2));
+        CPPUNIT_ASSERT(worker(to_worker).running() > 0);
+        lose_worker(to_worker);
+        world_.kill_host(*world_.coordinator());
+        world_.time().run_for(max_down_time_after_loss);
+        assert_all_run("a", 8);
+        assert_all_run("b", 4);
+        assert_invariants();
+    }
     /// The same where the start isn't sent to the later incarnation. Guards too against waiting for
     /// a longer lease than was asked for.
     void tasks_of_a_restarted_worker_that_is_cut_off_soon_after_run_once() {
