Weigh a worker's loss by what is known of the run

A job was shown as failed (SHOWN) though under none of its tasks two workers' processes had ended.

Such a start is a kind of loss of its own now (unseen). A task that crashes its workers does so either before they answer or after: losses of the other kind, and of workers not known to have ended, weigh half, unless two workers certainly ended under the task. Five losses of any kind but weak ones end it still, which keeps the bound on starts.

Tried and left out: giving up only at the next start, not when the worker falls silent; a_job_of_crashing_tasks_costs_few_workers failed.

--- a/include/figwinch/cell/job_progress.h
+++ b/include/figwinch/cell/job_progress.h
@@ -24,6 +24,9 @@
     shared,
     /// Only this run had just started.
     sole,
+    /// The run had just been ordered, but the worker had neither answered the order nor reported
+    /// the run: it may never have started.
+    unseen,
 };
 
 /// A run that was lost with its worker soon after its start, so that it may have crashed it.
--- a/src/cell/coordinator_crashes.cpp
+++ b/src/cell/coordinator_crashes.cpp
@@ -17,7 +17,7 @@
 constexpr duration crash_at_start_window = std::chrono::milliseconds(500);
 
 const char* name_of_suspicion(crash_suspicion suspicion) {
-    static constexpr std::array names = {"weak", "shared", "sole"};
+    static constexpr std::array names = {"weak", "shared", "sole", "unseen"};
     return names[static_cast<std::size_t>(suspicion)];
 }
 
@@ -112,6 +112,8 @@
     const bool is_trial = record.trial_run == task.run.number;
     if (age >= (is_trial ? expected_crash_time(record) : min_probation))
         return crash_suspicion::weak;
+    if (!task.run.has_started)
+        return crash_suspicion::unseen;
     const duration window = std::max(age, is_trial ? probation_of(record) : min_probation);
     const auto& beside = task.assigned_worker->tasks;
     const bool shared = std::ranges::any_of(beside, [&](const task_state* other) {
@@ -119,7 +121,7 @@
         const std::optional<duration> other_age = age_at_loss(*other);
         return other != &task && !same_gang && other_age && *other_age < window;
     });
-    return shared || !task.run.has_started ? crash_suspicion::shared : crash_suspicion::sole;
+    return shared ? crash_suspicion::shared : crash_suspicion::sole;
 }
 
 /// Records the lost runs of a worker as crashes. `confirmed`: its process has ended.
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -113,6 +113,7 @@
     if (step.assigned > 0 || deps_.time.now() < first.not_before)
         return false;
     settle_earlier_trial(first.progress);
+    settle_earlier_crashes(first.progress, run_number(next_run().value() - last_run_));
     if (give_up_if_due(first))
         return false;
     // The members of a one-rack gang must share a rack; each rack is tried once.
--- a/src/cell/coordinator_trials.cpp
+++ b/src/cell/coordinator_trials.cpp
@@ -29,6 +29,7 @@
     if (task.not_ordered)
         task.progress.trial_run = {};
     settle_earlier_trial(task.progress);
+    settle_earlier_crashes(task.progress, run_number(next_run().value() - last_run_));
     if (give_up_if_due(task) || !log_confirms())
         return;
     const candidates all = search(job, *task.step, rack_id());
--- a/src/cell/crash_history.cpp
+++ b/src/cell/crash_history.cpp
@@ -13,6 +13,8 @@
 // Limits the crashes of a task that was never alone, or whose workers never returned: four when
 // each time it had just started.
 constexpr int weight_to_give_up = 7;
+constexpr std::ptrdiff_t strong_crashes_to_give_up = 5;
+constexpr std::ptrdiff_t certain_crashes_to_count_all = 2;
 constexpr int weak_weight = 1;
 constexpr int strong_weight = 2;
 // Runs that crash their workers later than usual are lost with many others. A second such loss
@@ -39,10 +41,30 @@
     return shortest;
 }
 
-int weight_of(const task_progress& task) {
+bool is_unseen(const crashed_run& crash) {
+    return crash.suspicion == crash_suspicion::unseen;
+}
+
+bool is_strong(const crashed_run& crash) {
+    return crash.suspicion != crash_suspicion::weak;
+}
+
+/// A run that its worker has shown, and whose worker's process is known to have ended.
+bool is_certain(const crashed_run& crash) {
+    return is_strong(crash) && crash.confirmed && !is_unseen(crash);
+}
+
+/// Weighs the crashes of a task that is taken to crash its workers either before they have answered
+/// its start (`unseen`), or after. The other kind of loss, and those of workers that may only be
+/// out of reach, speak less for it, unless two workers have certainly ended under the task.
+int weight_of(const task_progress& task, bool unseen) {
+    const bool all_count =
+        std::ranges::count_if(task.crashed_runs, is_certain) >= certain_crashes_to_count_all;
     int weight = 0;
-    for (const crashed_run& crash : task.crashed_runs)
-        weight += crash.suspicion == crash_suspicion::weak ? weak_weight : strong_weight;
+    for (const crashed_run& crash : task.crashed_runs) {
+        const bool fits = all_count || (crash.confirmed && is_unseen(crash) == unseen);
+        weight += is_strong(crash) && fits ? strong_weight : weak_weight;
+    }
     return weight;
 }
 
@@ -67,7 +89,9 @@
 }
 
 bool must_give_up(const task_progress& task) {
-    return weight_of(task) >= weight_to_give_up ||
+    return weight_of(task, true) >= weight_to_give_up ||
+           weight_of(task, false) >= weight_to_give_up ||
+           std::ranges::count_if(task.crashed_runs, is_strong) >= strong_crashes_to_give_up ||
            std::ranges::count_if(task.crashed_runs, is_conclusive) >= sole_crashes_to_give_up;
 }
 
@@ -104,8 +128,18 @@
 void settle_earlier_trial(task_progress& task) {
     if (task.trial_run.is_none())
         return;
-    add_crash(task, {task.trial_run, duration::zero(), crash_suspicion::shared, false});
+    add_crash(task, {task.trial_run, duration::zero(), crash_suspicion::shared, true});
     task.trial_run = {};
 }
 
+void settle_earlier_crashes(task_progress& task, run_number first_run) {
+    for (crashed_run& crash : task.crashed_runs) {
+        if (crash.confirmed || is_unseen(crash) || crash.run.value() >= first_run.value())
+            continue;
+        crash.confirmed = true;
+        if (crash.suspicion == crash_suspicion::sole)
+            crash.suspicion = crash_suspicion::shared;
+    }
+}
+
 } // namespace figwinch
--- a/src/cell/crash_history.h
+++ b/src/cell/crash_history.h
@@ -35,5 +35,8 @@
 bool withdraw_crash(task_progress& task, run_number run);
 /// Makes the trial of an earlier leadership term, of which no worker reported anything, a crash.
 void settle_earlier_trial(task_progress& task);
+/// Counts shown crashes before `first_run`, the first of this leadership term, in full: only the
+/// coordinator that noticed a loss can learn whether the worker's process has ended.
+void settle_earlier_crashes(task_progress& task, run_number first_run);
 
 } // namespace figwinch
