Don't take a worker back after its lease for crashed by its runs

The next incarnation's report confirmed the loss as a crash, the second conclusive one, and the job was shown as failed. By the time at which that incarnation began, the lease of the former one was certainly over, and its runs with it: its process may have ended without any. Such an end no longer makes a loss conclusive, nor confirms one of a start that nothing had shown.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -292,6 +292,7 @@
     static std::optional<duration> age_at_loss(const task_state& task);
     static crash_suspicion suspicion_of(const task_state& task, duration age);
     void record_crash(worker_state& worker, bool confirmed);
+    void weaken_late_losses(worker_state& worker, instant back_at) const;
     void record_crashed_run(task_state& task, const worker_state& worker, const lost_run& lost,
                             bool confirmed);
     void withdraw_lost_runs(worker_state& worker);
--- a/src/cell/coordinator_crashes.cpp
+++ b/src/cell/coordinator_crashes.cpp
@@ -170,6 +170,19 @@
     give_up_if_due(task);
 }
 
+/// Weakens the losses of a worker that was back only after its lease: its runs had ended by then,
+/// if they had started at all, so its process may have ended without any.
+void cell_coordinator::weaken_late_losses(worker_state& worker, instant back_at) const {
+    const auto clock_ms = worker.clock.lower_bound(back_at);
+    if (!clock_ms || *clock_ms < worker.latest_lease_expiry_ms)
+        return;
+    std::erase_if(worker.lost_runs,
+                  [](const lost_run& lost) { return lost.suspicion == crash_suspicion::unseen; });
+    for (lost_run& lost : worker.lost_runs)
+        if (lost.suspicion == crash_suspicion::sole)
+            lost.suspicion = crash_suspicion::shared;
+}
+
 /// The worker answers again in the same incarnation: it had not crashed.
 void cell_coordinator::withdraw_lost_runs(worker_state& worker) {
     for (const lost_run& lost : std::exchange(worker.lost_runs, {}))
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -101,6 +101,8 @@
             continue;
         log_event(log_level::info, "worker_replaced",
                   {{"worker", worker->listing.id.str()}, {"by", row.id.str()}});
+        collect_lost_runs(*worker);
+        weaken_late_losses(*worker, deps_.time.now());
         record_crash(*worker, true);
     }
 }
@@ -239,6 +241,8 @@
         log_new_incarnation(worker, report);
         if (worker.lost_at == instant())
             mark_lost(worker);
+        collect_lost_runs(worker);
+        weaken_late_losses(worker, deps_.time.now() - std::chrono::milliseconds(report.clock_ms));
         record_crash(worker, true);
         worker.lost_runs.clear();
         worker.lost_runs_collected = false;
--- a/tests/cell/cell_history_test.cpp
+++ b/tests/cell/cell_history_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(a_task_that_ended_in_an_unread_term_is_not_started_again);
     CPPUNIT_TEST(a_member_of_a_gang_that_a_report_does_not_name_is_not_started_again);
     CPPUNIT_TEST(a_task_under_which_one_worker_restarted_is_not_given_up);
+    CPPUNIT_TEST(a_task_whose_starts_are_lost_four_times_is_not_given_up);
     CPPUNIT_TEST(lasting_tasks_beside_restarted_workers_run_in_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -82,9 +83,10 @@
     static constexpr std::uint64_t seed_of_unread_term = 30'000'169;
     static constexpr std::array<std::uint64_t, 2> seeds_of_unnamed_runs = {33'000'874, 33'001'425};
 
-    static constexpr std::array<std::uint64_t, 10> seeds_of_supposed_crashes = {
+    static constexpr std::array<std::uint64_t, 9> seeds_of_supposed_crashes = {
         34'000'009, 34'000'147, 34'000'371, 34'000'456, 35'000'094,
-        35'000'114, 35'000'121, 35'000'144, 35'000'155, 35'000'492};
+        35'000'114, 35'000'121, 35'000'144, 35'000'492};
+    static constexpr std::uint64_t seed_of_four_lost_starts = 35'000'155;
     static constexpr std::array<std::uint64_t, 9> seeds_of_restarts_and_services = {
         34'000'040, 34'000'086, 34'000'139, 34'000'235, 34'000'242,
         34'000'276, 34'000'301, 34'000'325, 34'000'472};
@@ -123,6 +125,7 @@
                    seed == seed_of_trials_and_faults || seed == seed_of_crashes_and_faults ||
                    std::ranges::count(seeds_of_unnamed_runs, seed) > 0 ||
                    std::ranges::count(seeds_of_supposed_crashes, seed) > 0 ||
+                   seed == seed_of_four_lost_starts ||
                    std::ranges::count(seeds_of_restarts_and_services, seed) > 0;
         };
         // Continues after a violation, so that a seed that is known to fail doesn't hide others.
@@ -265,6 +268,10 @@
             violations += run_history(seed, 0).violation;
         CPPUNIT_ASSERT_EQUAL(std::string(), violations);
     }
+    /// The same for a task four of whose starts never arrived, beside one restart.
+    void a_task_whose_starts_are_lost_four_times_is_not_given_up() {
+        CPPUNIT_ASSERT_EQUAL(std::string(), run_history(seed_of_four_lost_starts, 0).violation);
+    }
     /// Guards against service tasks that wait for longer than the limit beside the trials of tasks
     /// whose workers restarted.
     void lasting_tasks_beside_restarted_workers_run_in_time() {
