--- a/tests/cell/new_life_test.cpp
+++ b/tests/cell/new_life_test.cpp
@@ -39,6 +39,15 @@
         world_.fleet().on_start_sent = nullptr;
         return to_worker;
     }
+    /// Starts service tasks "a" in the cell, and lets a start for a worker's earlier incarnation
+    /// reach the later one; returns that worker.
+    std::string reach_later_incarnation_by_a_start() {
+        start_cell();
+        world_.submit(0, "a", service_job(8));
+        world_.time().run_for(seconds(20));
+        world_.fleet().reaches_one_incarnation = [](run_number) { return false; };
+        return restart_worker_at_a_start();
+    }
 
 public:
     /// Guards against comparing an expiry on the clock of a worker's earlier incarnation with the
@@ -123,11 +132,7 @@
     /// Guards against a task that runs twice: a start for a worker's earlier incarnation reaches
     /// the later one, which grants its longest lease to everything that runs there.
     void a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for() {
-        start_cell();
-        world_.submit(0, "a", service_job(8));
-        world_.time().run_for(seconds(20));
-        world_.fleet().reaches_one_incarnation = [](run_number) { return false; };
-        const std::string to_worker = restart_worker_at_a_start();
+        const std::string to_worker = reach_later_incarnation_by_a_start();
         world_.time().run_for(milliseconds(1200));
         world_.fleet().workers.at(to_worker).cut = true;
         world_.time().run_for(longest_grant);
@@ -136,11 +141,7 @@
     }
     /// The same where the coordinator is lost at the same time.
     void a_lease_of_a_start_for_an_earlier_incarnation_is_waited_for_by_a_successor() {
-        start_cell();
-        world_.submit(0, "a", service_job(8));
-        world_.time().run_for(seconds(20));
-        world_.fleet().reaches_one_incarnation = [](run_number) { return false; };
-        const std::string to_worker = restart_worker_at_a_start();
+        const std::string to_worker = reach_later_incarnation_by_a_start();
         world_.time().run_for(milliseconds(1200));
         world_.fleet().workers.at(to_worker).cut = true;
         world_.kill_host(*world_.coordinator());
@@ -151,11 +152,7 @@
     /// Guards against tasks that are down for the longest lease after the loss of a worker and the
     /// coordinator, because the worker once held such a lease.
     void a_successor_doesnt_wait_for_a_longer_lease_that_has_ended() {
-        start_cell();
-        world_.submit(0, "a", service_job(8));
-        world_.time().run_for(seconds(20));
-        world_.fleet().reaches_one_incarnation = [](run_number) { return false; };
-        const std::string to_worker = restart_worker_at_a_start();
+        const std::string to_worker = reach_later_incarnation_by_a_start();
         world_.fleet().reaches_one_incarnation = [](run_number) { return true; };
         world_.time().run_for(longest_grant + seconds(20));
         world_.submit(0, "b", service_job(4));
