--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -2,6 +2,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -13,10 +14,20 @@
           "drainMs": 2000, "contactMs": 3000, "evacuateMs": 5000, "farFactor": 2}
 
 
+# Below the range from which outgoing connections draw their ports: a host that is started again
+# finds its ports free.
+PORTS = range(20000, 32000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class Host:
