--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,7 +28,10 @@
 
 
 class Cuttable(Executor):
-    """While it is cut off it goes on with what it runs, and no call reaches it."""
+    """While it is cut off it goes on with what it runs, and no call of the system reaches it.
+
+    It still reaches the store, where it beats.
+    """
 
     cut = False
 
@@ -37,10 +40,6 @@
             return None
         return await super().handle(request)
 
-    async def beat(self):
-        if not self.cut:
-            await super().beat()
-
 
 class Day:
     def __init__(self, record):
@@ -86,23 +85,24 @@
     async def cycle(self, draw):
         """Two planned restarts of the machine that leads; executor trouble beside each."""
         executor = draw.choice(self.executors)
-        restarts = [asyncio.create_task(self.restart(self.leader()))]
+        first = asyncio.create_task(self.restart(self.leader()))
         if TROUBLE:
             self.record(f"{executor.name} crashes in life {executor.lives}")
             executor.crash()
             await asyncio.sleep(DOWN_S)
             await executor.start()
             self.record(f"{executor.name} is back, life {executor.lives}")
-        await asyncio.sleep(USE_S)
+        # One machine at a time: the second is stopped once the first is back.
+        await asyncio.gather(first, asyncio.sleep(USE_S))
         if TROUBLE:
             executor.cut = True
             self.record(f"{executor.name} is cut off with {len(executor.runs)} runs")
-        restarts.append(asyncio.create_task(self.restart(self.leader())))
+        second = asyncio.create_task(self.restart(self.leader()))
         await asyncio.sleep(CUT_S)
         if executor.cut:
             self.record(f"{executor.name} is reached again")
         executor.cut = False
-        await asyncio.gather(*restarts)
+        await second
 
     async def play(self):
         await self.store.server.listen()
