--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -112,6 +112,7 @@
     duration max_lease_at_first_report(const worker_state& worker,
                                        const worker_report& report) const;
     void update_longer_lease(worker_state& worker, const worker_report& report, duration longest);
+    bool has_unrecorded_runs(const worker_state& worker, const worker_report& report) const;
     void handle_restart(worker_state& worker);
     void handle_new_incarnation(worker_state& worker, const worker_report& report);
     void register_incarnation(worker_state& worker);
--- a/src/cell/coordinator_incarnations.cpp
+++ b/src/cell/coordinator_incarnations.cpp
@@ -30,6 +30,14 @@
     return born_ms != 0 && held != leased_incarnations_.end() && held->second != born_ms;
 }
 
+/// Returns whether a worker's first report to this coordinator shows runs although no predecessor
+/// recorded that it may have any: its record was lost.
+bool cell_coordinator::has_unrecorded_runs(const worker_state& worker,
+                                           const worker_report& report) const {
+    return worker.born_ms == 0 && !report.running.empty() &&
+           !leased_incarnations_.contains(worker.listing.id);
+}
+
 /// Returns how long the lease may still last of a worker incarnation that reports for the first
 /// time in this term. This coordinator has granted it none; if it has runs all the same, orders for
 /// an earlier incarnation have reached it, whose times it can't tell from longer ones.
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -87,6 +87,7 @@
     if (!std::exchange(worker.registered, false))
         return;
     update_index(worker);
+    log_event(log_level::info, "worker_record_removed", {{"worker", id.str()}});
     deps_.progress_log.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
 }
 
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -32,6 +32,21 @@
                {"memory_mib", row.capacity.memory_mib}});
 }
 
+/// Logs that the log names the worker, which tells an absent record from one that was removed.
+void log_recorded(const worker_state& worker) {
+    log_event(log_level::info, "worker_recorded",
+              {{"worker", worker.listing.id.str()},
+               {"born_ms", static_cast<std::int64_t>(worker.born_ms)},
+               {"longer_lease", worker.longer_lease_until_ms.has_value()}});
+}
+
+void log_unrecorded_runs(const worker_state& worker, const worker_report& report) {
+    log_event(log_level::error, "worker_unrecorded",
+              {{"worker", worker.listing.id.str()},
+               {"born_ms", static_cast<std::int64_t>(report.incarnation)},
+               {"runs_shown", static_cast<std::int64_t>(report.running.size())}});
+}
+
 /// Returns the incarnation that the log names: the only one that has a lease, no longer than those
 /// that were requested for it; 0 if a longer one is possible.
 std::uint64_t recorded_incarnation(const worker_state& worker) {
@@ -173,6 +188,8 @@
     worker->reported_at = now;
     worker->unanswered_renewals = 0;
     worker->has_restarted = false;
+    if (has_unrecorded_runs(*worker, report))
+        log_unrecorded_runs(*worker, report);
     const duration longest_lease = max_lease_at_first_report(*worker, report);
     update_longer_lease(*worker, report, longest_lease);
     if (worker->born_ms != report.incarnation)
@@ -258,6 +275,7 @@
                                  known->registering = false;
                                  known->registered = true;
                                  known->unresponsive = false;
+                                 log_recorded(*known);
                                  update_index(*known);
                                  placement_due_ = true;
                              });
