Reproduce in simulated time: a worker's record that is empty is a deletion

What callers saw: TWICE. A worker restarts beside a change of coordinator, and is cut off beside the next; its tasks start elsewhere 0.1 s after that change. The simulated store kept keyed records with an empty value, which the platform's page says are deletions ("Without a value, the key is dropped"), so that no test in one process could show it. It drops them now.

--- a/include/figwinch/simulation/sim_store.h
+++ b/include/figwinch/simulation/sim_store.h
@@ -74,8 +74,12 @@
         if (guard.epoch && !admit_writer(to, guard, answer))
             return answer;
         answer.offset = to.end();
+        const bool keyed = name != cell_stream::reigns;
         for (stored_record& record : records) {
             record.offset = to.end();
+            // The store can't tell a keyed record with an empty value from a deletion.
+            if (keyed && record.value && record.value->empty())
+                record.value.reset();
             if (record.value)
                 to.newest[record.key] = record;
             else
