Keep every worker's record, and doubt workers that have none

What callers saw: a task ran on two workers at once (TWICE), 0.1 s after a change of coordinator, where a worker had restarted beside the change before. Cause: a worker that may hold a longer lease than any requested was recorded with incarnation 0 and "responsive". All fields had their defaults, so the record was encoded as no bytes, which the log takes for a deletion: the successor knew nothing of the worker, and an absent record meant "no runs". Class: a message that can be encoded as nothing, where nothing means the opposite; and absence taken for proof. Change: keyed records carry a format number that is never 0; the progress writer has one call for a value, which refuses an empty one with a line, and another for a removal. The end of a worker's leases is recorded, not deleted, so that a worker without a record is one that never had runs or one whose record was lost: a successor waits for its report, or for the longest lease. That also covers records that hosts of the former version deleted. Records of workers that are listed no more are removed by any coordinator; before, one that had never listed them left them in the log. Rolling versions: the former version reads the new records, since incarnation 0 keeps its meaning; the end of leases costs it a wait.

--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -25,8 +25,11 @@
     /// Fences earlier epochs. Calls `done` with the end offset of the stream once no earlier epoch
     /// can append any more.
     void fence(std::function<void(std::uint64_t end)> done);
-    /// Queues one record. Calls `committed` once this record and all earlier ones are stored.
-    void write(stored_record record, std::function<void()> committed = nullptr);
+    /// Queues the newest value of a key, which can't be empty: the log would take it for a removal.
+    /// Calls `committed` once this record and all earlier ones are stored.
+    void put(std::string key, std::string value, std::function<void()> committed = nullptr);
+    /// Queues the removal of a key.
+    void remove(std::string key);
     /// Calls `committed` once all records queued so far are stored; immediately if none is pending.
     void barrier(std::function<void()> committed);
     /// Sends or resends a batch when it is due.
@@ -43,6 +46,7 @@
     };
 
     bool has_append_in_flight() const { return appends_in_flight_ > 0; }
+    void queue(stored_record record, std::function<void()> committed);
     bool may_resend() const;
     void fill_batch();
     void send();
--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -23,8 +23,12 @@
 
 std::string record_key(record_kind kind, std::string_view id);
 
-/// Records are encoded in protobuf (proto/cell.proto). Decoders return nothing if the bytes can't
-/// be parsed, or if a job exceeds the limits of `validate_job`.
+/// Version of the encoding of keyed records. Not 0: it keeps a record with default values from
+/// being empty, which the log would take for a deletion.
+inline constexpr std::uint32_t record_format_version = 1;
+
+/// Records are encoded in protobuf (proto/cell.proto), never as no bytes. Decoders return nothing
+/// if the bytes can't be parsed, or if a job exceeds the limits of `validate_job`.
 std::string encode_job(const job_spec& job);
 std::optional<job_spec> decode_job(std::string_view bytes);
 std::string encode_progress(const job_progress& progress);
--- a/include/figwinch/cell/worker_entry.h
+++ b/include/figwinch/cell/worker_entry.h
@@ -11,6 +11,8 @@
     /// The worker is unresponsive, so the coordinator no longer renews its lease. All runs on it
     /// end when the lease that was in effect at the time of this record expires.
     bool unresponsive = false;
+    /// All leases of the worker have expired: it has no runs. An absent record doesn't say so.
+    bool lease_expired = false;
 };
 
 } // namespace figwinch
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -40,6 +40,9 @@
     };
     longest_leases_expired_at_ = before.acted_until + over_after(settings_.max_granted_lease);
     for (const auto& [id, worker] : known.workers()) {
+        recorded_.insert(id);
+        if (worker.lease_expired)
+            continue;
         const instant renewed_until = worker.unresponsive
                                           ? std::min(term_started_at_, before.renewed_until)
                                           : before.renewed_until;
@@ -190,7 +193,7 @@
     if (record == recorded_slowdowns_)
         return;
     recorded_slowdowns_ = std::move(record);
-    deps_.progress_log.write({record_key(record_kind::slowdowns, "table"), recorded_slowdowns_, 0});
+    deps_.progress_log.put(record_key(record_kind::slowdowns, "table"), recorded_slowdowns_);
 }
 
 run_number cell_coordinator::next_run() {
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <queue>
+#include <set>
 
 namespace figwinch {
 
@@ -116,6 +117,10 @@
     void handle_restart(worker_state& worker);
     void handle_new_incarnation(worker_state& worker, const worker_report& report);
     void register_incarnation(worker_state& worker);
+    void record_worker(const worker_state& worker, const worker_entry& entry,
+                       std::function<void()> committed = nullptr);
+    void remove_worker_record(const worker_id& id);
+    void doubt_unrecorded(const worker_id& id);
     void handle_unanswered_renewal(worker_state& worker);
     void handle_recovery(worker_state& worker);
     worker_state* find_worker(const worker_id& id);
@@ -145,6 +150,7 @@
     void handle_lease_expiry(worker_state& worker);
     static void log_lost_run(const task_state& task);
     void remove_unlisted_workers();
+    void remove_unlisted_records();
     void mark_resolved(const worker_state& worker);
     void mark_ends_read(const worker_id& id);
     void resolve_expired();
@@ -401,6 +407,8 @@
     /// that a predecessor's order can have caused has expired.
     absl::flat_hash_map<worker_id, std::uint64_t> leased_incarnations_;
     instant longest_leases_expired_at_{};
+    /// Workers of which the log has a record.
+    std::set<worker_id> recorded_;
     std::size_t marked_unresolved_ = 0;
     ended_page_queue ended_pages_{max_ended_pages};
     /// When a worker last crashed at an address.
--- a/src/cell/coordinator_incarnations.cpp
+++ b/src/cell/coordinator_incarnations.cpp
@@ -38,18 +38,29 @@
            !leased_incarnations_.contains(worker.listing.id);
 }
 
+/// Waits for a worker that the log does not name, as for one that may hold the longest lease: a
+/// worker that never had runs reports at once, while of any other the record was lost. Every worker
+/// without runs that had some has a record that says so.
+void cell_coordinator::doubt_unrecorded(const worker_id& id) {
+    if (!recorded_.contains(id) && deps_.time.now() < longest_leases_expired_at_)
+        unresolved_[id] = longest_leases_expired_at_;
+}
+
 /// Returns how long the lease may still last of a worker incarnation that reports for the first
 /// time in this term. This coordinator has granted it none; if it has runs all the same, orders for
 /// an earlier incarnation have reached it, whose times it can't tell from longer ones.
 duration cell_coordinator::max_lease_at_first_report(const worker_state& worker,
                                                      const worker_report& report) const {
+    const duration left = std::clamp(longest_leases_expired_at_ - deps_.time.now(),
+                                     settings_.lease(), settings_.max_granted_lease);
+    if (has_unrecorded_runs(worker, report))
+        return left;
     const bool is_successor = worker.born_ms != 0 && worker.born_ms != report.incarnation;
     if (is_successor && (!report.running.empty() || !report.ended.empty()))
         return settings_.max_granted_lease;
     if (!is_other_incarnation(worker.listing.id, report.incarnation))
         return settings_.lease();
-    const duration left = longest_leases_expired_at_ - deps_.time.now();
-    return std::clamp(left, settings_.lease(), settings_.max_granted_lease);
+    return left;
 }
 
 /// The worker takes no starts until its report tells the new incarnation.
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -275,8 +275,8 @@
     deps_.remove_intake_record(id, [this, weak = std::weak_ptr(alive_), id] {
         if (weak.expired())
             return;
-        deps_.progress_log.write({record_key(record_kind::progress, id.str()), std::nullopt, 0});
-        deps_.progress_log.write({record_key(record_kind::ordered_to, id.str()), std::nullopt, 0});
+        deps_.progress_log.remove(record_key(record_kind::progress, id.str()));
+        deps_.progress_log.remove(record_key(record_kind::ordered_to, id.str()));
         job_index_.erase(id);
         jobs_.erase(id);
     });
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -83,12 +83,14 @@
     // log would not name a worker that is in use.
     if (worker.registering)
         return;
-    // The worker's record is removed: a successor need neither query the worker nor wait for it.
+    // A successor need neither query the worker nor wait for it.
     if (!std::exchange(worker.registered, false))
         return;
     update_index(worker);
-    log_event(log_level::info, "worker_record_removed", {{"worker", id.str()}});
-    deps_.progress_log.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+    log_event(log_level::info, "worker_idle_recorded", {{"worker", id.str()}});
+    worker_entry entry{worker.born_ms, worker.unresponsive};
+    entry.lease_expired = true;
+    record_worker(worker, entry);
 }
 
 /// Logs a run that ended unseen with its worker, and how long before the worker's last report it
@@ -113,13 +115,26 @@
     for (const worker_id& id : gone) {
         log_event(log_level::info, "worker_forgotten", {{"worker", id.str()}});
         deps_.orders.forget(id);
-        if (workers_[id]->registered)
-            deps_.progress_log.write({record_key(record_kind::worker, id.str()), std::nullopt, 0});
+        remove_worker_record(id);
         stop_reading_ends(*workers_[id]);
         mark_ends_read(id);
         remove_slot(*workers_[id]);
         workers_.erase(id);
     }
+    remove_unlisted_records();
+}
+
+/// Removes the records of workers that predecessors knew and that have not been listed in this
+/// term. None of them has runs: each unresolved one is waited for.
+void cell_coordinator::remove_unlisted_records() {
+    if (deps_.time.now() - term_started_at_ <= unlisted_retention)
+        return;
+    std::vector<worker_id> gone;
+    for (const worker_id& id : recorded_)
+        if (!workers_.contains(id) && !unresolved_.contains(id))
+            gone.push_back(id);
+    for (const worker_id& id : gone)
+        remove_worker_record(id);
 }
 
 /// The worker has reported in this term: what runs there is known, and what has ended there unless
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -41,8 +41,8 @@
 void cell_coordinator::write_dirty() {
     for (job_state* const job : std::exchange(ordered_to_changed_, {})) {
         job->ordered_to_changed = false;
-        deps_.progress_log.write(
-            {record_key(record_kind::ordered_to, job->id.str()), job->ordered_to.encode(), 0});
+        deps_.progress_log.put(record_key(record_kind::ordered_to, job->id.str()),
+                               job->ordered_to.encode());
     }
     for (job_state* const job : std::exchange(dirty_, {})) {
         job->dirty = false;
@@ -51,8 +51,8 @@
 }
 
 void cell_coordinator::write_progress(const job_state& job) {
-    deps_.progress_log.write(
-        {record_key(record_kind::progress, job.id.str()), encode_progress(progress_of(job)), 0});
+    deps_.progress_log.put(record_key(record_kind::progress, job.id.str()),
+                           encode_progress(progress_of(job)));
 }
 
 /// Returns whether the log has a worker record for each task of the step. Service tasks have one,
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -72,6 +72,7 @@
             add_slot(*worker);
             schedule_renewal(*worker, deps_.time.now());
             log_worker(row);
+            doubt_unrecorded(row.id);
             handle_new_worker(row, lost);
         }
         worker->listed = true;
@@ -230,9 +231,7 @@
     if (!worker.longer_lease_until_ms || report.clock_ms <= *worker.longer_lease_until_ms)
         return;
     worker.longer_lease_until_ms.reset();
-    deps_.progress_log.write({record_key(record_kind::worker, worker.listing.id.str()),
-                              encode_worker({recorded_incarnation(worker), worker.unresponsive}),
-                              0});
+    record_worker(worker, {recorded_incarnation(worker), worker.unresponsive});
 }
 
 void cell_coordinator::handle_unanswered_renewal(worker_state& worker) {
@@ -248,8 +247,7 @@
     log_event(log_level::warn, "worker_silent", {{"worker", worker.listing.id.str()}});
     // Recorded at once, so that a successor knows of it.
     record_crash(worker, false);
-    deps_.progress_log.write({record_key(record_kind::worker, worker.listing.id.str()),
-                              encode_worker({recorded_incarnation(worker), true}), 0});
+    record_worker(worker, {recorded_incarnation(worker), true});
 }
 
 /// The worker answers again. A successor that still reads that it is unresponsive would wait too
@@ -263,22 +261,36 @@
 void cell_coordinator::register_incarnation(worker_state& worker) {
     worker.registering = true;
     const worker_id id = worker.listing.id;
-    deps_.progress_log.write({record_key(record_kind::worker, id.str()),
-                              encode_worker({recorded_incarnation(worker), false}), 0},
-                             [this, weak = std::weak_ptr(alive_), id, born_ms = worker.born_ms] {
-                                 worker_state* const known =
-                                     weak.expired() ? nullptr : find_worker(id);
-                                 if (known == nullptr)
-                                     return;
-                                 if (known->born_ms != born_ms)
-                                     return register_incarnation(*known);
-                                 known->registering = false;
-                                 known->registered = true;
-                                 known->unresponsive = false;
-                                 log_recorded(*known);
-                                 update_index(*known);
-                                 placement_due_ = true;
-                             });
+    record_worker(worker, {recorded_incarnation(worker), false},
+                  [this, weak = std::weak_ptr(alive_), id, born_ms = worker.born_ms] {
+                      worker_state* const known = weak.expired() ? nullptr : find_worker(id);
+                      if (known == nullptr)
+                          return;
+                      if (known->born_ms != born_ms)
+                          return register_incarnation(*known);
+                      known->registering = false;
+                      known->registered = true;
+                      known->unresponsive = false;
+                      log_recorded(*known);
+                      update_index(*known);
+                      placement_due_ = true;
+                  });
+}
+
+void cell_coordinator::record_worker(const worker_state& worker, const worker_entry& entry,
+                                     std::function<void()> committed) {
+    const worker_id& id = worker.listing.id;
+    recorded_.insert(id);
+    deps_.progress_log.put(record_key(record_kind::worker, id.str()), encode_worker(entry),
+                           std::move(committed));
+}
+
+/// Removes the record of a worker that is forgotten.
+void cell_coordinator::remove_worker_record(const worker_id& id) {
+    if (recorded_.erase(id) == 0)
+        return;
+    log_event(log_level::info, "worker_record_removed", {{"worker", id.str()}});
+    deps_.progress_log.remove(record_key(record_kind::worker, id.str()));
 }
 
 } // namespace figwinch
--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -1,5 +1,7 @@
 #include "figwinch/cell/progress_writer.h"
 
+#include "figwinch/observe.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -39,7 +41,19 @@
     send();
 }
 
-void progress_writer::write(stored_record record, std::function<void()> committed) {
+void progress_writer::put(std::string key, std::string value, std::function<void()> committed) {
+    if (value.empty()) {
+        log_event(log_level::error, "empty_record_refused", {{"key", key}});
+        return;
+    }
+    queue({std::move(key), std::move(value), 0}, std::move(committed));
+}
+
+void progress_writer::remove(std::string key) {
+    queue({std::move(key), std::nullopt, 0}, nullptr);
+}
+
+void progress_writer::queue(stored_record record, std::function<void()> committed) {
     queued_.push_back({std::move(record), {}});
     if (committed)
         queued_.back().committed.push_back(std::move(committed));
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -123,6 +123,12 @@
     return tasks;
 }
 
+template <class Record>
+std::string encode(Record& record) {
+    record.set_format(record_format_version);
+    return record.SerializeAsString();
+}
+
 template <class Record>
 std::optional<Record> parse(std::string_view bytes) {
     Record record;
@@ -154,7 +160,7 @@
     record.set_stretch(job.stretch);
     record.set_target_ms(in_ms(job.target));
     record.set_accepted_ms(job.accepted_at.time_since_epoch().count());
-    return record.SerializeAsString();
+    return encode(record);
 }
 
 std::optional<job_spec> decode_job(std::string_view bytes) {
@@ -191,7 +197,7 @@
         for (const std::vector<task_progress>& tasks : occurrence.steps)
             write_tasks(tasks, *kept.add_steps());
     }
-    return record.SerializeAsString();
+    return encode(record);
 }
 
 std::optional<job_progress> decode_progress(std::string_view bytes) {
@@ -214,14 +220,15 @@
     pb::WorkerRecord record;
     record.set_born_ms(worker.incarnation);
     record.set_silent(worker.unresponsive);
-    return record.SerializeAsString();
+    record.set_lease_over(worker.lease_expired);
+    return encode(record);
 }
 
 std::optional<worker_entry> decode_worker(std::string_view bytes) {
     const auto record = parse<pb::WorkerRecord>(bytes);
     if (!record)
         return std::nullopt;
-    return worker_entry{record->born_ms(), record->silent()};
+    return worker_entry{record->born_ms(), record->silent(), record->lease_over()};
 }
 
 std::string encode_election_record(const election_record& election) {
--- a/src/cell/slowdown_model.cpp
+++ b/src/cell/slowdown_model.cpp
@@ -1,6 +1,7 @@
 #include "cell/slowdown_model.h"
 
 #include "cell.pb.h"
+#include "figwinch/cell/record_codec.h"
 
 #include <algorithm>
 #include <cmath>
@@ -219,6 +220,7 @@
             kept.add_variances(static_cast<float>(pair.variance));
         }
     }
+    record.set_format(record_format_version);
     return record.SerializeAsString();
 }
 
--- a/tests/cell/empty_record_test.cpp
+++ b/tests/cell/empty_record_test.cpp
@@ -13,6 +13,10 @@
     CPPUNIT_TEST(no_encoding_is_empty);
     CPPUNIT_TEST(a_worker_that_may_hold_a_longer_lease_stays_recorded);
     CPPUNIT_TEST(tasks_of_a_worker_that_restarted_beside_a_change_run_once);
+    CPPUNIT_TEST(tasks_of_a_worker_whose_record_is_lost_run_once);
+    CPPUNIT_TEST(a_worker_whose_lease_has_ended_is_not_waited_for);
+    CPPUNIT_TEST(records_of_workers_that_are_gone_are_removed);
+    CPPUNIT_TEST(an_empty_value_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t task_count = 8;
@@ -58,6 +62,62 @@
         assert_invariants();
         assert_all_run("a", task_count);
     }
+    /// Guards against a task that runs twice: a worker without a record is taken for one without
+    /// runs.
+    void tasks_of_a_worker_whose_record_is_lost_run_once() {
+        start_cell();
+        world_.submit(0, "a", service_job(task_count));
+        world_.time().run_for(seconds(10));
+        CPPUNIT_ASSERT(worker("w1").running() > 0);
+        world_.fleet().workers.at("w1").cut = true;
+        world_.store().append(cell_stream::progress,
+                              {{record_key(record_kind::worker, "w1"), std::nullopt, 0}}, {});
+        replace_coordinator();
+        world_.time().run_for(seconds(20));
+        assert_invariants();
+        assert_all_run("a", task_count);
+    }
+    /// Guards against tasks that wait for a worker's lease after it has ended, because the worker
+    /// has no record any more.
+    void a_worker_whose_lease_has_ended_is_not_waited_for() {
+        start_cell();
+        world_.submit(0, "a", service_job(task_count));
+        world_.time().run_for(seconds(10));
+        world_.fleet().workers.at("w1").cut = true;
+        world_.time().run_for(seconds(12));
+        const auto idle = decode_worker(record(record_kind::worker, "w1"));
+        CPPUNIT_ASSERT(idle && idle->lease_expired);
+        replace_coordinator();
+        run_until([&] { return world_.coordinator().has_value(); });
+        const auto* const acting = world_.host(*world_.coordinator())->member().coordinating();
+        run_until([&] { return acting->counts().workers > 0; });
+        world_.time().run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acting->counts().workers_unresolved);
+    }
+    /// Guards against records of workers that no coordinator will ever list again.
+    void records_of_workers_that_are_gone_are_removed() {
+        start_cell();
+        world_.submit(0, "a", service_job(task_count));
+        world_.time().run_for(seconds(5));
+        lose_worker("w1");
+        world_.time().run_for(seconds(8));
+        replace_coordinator();
+        world_.time().run_for(seconds(30));
+        CPPUNIT_ASSERT(record(record_kind::worker, "w1").empty());
+        CPPUNIT_ASSERT(!record(record_kind::worker, "w2").empty());
+    }
+    /// Guards against a value that reaches the log as a removal.
+    void an_empty_value_is_refused() {
+        bool committed = false;
+        progress_writer writer(
+            world_.time().clock(), world_.host(1)->way_to_log(), lease_epoch(1'000'000),
+            [](const stored_record&) {}, [] {});
+        writer.put("pa", "", [&] { committed = true; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, writer.unconfirmed());
+        writer.tick();
+        world_.time().run_for(seconds(1));
+        CPPUNIT_ASSERT(!committed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(empty_record_test);
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -40,7 +40,7 @@
 public:
     void records_are_applied_in_order_and_once() {
         for (int index = 0; index < 1200; ++index)
-            writer_.write({"p" + std::to_string(index), "v", 0});
+            writer_.put("p" + std::to_string(index), "v");
         run_for(seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1200}, applied_.size());
         CPPUNIT_ASSERT_EQUAL(std::string("p0"), applied_.front());
@@ -51,7 +51,7 @@
     /// sequence number; the log must answer as the first time and store it once.
     void a_batch_whose_answer_was_lost_takes_effect_once() {
         log_.lost_answers = 1;
-        writer_.write({"p1", "v", 0});
+        writer_.put("p1", "v");
         run_for(milliseconds(100));
         log_.lost_answers = 0;
         run_for(seconds(2));
@@ -63,10 +63,10 @@
     void a_lost_answer_holds_up_what_follows_for_less_than_callers_notice() {
         constexpr duration latency_target = milliseconds(250);
         log_.lost_answers = 1;
-        writer_.write({"p1", "v", 0});
+        writer_.put("p1", "v");
         run_for(milliseconds(10));
         log_.lost_answers = 0;
-        writer_.write({"p2", "v", 0});
+        writer_.put("p2", "v");
         run_for(latency_target);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stored());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, applied_.size());
@@ -76,7 +76,7 @@
         store_.service[cell_stream::progress] = milliseconds(300);
         const std::size_t batches = 10;
         for (std::size_t index = 0; index < batches; ++index) {
-            writer_.write({"p" + std::to_string(index), "v", 0});
+            writer_.put("p" + std::to_string(index), "v");
             run_for(milliseconds(2000));
         }
         CPPUNIT_ASSERT_EQUAL(batches, applied_.size());
@@ -85,7 +85,7 @@
     /// A coordinator freezes and its successor fences the stream. What the first one still writes
     /// must be refused, and it must learn that it is superseded.
     void a_fenced_writer_appends_nothing_more() {
-        writer_.write({"p1", "v", 0});
+        writer_.put("p1", "v");
         run_for(milliseconds(100));
         progress_writer next(
             time_.clock(), log_, lease_epoch(4), [](const stored_record&) {}, [] {});
@@ -93,7 +93,7 @@
         next.fence([&fenced](std::uint64_t) { fenced = true; });
         time_.run_for(milliseconds(50));
         CPPUNIT_ASSERT(fenced);
-        writer_.write({"p2", "v", 0});
+        writer_.put("p2", "v");
         run_for(milliseconds(200));
         CPPUNIT_ASSERT(superseded_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
@@ -101,7 +101,7 @@
     void a_barrier_waits_for_all_that_was_written() {
         bool passed = false;
         log_.state = sim_log::way::refused;
-        writer_.write({"p1", "v", 0});
+        writer_.put("p1", "v");
         writer_.barrier([&passed] { passed = true; });
         run_for(seconds(1));
         CPPUNIT_ASSERT(!passed);
