Start nothing on a worker by the listing of its former incarnation

What callers saw: ROUTE. A worker that is back as another kind got tasks that require the label of its former incarnation, up to a dozen at a time. Cause: the list of workers lags behind a worker's own report by some 0.2 s; labels and capacity came from the listing of the former incarnation, the start's incarnation from the report of the new one. Only a listing newer than the report was handled. Change: a worker takes starts only while its listing is of the incarnation that reports; the next listing brings it back into use. A listing that names no incarnation counts as before. Before: a_restarted_worker_gets_no_tasks_for_its_former_label failed, 4 tasks where none may run; after: both tests pass.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -337,6 +337,7 @@
     void remove_slot(worker_state& worker);
     void update_label_tags(worker_state& worker);
     void update_image_tags(worker_state& worker);
+    static bool is_listing_current(const worker_state& worker);
     bool accepts_starts(const worker_state& worker) const;
     void update_index(worker_state& worker);
     tag_number image_tag(image_number image);
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -64,11 +64,18 @@
     return image_tags_[image];
 }
 
+/// Whether the listing is of the incarnation that reports. Another incarnation may have other
+/// labels and another capacity.
+bool cell_coordinator::is_listing_current(const worker_state& worker) {
+    const std::uint64_t listed = worker.listing.incarnation;
+    return listed == 0 || worker.born_ms == 0 || listed == worker.born_ms;
+}
+
 /// The conditions of `is_usable` that do not change with time alone.
 bool cell_coordinator::accepts_starts(const worker_state& worker) const {
     return worker.listed && !worker.listing.leaving && worker.reported_this_term &&
            worker.registered && !worker.unresponsive && !worker.has_restarted &&
-           !evacuated_.contains(worker.listing.data_centre);
+           is_listing_current(worker) && !evacuated_.contains(worker.listing.data_centre);
 }
 
 /// Updates the candidate index with the worker's current state.
