Hand over what a resigning coordinator knows of workers out of reach

What callers saw: LOST. With planned restarts of the leading host less than a lease apart, lasting tasks of crashed workers weren't started again until the restarts were over, 15 s after their runs were lost. Cause: each new coordinator waited for a whole lease of every worker that didn't answer, counted from the last resignation. A predecessor that is alive is asked what its orders bind; one that resigned isn't, and its process is gone. Change: the resignation carries the account that a step-down reply has, of workers that don't answer and of tasks without an order. The successor takes it off its bounds, less the time since the record was written; it counts only for the term right after it. Before: tasks_of_a_lost_worker_run_again_in_time_beside_planned_restarts failed (tasks not running 9 s after the loss); after: it passes, and a worker that is cut off beside four restarts runs nothing twice.

--- a/include/figwinch/cell/coordinator.h
+++ b/include/figwinch/cell/coordinator.h
@@ -103,6 +103,9 @@
     /// Returns which workers and tasks the orders of this term may still affect if the term ends
     /// now.
     virtual outstanding_orders outstanding() const = 0;
+    /// The part of `outstanding` that a successor can't learn from reports, because the workers do
+    /// not answer.
+    virtual outstanding_orders outstanding_unreachable() const = 0;
     /// Applies what the predecessor reported when it stepped down.
     virtual void apply_outstanding(const outstanding_orders& orders) = 0;
 
--- a/include/figwinch/cell/leader_election.h
+++ b/include/figwinch/cell/leader_election.h
@@ -18,6 +18,14 @@
     lease_epoch epoch;
 };
 
+/// What a resignation says of the orders of its term.
+struct resigned_term {
+    /// Encoded by `encode_outstanding`.
+    std::string outstanding;
+    /// The latest time at which it can have been written.
+    instant written_by{};
+};
+
 /// Timing of the leader election. A renewal is one append (a few ms). A successor takes over after
 /// three missed renewals, which is within the 2.5 s that callers notice.
 struct election_timing {
@@ -49,8 +57,9 @@
 
     void tick();
     /// Ends this host's term and never claims again, for a planned shutdown. Keep calling `tick`
-    /// until the log has stored the resignation.
-    void resign();
+    /// until the log has stored the resignation. `outstanding` tells the successor what the term
+    /// leaves behind.
+    void resign(std::string outstanding = "");
     /// Stops trying to store the resignation, because the process ends.
     void abandon_resignation();
     /// Steps down after other evidence of a higher epoch, or because this host can't do the work.
@@ -71,6 +80,10 @@
     /// The coordinator of the previous term; nothing if it resigned, if there was none, or if the
     /// log has discarded records that would show another one since.
     const std::optional<leader_info>& predecessor() const { return predecessor_; }
+    /// The resignation that this host's term followed; nothing if the term before ended otherwise.
+    const std::optional<resigned_term>& resigned_predecessor() const {
+        return resigned_predecessor_;
+    }
     /// The time until which predecessors may have sent orders: their resignation, or
     /// `max_unconfirmed_leadership` after their last record in the log.
     instant predecessors_acted_until() const { return acted_until_; }
@@ -134,6 +147,10 @@
     instant confirmed_at_{};
     std::optional<leader_info> current_leader_;
     std::optional<leader_info> predecessor_;
+    /// The newest record, if it is a resignation.
+    std::optional<resigned_term> last_resignation_;
+    std::optional<resigned_term> resigned_predecessor_;
+    std::string own_outstanding_;
     std::unique_ptr<resignation_writer> resignation_;
     /// Expires with this object. Callbacks hold a weak reference and ignore answers that come
     /// later.
--- a/include/figwinch/cell/record_codec.h
+++ b/include/figwinch/cell/record_codec.h
@@ -37,12 +37,14 @@
 std::optional<worker_entry> decode_worker(std::string_view bytes);
 
 /// One record of the leader election: the host that claims, renews or resigns the coordinator role,
-/// and its address.
+/// and its address. A resignation may have the orders that the term leaves behind
+/// (`encode_outstanding`).
 struct election_record {
     enum class kind { claim, renewal, resignation };
     kind type = kind::claim;
     incarnation_id holder;
     std::string bus_address;
+    std::string outstanding{};
 };
 
 std::string encode_election_record(const election_record& election);
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -49,6 +49,7 @@
     coordinator_counts counts() const override;
     coordinator_view view() const override;
     outstanding_orders outstanding() const override;
+    outstanding_orders outstanding_unreachable() const override;
     void apply_outstanding(const outstanding_orders& orders) override;
 
 private:
@@ -178,6 +179,7 @@
     void move_straggler(task_state& task, bool stuck);
 
     // coordinator_step_down.cpp
+    void add_inherited(outstanding_orders& left) const;
     std::optional<duration> time_left(const worker_state& worker) const;
     void list_not_ordered(const job_state& job, std::vector<std::string>& names) const;
     bool is_known_not_ordered(const task_state& task) const;
--- a/src/cell/coordinator_step_down.cpp
+++ b/src/cell/coordinator_step_down.cpp
@@ -14,15 +14,29 @@
 
 outstanding_orders cell_coordinator::outstanding() const {
     outstanding_orders left;
-    const instant now = deps_.time.now();
     for (const auto& [id, worker] : workers_)
         if (worker->reported_this_term || !worker->tasks.empty())
             left.unresolved_workers.push_back({id, time_left(*worker)});
+    add_inherited(left);
+    return left;
+}
+
+outstanding_orders cell_coordinator::outstanding_unreachable() const {
+    outstanding_orders left;
+    for (const auto& [id, worker] : workers_)
+        if (worker->reported_this_term && worker->unanswered_renewals > 0)
+            left.unresolved_workers.push_back({id, time_left(*worker)});
+    add_inherited(left);
+    return left;
+}
+
+/// Adds the workers of earlier terms that have not reported, and the tasks without any order.
+void cell_coordinator::add_inherited(outstanding_orders& left) const {
+    const instant now = deps_.time.now();
     for (const auto& [id, until] : unresolved_)
         left.unresolved_workers.push_back({id, std::max(duration::zero(), until - now)});
     for (const job_state* const job : open_jobs_)
         list_not_ordered(*job, left.not_ordered);
-    return left;
 }
 
 /// Returns the time until the worker's lease and all start orders that no report has shown have
--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -55,9 +55,10 @@
     follow();
 }
 
-void leader_election::resign() {
+void leader_election::resign(std::string outstanding) {
     is_leader_ = false;
     resigned_ = true;
+    own_outstanding_ = std::move(outstanding);
     if (current_leader_ && current_leader_->holder == self_)
         start_resignation(end_offset_);
 }
@@ -69,7 +70,11 @@
 /// appended before the log has shown this host's own claim.
 void leader_election::start_resignation(std::uint64_t end) {
     if (!resignation_)
-        resignation_ = std::make_unique<resignation_writer>(time_, log_, self_, bus_address_, end);
+        resignation_ = std::make_unique<resignation_writer>(
+            time_, log_,
+            election_record{election_record::kind::resignation, self_, bus_address_,
+                            own_outstanding_},
+            end);
 }
 
 void leader_election::abandon_resignation() {
@@ -193,6 +198,7 @@
     if (current_leader_ && current_leader_->epoch != claimed)
         retire_current_leader();
     may_lack_terms_ = false;
+    resigned_predecessor_ = std::exchange(last_resignation_, std::nullopt);
     predecessor_has_ended_ = std::exchange(leader_has_ended_, false);
     is_leader_ = true;
     epoch_ = claimed;
--- a/src/cell/leader_election_records.cpp
+++ b/src/cell/leader_election_records.cpp
@@ -67,6 +67,10 @@
 /// without one. A short term in between doesn't shorten that time.
 void leader_election::update_predecessor_limits(const election_record& record, instant written_by) {
     const bool resigned = record.type == election_record::kind::resignation;
+    if (resigned)
+        last_resignation_ = resigned_term{record.outstanding, written_by};
+    else if (record.holder != self_)
+        last_resignation_.reset();
     if (record.type == election_record::kind::claim && current_leader_)
         retire_current_leader();
     if (record.type != election_record::kind::renewal)
--- a/src/cell/record_codec.cpp
+++ b/src/cell/record_codec.cpp
@@ -236,6 +236,7 @@
     record.set_kind(static_cast<pb::ReignRecord::Kind>(election.type));
     record.set_holder(election.holder.str());
     record.set_bus_address(election.bus_address);
+    record.set_outstanding(election.outstanding);
     return record.SerializeAsString();
 }
 
@@ -247,6 +248,7 @@
     election.type = static_cast<election_record::kind>(record->kind());
     election.holder = incarnation_id(record->holder());
     election.bus_address = record->bus_address();
+    election.outstanding = record->outstanding();
     return election;
 }
 
--- a/src/cell/resignation_writer.cpp
+++ b/src/cell/resignation_writer.cpp
@@ -19,11 +19,9 @@
 } // namespace
 
 resignation_writer::resignation_writer(const clock& time, durable_log& log,
-                                       const incarnation_id& holder, const std::string& bus_address,
-                                       std::uint64_t end)
-    : time_(time), log_(log), holder_(holder),
-      record_(encode_election_record({election_record::kind::resignation, holder, bus_address})),
-      end_offset_(end), started_at_(time.now()) {
+                                       const election_record& resignation, std::uint64_t end)
+    : time_(time), log_(log), holder_(resignation.holder),
+      record_(encode_election_record(resignation)), end_offset_(end), started_at_(time.now()) {
     send();
 }
 
--- a/src/cell/resignation_writer.h
+++ b/src/cell/resignation_writer.h
@@ -15,9 +15,9 @@
 /// Driven by `tick` and the log's answers. Owned by the leader election.
 class resignation_writer {
 public:
-    /// The log shows `holder` as coordinator up to offset `end`. Sends the first attempt at once.
-    resignation_writer(const clock& time, durable_log& log, const incarnation_id& holder,
-                       const std::string& bus_address, std::uint64_t end);
+    /// The log shows the holder as coordinator up to offset `end`. Sends the first attempt at once.
+    resignation_writer(const clock& time, durable_log& log, const election_record& resignation,
+                       std::uint64_t end);
 
     void tick();
     /// Stops retrying, because the process ends.
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -106,6 +106,7 @@
     void begin_term();
     void start_coordinator(bool state_read);
     void ask_predecessor();
+    void apply_resignation();
     void end_term();
     void apply_operator_record(const stored_record& record);
     void pass_worker_list();
--- a/src/cell_host/cell_member_leader.cpp
+++ b/src/cell_host/cell_member_leader.cpp
@@ -12,6 +12,13 @@
 // short, as is the time before it steps down, because workers' leases run meanwhile.
 constexpr duration ineligible_period = std::chrono::milliseconds(3000);
 
+/// Takes the time that has passed off the times that are left.
+void reduce_times(outstanding_orders& orders, duration passed) {
+    for (unresolved_worker& worker : orders.unresolved_workers)
+        if (worker.expires_in)
+            *worker.expires_in = std::max(duration::zero(), *worker.expires_in - passed);
+}
+
 } // namespace
 
 /// Only hosts with loaded state stand for election. Lease renewals are small and succeed on links
@@ -140,6 +147,19 @@
     worker_list_.poll_changed();
     coordinator_->update_workers(worker_list_.listings());
     ask_predecessor();
+    apply_resignation();
+}
+
+/// Applies what the predecessor knew of workers that did not answer it. Without that, the wait for
+/// their leases would begin anew with each planned restart.
+void cell_member::apply_resignation() {
+    const std::optional<resigned_term>& resigned = reign_.resigned_predecessor();
+    std::optional<outstanding_orders> orders =
+        resigned ? decode_outstanding(resigned->outstanding) : std::nullopt;
+    if (!orders)
+        return;
+    reduce_times(*orders, time_.now() - resigned->written_by);
+    coordinator_->apply_outstanding(*orders);
 }
 
 /// Asks the predecessor to step down. It may go on for seconds without the log, and it alone knows
@@ -162,10 +182,7 @@
     if (!ended_term_ || ended_term_->epoch != request->epoch)
         return encode_outstanding(std::nullopt);
     outstanding_orders orders = ended_term_->orders;
-    for (unresolved_worker& worker : orders.unresolved_workers)
-        if (worker.expires_in)
-            *worker.expires_in =
-                std::max(duration::zero(), *worker.expires_in - (time_.now() - ended_term_->at));
+    reduce_times(orders, time_.now() - ended_term_->at);
     return encode_outstanding(orders);
 }
 
