Bound a job's open occurrences, and refuse records that the log won't take

After one scheduled job with 40,000 past times no job of the cell was started or shown as ended any more. Cause: all past occurrences were made at once, and ended ones were never left out of the job's progress, although its format says so. Its record grew over the log's limit, was refused, and was sent again for ever before all others; a successor did the same. Class: a batch that is refused for good, behind which others wait. Change: a job has at most 256 open occurrences (10,000 tasks in all, two in any case); ended ones are forgotten once no run is left. The progress writer refuses a value that the log won't take (--max_record_bytes), with a line; a progress record that is too large goes without checkpoints, and only then ends its own job as failed. The simulated log refuses such records, too.

--- a/include/figwinch/cell/cell_settings.h
+++ b/include/figwinch/cell/cell_settings.h
@@ -33,6 +33,9 @@
     /// no run may be started there.
     duration evacuation_notice = std::chrono::seconds(5);
 
+    /// Size limit of one record of the log, with its key.
+    std::size_t max_record_bytes = std::size_t{256} * 1024;
+
     /// Lease duration that lease renewals request.
     duration lease() const { return std::min(max_granted_lease, max_requested_lease); }
 };
--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -19,15 +19,16 @@
     /// `applied` is called with each record, in order, once the log has stored it. `on_superseded`
     /// is called when the log has seen a higher epoch.
     progress_writer(const clock& time, durable_log& log, lease_epoch epoch,
-                    std::function<void(const stored_record&)> applied,
+                    std::size_t max_record_bytes, std::function<void(const stored_record&)> applied,
                     std::function<void()> on_superseded);
 
     /// Fences earlier epochs. Calls `done` with the end offset of the stream once no earlier epoch
     /// can append any more.
     void fence(std::function<void(std::uint64_t end)> done);
-    /// Queues the newest value of a key, which can't be empty: the log would take it for a removal.
-    /// Calls `committed` once this record and all earlier ones are stored.
-    void put(std::string key, std::string value, std::function<void()> committed = nullptr);
+    /// Queues the newest value of a key. Calls `committed` once this record and all earlier ones
+    /// are stored. Returns false, and queues nothing, if the value is empty, which the log would
+    /// take for a removal, or larger than the log takes: all later records would wait for it.
+    bool put(std::string key, std::string value, std::function<void()> committed = nullptr);
     /// Queues the removal of a key.
     void remove(std::string key);
     /// Calls `committed` once all records queued so far are stored; immediately if none is pending.
@@ -58,6 +59,7 @@
     const clock& time_;
     durable_log& log_;
     lease_epoch epoch_;
+    std::size_t max_record_bytes_;
     std::function<void(const stored_record&)> applied_;
     std::function<void()> on_superseded_;
     std::deque<queued_record> queued_;
--- a/include/figwinch/simulation/sim_store.h
+++ b/include/figwinch/simulation/sim_store.h
@@ -71,6 +71,10 @@
             answer.fault = log_fault::moved;
             return answer;
         }
+        if (std::ranges::any_of(records, is_too_large)) {
+            answer.fault = log_fault::unavailable;
+            return answer;
+        }
         if (guard.epoch && !admit_writer(to, guard, answer))
             return answer;
         answer.offset = to.end();
@@ -104,6 +108,11 @@
     }
 
 private:
+    /// The store appends nothing of a call that has a record over its limit.
+    static bool is_too_large(const stored_record& record) {
+        return record.key.size() + record.value.value_or("").size() >=
+               cell_settings{}.max_record_bytes;
+    }
     static bool admit_writer(stream& to, const append_guard& guard, append_result& answer) {
         const std::uint64_t epoch = guard.epoch->value();
         if (epoch < to.writer_epoch) {
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -63,6 +63,7 @@
     void restore_progress(job_state& job, const job_progress& progress);
     occurrence_state& make_occurrence(job_state& job, std::uint32_t number);
     void make_due_occurrences(job_state& job);
+    static void forget_ended_occurrences(job_state& job);
     void update_ready(occurrence_state& occurrence);
     void apply_queue_config(job_state& job) const;
     void end_task(task_state& task);
@@ -87,7 +88,8 @@
     void mark_dirty(job_state& job);
     void add_ordered_to(job_state& job, const worker_state& worker);
     void write_dirty();
-    void write_progress(const job_state& job);
+    void write_progress(job_state& job);
+    void give_up_unrecordable(job_state& job);
     static bool has_record_per_task(const step_spec& step);
     static bool is_recorded_at(const task_state& task, const worker_state& worker);
     void record_placement(task_state& task, const worker_state& worker);
--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -14,6 +14,20 @@
 // A job's prospect is estimated again after this time at the earliest.
 constexpr duration min_estimate_age = std::chrono::milliseconds(100);
 
+// Limits on the occurrences of a job that are open at the same time: their tasks are held in memory
+// and in one record of the log. Two always may overlap.
+constexpr std::uint32_t max_open_occurrences = 256;
+constexpr std::uint32_t max_open_tasks = 10'000;
+constexpr std::uint32_t min_open_occurrences = 2;
+
+std::uint32_t open_occurrences_limit(const job_spec& spec) {
+    std::uint32_t tasks = 0;
+    for (const step_spec& step : spec.steps)
+        tasks += step.tasks;
+    return std::clamp(max_open_tasks / std::max(1U, tasks), min_open_occurrences,
+                      max_open_occurrences);
+}
+
 bool all_done(const occurrence_state& occurrence, const std::vector<std::uint32_t>& steps) {
     return std::ranges::all_of(
         steps, [&](std::uint32_t number) { return occurrence.steps[number].unfinished == 0; });
@@ -145,7 +159,10 @@
 void cell_coordinator::make_due_occurrences(job_state& job) {
     if (job.phase != job_phase::open)
         return;
-    while (job.occurrences_made < job.occurrence_count()) {
+    forget_ended_occurrences(job);
+    const std::uint32_t limit = open_occurrences_limit(*job.spec);
+    while (job.occurrences_made < job.occurrence_count() &&
+           job.occurrences_made - job.occurrences_ended < limit) {
         if (job.spec->repeats > 0) {
             const std::int64_t due =
                 job.spec->first_due_ms + std::int64_t{job.occurrences_made} * job.spec->interval_ms;
@@ -157,6 +174,15 @@
     }
 }
 
+/// Forgets occurrences that have ended and have no run left; their number is enough.
+void cell_coordinator::forget_ended_occurrences(job_state& job) {
+    const auto has_run = [](const step_state& step) { return step.assigned > 0; };
+    std::erase_if(job.occurrences, [&](const auto& entry) {
+        return entry.first < job.occurrences_ended &&
+               std::ranges::none_of(entry.second->steps, has_run);
+    });
+}
+
 void cell_coordinator::update_ready(occurrence_state& occurrence) {
     for (step_state& step : occurrence.steps)
         step.ready = all_done(occurrence, step.spec->depends_on);
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell_coordinator.h"
 #include "figwinch/cell/record_codec.h"
+#include "figwinch/observe.h"
 
 #include <utility>
 
@@ -14,6 +15,8 @@
     if (job.phase != job_phase::open)
         return progress;
     for (const auto& [number, occurrence] : job.occurrences) {
+        if (number < job.occurrences_ended)
+            continue;
         occurrence_progress& kept = progress.occurrences[number];
         for (const step_state& step : occurrence->steps) {
             std::vector<task_progress>& tasks = kept.steps.emplace_back();
@@ -24,6 +27,13 @@
     return progress;
 }
 
+void drop_checkpoints(job_progress& progress) {
+    for (auto& [number, occurrence] : progress.occurrences)
+        for (std::vector<task_progress>& tasks : occurrence.steps)
+            for (task_progress& task : tasks)
+                task.checkpoint.clear();
+}
+
 } // namespace
 
 void cell_coordinator::mark_dirty(job_state& job) {
@@ -50,9 +60,23 @@
     }
 }
 
-void cell_coordinator::write_progress(const job_state& job) {
-    deps_.progress_log.put(record_key(record_kind::progress, job.id.str()),
-                           encode_progress(progress_of(job)));
+void cell_coordinator::write_progress(job_state& job) {
+    const std::string key = record_key(record_kind::progress, job.id.str());
+    job_progress progress = progress_of(job);
+    if (deps_.progress_log.put(key, encode_progress(progress)))
+        return;
+    // A task without its checkpoint begins anew after a change of coordinator.
+    drop_checkpoints(progress);
+    if (!deps_.progress_log.put(key, encode_progress(progress)))
+        give_up_unrecordable(job);
+}
+
+/// Ends a job whose progress is larger than a record. Without a record its tasks would run again
+/// after a change of coordinator.
+void cell_coordinator::give_up_unrecordable(job_state& job) {
+    log_event(log_level::error, "job_too_large", {{"job", job.id.str()}});
+    if (job.phase == job_phase::open)
+        end_job(job, job_phase::failed);
 }
 
 /// Returns whether the log has a worker record for each task of the step. Service tasks have one,
--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -24,6 +24,9 @@
 // A batch of this size passes a link of 1 Mbit/s in about one second; later records wait for it.
 constexpr std::size_t max_batch_bytes = std::size_t{128} * 1024;
 
+// Part of a record's size.
+constexpr std::size_t key_length_bytes = 1;
+
 std::size_t size_of(const stored_record& record) {
     return record.key.size() + (record.value ? record.value->size() : 0);
 }
@@ -31,22 +34,25 @@
 } // namespace
 
 progress_writer::progress_writer(const clock& time, durable_log& log, lease_epoch epoch,
+                                 std::size_t max_record_bytes,
                                  std::function<void(const stored_record&)> applied,
                                  std::function<void()> on_superseded)
-    : time_(time), log_(log), epoch_(epoch), applied_(std::move(applied)),
-      on_superseded_(std::move(on_superseded)) {}
+    : time_(time), log_(log), epoch_(epoch), max_record_bytes_(max_record_bytes),
+      applied_(std::move(applied)), on_superseded_(std::move(on_superseded)) {}
 
 void progress_writer::fence(std::function<void(std::uint64_t)> done) {
     fence_done_ = std::move(done);
     send();
 }
 
-void progress_writer::put(std::string key, std::string value, std::function<void()> committed) {
-    if (value.empty()) {
-        log_event(log_level::error, "empty_record_refused", {{"key", key}});
-        return;
+bool progress_writer::put(std::string key, std::string value, std::function<void()> committed) {
+    if (value.empty() || key.size() + value.size() + key_length_bytes > max_record_bytes_) {
+        log_event(log_level::error, "record_refused",
+                  {{"key", key}, {"bytes", static_cast<std::int64_t>(value.size())}});
+        return false;
     }
     queue({std::move(key), std::move(value), 0}, std::move(committed));
+    return true;
 }
 
 void progress_writer::remove(std::string key) {
--- a/tests/cell/repeats_test.cpp
+++ b/tests/cell/repeats_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(occurrences_that_were_missed_run_once_each);
     CPPUNIT_TEST(steps_of_an_occurrence_keep_their_order);
     CPPUNIT_TEST(no_occurrence_starts_after_a_cancellation);
+    CPPUNIT_TEST(a_long_past_schedule_holds_up_no_other_job);
+    CPPUNIT_TEST(a_past_schedule_is_made_up_for);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::int64_t first_after_ms = 2000;
@@ -125,6 +127,36 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world_.checker().starts);
         assert_invariants();
     }
+    /// Guards against a cell in which nothing is recorded any more, because the progress of one job
+    /// is larger than the log's records may be.
+    void a_long_past_schedule_holds_up_no_other_job() {
+        constexpr std::uint32_t times = 40'000;
+        start_cell();
+        job_spec scheduled = repeated(times, {cell_world::make_step(1, 100)});
+        scheduled.interval_ms = 60'000;
+        scheduled.first_due_ms = now_ms() - times * scheduled.interval_ms;
+        world_.submit(0, "a", scheduled);
+        world_.time().run_for(seconds(2));
+        world_.submit(1, "b", cell_world::make_job({cell_world::make_step(2, 500)}));
+        world_.time().run_for(seconds(8));
+        CPPUNIT_ASSERT(begun(0));
+        CPPUNIT_ASSERT(world_.job(1, "b")->phase == job_phase::succeeded);
+        assert_invariants();
+    }
+    /// Guards against occurrences that are left out because too many are due at once.
+    void a_past_schedule_is_made_up_for() {
+        constexpr std::uint32_t times = 600;
+        start_cell();
+        job_spec scheduled = repeated(times, {cell_world::make_step(1, 100)});
+        scheduled.first_due_ms = now_ms() - times * interval_ms;
+        world_.submit(0, "a", scheduled);
+        world_.time().run_for(seconds(10));
+        world_.kill_host(*world_.coordinator());
+        world_.time().run_for(seconds(40));
+        CPPUNIT_ASSERT(world_.job(1, "a")->phase == job_phase::succeeded);
+        CPPUNIT_ASSERT(begun(times - 1));
+        assert_invariants();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(repeats_test);
