Refuse jobs of more than 80,000 tasks or 4,000 service tasks at once

Cause: each step was limited, their sum wasn't, and a task took 616 bytes before it had ever run, 128 of them for a list that is nearly always empty. Service tasks are limited because each has a worker's id in the job's record. Not solved: several such jobs at once.

--- a/include/figwinch/cell/job_spec.h
+++ b/include/figwinch/cell/job_spec.h
@@ -36,5 +36,8 @@
 
 /// Validates a job. Returns `invalid_value` with a message that names the offending step or field.
 absl::Status validate_job(const job_spec& job);
+/// Validates the number of a new job's tasks. Returns `invalid_value` with a message that names the
+/// limit. Apart from `validate_job`, since accepted jobs stay valid.
+absl::Status validate_job_size(const job_spec& job);
 
 } // namespace figwinch
--- a/src/cell/coordinator_candidates.cpp
+++ b/src/cell/coordinator_candidates.cpp
@@ -206,10 +206,9 @@
                                                const task_state& task) const {
     worker_state* best = nullptr;
     std::pair<bool, double> best_score;
-    const bool has_failed = !task.failed_on.front().empty();
     for (const candidate& one : found) {
         std::pair score{is_known_responsive(*one.worker, task), one.score};
-        if (has_failed && std::ranges::count(task.failed_on, one.worker->listing.id) > 0)
+        if (std::ranges::count(task.failed_on, one.worker->listing.id) > 0)
             score.second -= failed_there_penalty;
         if (best == nullptr || score > best_score) {
             best = one.worker;
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -290,8 +290,7 @@
     std::vector<run_number>& failed = counted.progress.failed_runs;
     if (std::ranges::count(failed, run) > 0 || task.progress.done)
         return;
-    std::rotate(task.failed_on.begin(), task.failed_on.end() - 1, task.failed_on.end());
-    task.failed_on.front() = worker.listing.id;
+    task.add_failed_on(worker.listing.id);
     mark_dirty(*task.job);
     if (task.step->spec->is_service)
         return;
--- a/src/cell/coordinator_stragglers.cpp
+++ b/src/cell/coordinator_stragglers.cpp
@@ -92,8 +92,7 @@
                {"stands_still", stuck}});
     ++counts_.stragglers;
     ++task.moves;
-    std::rotate(task.failed_on.begin(), task.failed_on.end() - 1, task.failed_on.end());
-    task.failed_on.front() = worker.listing.id;
+    task.add_failed_on(worker.listing.id);
     const auto in_quarantine = static_cast<std::size_t>(std::ranges::count_if(
         workers_, [now](const auto& entry) { return entry.second->quarantined_until > now; }));
     if (in_quarantine * workers_per_quarantine < workers_.size())
--- a/src/cell/job_spec.cpp
+++ b/src/cell/job_spec.cpp
@@ -9,6 +9,10 @@
 // a few dozen tasks.
 constexpr std::size_t max_steps = 100;
 constexpr std::uint32_t max_tasks = 10'000;
+// A coordinator holds some 500 bytes a task: 40 MB for the largest job, of 260 MB on a small host.
+constexpr std::uint32_t max_job_tasks = 80'000;
+// Each has a worker of its own in the job's record, which the log limits.
+constexpr std::uint32_t max_service_tasks = 4'000;
 constexpr std::size_t max_payload_bytes = 4'000;
 constexpr std::uint32_t max_repeats = 1'000'000;
 
@@ -46,4 +50,18 @@
     return absl::OkStatus();
 }
 
+absl::Status validate_job_size(const job_spec& job) {
+    std::uint32_t tasks = 0;
+    std::uint32_t service_tasks = 0;
+    for (const step_spec& step : job.steps) {
+        tasks += step.tasks;
+        service_tasks += step.is_service ? step.tasks : 0;
+    }
+    if (tasks > max_job_tasks)
+        return make_error(result_code::invalid_value, "the job has more than 80000 tasks");
+    if (service_tasks > max_service_tasks)
+        return make_error(result_code::invalid_value, "the job has more than 4000 service tasks");
+    return absl::OkStatus();
+}
+
 } // namespace figwinch
--- a/src/cell/task_state.h
+++ b/src/cell/task_state.h
@@ -4,7 +4,7 @@
 #include "figwinch/cell/job_progress.h"
 #include "figwinch/cell/task_name.h"
 
-#include <array>
+#include <vector>
 
 namespace figwinch {
 
@@ -30,11 +30,21 @@
     /// Backoff after a failed run: the task is not started before this time.
     instant not_before{};
     /// Workers on which the last runs failed or lagged, newest first; retries prefer other workers.
-    std::array<worker_id, 4> failed_on;
+    /// Most tasks have none, and a job may have very many tasks.
+    std::vector<worker_id> failed_on;
     /// Since when the task has had no run, as far as this coordinator knows.
     instant down_since{};
     /// How often the task was moved because it made no progress or lagged.
     std::uint32_t moves = 0;
+
+    void add_failed_on(const worker_id& worker) {
+        failed_on.insert(failed_on.begin(), worker);
+        if (failed_on.size() > max_failed_on)
+            failed_on.pop_back();
+    }
+
+private:
+    static constexpr std::size_t max_failed_on = 4;
 };
 
 } // namespace figwinch
--- a/src/cell_host/job_api.cpp
+++ b/src/cell_host/job_api.cpp
@@ -70,6 +70,8 @@
         const absl::string_view why = job.status().message();
         return refuse(answer, code_of(job.status()), {why.data(), why.size()}, id.str());
     }
+    if (const absl::Status size = validate_job_size(*job); !size.ok())
+        return refuse(answer, code_of(size), std::string(size.message()), id.str());
     // Fails at once instead of letting the caller wait, because another host may reach the log.
     if (!deps_.log_answers())
         return refuse(answer, result_code::log_unavailable, "log not responding", id.str());
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -25,6 +25,11 @@
     CPPUNIT_TEST(a_follower_reports_keys_that_went_while_it_was_away);
     CPPUNIT_TEST_SUITE_END();
 
+    static step_spec step_of(std::uint32_t tasks) {
+        step_spec step;
+        step.tasks = tasks;
+        return step;
+    }
     static job_spec full_job() {
         step_spec first;
         first.tasks = 9;
@@ -152,6 +157,16 @@
         job = full_job();
         job.payload.assign(4001, 'x');
         CPPUNIT_ASSERT(!validate_job(job).ok());
+        job = full_job();
+        job.steps.assign(8, step_of(10'000));
+        CPPUNIT_ASSERT(validate_job_size(job).ok());
+        job.steps.push_back(step_of(1));
+        CPPUNIT_ASSERT(validate_job(job).ok());
+        CPPUNIT_ASSERT(code_of(validate_job_size(job)) == result_code::invalid_value);
+        job.steps.assign(1, step_of(4'001));
+        CPPUNIT_ASSERT(validate_job_size(job).ok());
+        job.steps.front().is_service = true;
+        CPPUNIT_ASSERT(!validate_job_size(job).ok());
     }
     void older_records_never_undo_newer_ones() {
         cell_state state;
