Record workers that are given up as idle

What callers saw: nothing yet; lasting tasks would have waited for a lease that had ended (DOWN). Cause: a coordinator that waited for a worker of an earlier term until its longest lease was over gave it up in memory only. The record still said that the worker may have runs, so each successor waited for it anew. Change: giving a worker up is recorded as the end of its leases is. The call that records a worker takes its id, since such a worker may not be listed. Before: absent_evidence_test::a_worker_that_was_given_up_is_not_waited_for_again fails on (no record of the lease's end). After: it passes, as do the tests of recovery, restarts, records and resignations that aren't listed.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -120,8 +120,9 @@
     void handle_restart(worker_state& worker);
     void handle_new_incarnation(worker_state& worker, const worker_report& report);
     void register_incarnation(worker_state& worker);
-    void record_worker(const worker_state& worker, const worker_entry& entry,
+    void record_worker(const worker_id& id, const worker_entry& entry,
                        std::function<void()> committed = nullptr);
+    void record_idle(const worker_id& id, std::uint64_t incarnation);
     void remove_worker_record(const worker_id& id);
     void doubt_unrecorded(const worker_id& id);
     void handle_unanswered_renewal(worker_state& worker);
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -87,10 +87,7 @@
     if (!std::exchange(worker.registered, false))
         return;
     update_index(worker);
-    log_event(log_level::info, "worker_idle_recorded", {{"worker", id.str()}});
-    worker_entry entry{worker.born_ms, worker.unresponsive};
-    entry.lease_expired = true;
-    record_worker(worker, entry);
+    record_idle(id, worker.born_ms);
 }
 
 /// Logs a run that ended unseen with its worker, and how long before the worker's last report it
@@ -196,6 +193,8 @@
     for (const worker_id& id : over) {
         log_event(log_level::warn, "worker_given_up", {{"worker", id.str()}});
         unresolved_.erase(id);
+        const auto leased = leased_incarnations_.find(id);
+        record_idle(id, leased == leased_incarnations_.end() ? 0 : leased->second);
     }
     placement_due_ = true;
     log_resolved();
--- a/src/cell/coordinator_workers.cpp
+++ b/src/cell/coordinator_workers.cpp
@@ -231,7 +231,7 @@
     if (!worker.longer_lease_until_ms || report.clock_ms <= *worker.longer_lease_until_ms)
         return;
     worker.longer_lease_until_ms.reset();
-    record_worker(worker, {recorded_incarnation(worker), worker.unresponsive});
+    record_worker(worker.listing.id, {recorded_incarnation(worker), worker.unresponsive});
 }
 
 void cell_coordinator::handle_unanswered_renewal(worker_state& worker) {
@@ -247,7 +247,7 @@
     log_event(log_level::warn, "worker_silent", {{"worker", worker.listing.id.str()}});
     // Recorded at once, so that a successor knows of it.
     record_crash(worker, false);
-    record_worker(worker, {recorded_incarnation(worker), true});
+    record_worker(worker.listing.id, {recorded_incarnation(worker), true});
 }
 
 /// The worker answers again. A successor that still reads that it is unresponsive would wait too
@@ -261,7 +261,7 @@
 void cell_coordinator::register_incarnation(worker_state& worker) {
     worker.registering = true;
     const worker_id id = worker.listing.id;
-    record_worker(worker, {recorded_incarnation(worker), false},
+    record_worker(worker.listing.id, {recorded_incarnation(worker), false},
                   [this, weak = std::weak_ptr(alive_), id, born_ms = worker.born_ms] {
                       worker_state* const known = weak.expired() ? nullptr : find_worker(id);
                       if (known == nullptr)
@@ -277,14 +277,22 @@
                   });
 }
 
-void cell_coordinator::record_worker(const worker_state& worker, const worker_entry& entry,
+void cell_coordinator::record_worker(const worker_id& id, const worker_entry& entry,
                                      std::function<void()> committed) {
-    const worker_id& id = worker.listing.id;
     recorded_.insert(id);
     deps_.progress_log.put(record_key(record_kind::worker, id.str()), encode_worker(entry),
                            std::move(committed));
 }
 
+/// Records that all leases of the worker have ended, so that no successor waits for it.
+void cell_coordinator::record_idle(const worker_id& id, std::uint64_t incarnation) {
+    log_event(log_level::info, "worker_idle_recorded", {{"worker", id.str()}});
+    worker_entry entry;
+    entry.incarnation = incarnation;
+    entry.lease_expired = true;
+    record_worker(id, entry);
+}
+
 /// Removes the record of a worker that is forgotten.
 void cell_coordinator::remove_worker_record(const worker_id& id) {
     if (recorded_.erase(id) == 0)
--- /dev/null
+++ b/tests/cell/absent_evidence_test.cpp
@@ -0,0 +1,52 @@
+#include "tests/cell/recovery_fixture.h"
+
+namespace figwinch::sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What one coordinator finds out about workers out of reach must reach the coordinators after the
+/// next one, whether or not the next one had time to act.
+class absent_evidence_test : public recovery_fixture {
+    CPPUNIT_TEST_SUITE(absent_evidence_test);
+    CPPUNIT_TEST(a_worker_that_was_given_up_is_not_waited_for_again);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint32_t task_count = 8;
+
+    void start_tasks() {
+        start_cell();
+        world_.submit(0, "a", service_job(task_count));
+        world_.time().run_for(seconds(10));
+        CPPUNIT_ASSERT(worker("w1").running() > 0);
+    }
+    void replace_coordinator() {
+        const std::size_t leading = *world_.coordinator();
+        world_.kill_host(leading);
+        world_.start_host(leading);
+    }
+
+public:
+    /// Guards against a wait for a worker's lease that begins anew with each coordinator after the
+    /// lease has ended.
+    void a_worker_that_was_given_up_is_not_waited_for_again() {
+        start_tasks();
+        world_.fleet().workers.at("w1").cut = true;
+        replace_coordinator();
+        world_.time().run_for(seconds(18));
+        const auto idle = decode_worker(record(record_kind::worker, "w1"));
+        CPPUNIT_ASSERT(idle && idle->lease_expired);
+        replace_coordinator();
+        run_until([&] { return world_.coordinator().has_value(); });
+        const auto* const acting = world_.host(*world_.coordinator())->member().coordinating();
+        run_until([&] { return acting->counts().workers > 0; });
+        world_.time().run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acting->counts().workers_unresolved);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(absent_evidence_test);
+
+} // namespace
+} // namespace figwinch::sim
