Record workers that are in doubt because they have no record

What callers saw: a task that must run once could run twice (TWICE). Cause: a coordinator that reads no record of a listed worker waits for its lease, but wrote nothing of that. If the worker was unlisted and the coordinator replaced before the wait was over, the next one neither read a record nor listed the worker, and took absence for proof again. Change: the doubt is recorded at once, as a worker that may have runs of any incarnation. Before: absent_evidence_test::tasks_of_an_unrecorded_worker_that_is_unlisted_run_once fails on: TWICE a.0.0.0 on w3 at 13137 ms. After: it passes.

--- a/src/cell/coordinator_incarnations.cpp
+++ b/src/cell/coordinator_incarnations.cpp
@@ -42,8 +42,11 @@
 /// worker that never had runs reports at once, while of any other the record was lost. Every worker
 /// without runs that had some has a record that says so.
 void cell_coordinator::doubt_unrecorded(const worker_id& id) {
-    if (!recorded_.contains(id) && deps_.time.now() < longest_leases_expired_at_)
-        unresolved_[id] = longest_leases_expired_at_;
+    if (recorded_.contains(id) || deps_.time.now() >= longest_leases_expired_at_)
+        return;
+    unresolved_[id] = longest_leases_expired_at_;
+    // The worker may be listed no more when a successor begins.
+    record_worker(id, {});
 }
 
 /// Returns how long the lease may still last of a worker incarnation that reports for the first
--- a/tests/cell/absent_evidence_test.cpp
+++ b/tests/cell/absent_evidence_test.cpp
@@ -10,6 +10,7 @@
 /// next one, whether or not the next one had time to act.
 class absent_evidence_test : public recovery_fixture {
     CPPUNIT_TEST_SUITE(absent_evidence_test);
+    CPPUNIT_TEST(tasks_of_an_unrecorded_worker_that_is_unlisted_run_once);
     CPPUNIT_TEST(a_worker_that_was_given_up_is_not_waited_for_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -28,6 +29,23 @@
     }
 
 public:
+    /// Guards against a task that runs twice: the doubt about a worker without a record ends with
+    /// the first coordinator that reads no record, if the worker is listed no more.
+    void tasks_of_an_unrecorded_worker_that_is_unlisted_run_once() {
+        start_tasks();
+        world_.fleet().workers.at("w1").cut = true;
+        world_.store().append(cell_stream::progress,
+                              {{record_key(record_kind::worker, "w1"), std::nullopt, 0}}, {});
+        replace_coordinator();
+        run_until([&] { return world_.coordinator().has_value(); });
+        world_.time().run_for(milliseconds(500));
+        world_.unlist_worker("w1");
+        world_.time().run_for(milliseconds(500));
+        replace_coordinator();
+        world_.time().run_for(seconds(20));
+        assert_invariants();
+        assert_all_run("a", task_count);
+    }
     /// Guards against a wait for a worker's lease that begins anew with each coordinator after the
     /// lease has ended.
     void a_worker_that_was_given_up_is_not_waited_for_again() {
