Pass a resignation's account on when the next host resigns before it begins

What callers saw: nothing yet; lasting tasks of a lost worker would have waited for a whole lease again (DOWN). Cause: a host that was elected and resigned before its coordinator began wrote a resignation without an account, which replaced that of its predecessor. Change: such a host sent no orders, so it passes its predecessor's account on, less the time that has passed.

--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -110,7 +110,7 @@
 }
 
 void cell_member::resign() {
-    reign_.resign(coordinator_ ? encode_outstanding(coordinator_->outstanding_unreachable()) : "");
+    reign_.resign(account_for_successor());
     if (progress_writer_)
         end_term();
 }
--- a/src/cell_host/cell_member.h
+++ b/src/cell_host/cell_member.h
@@ -107,6 +107,8 @@
     void start_coordinator(bool state_read);
     void ask_predecessor();
     void apply_resignation();
+    std::optional<outstanding_orders> inherited_account() const;
+    std::string account_for_successor() const;
     void end_term();
     void apply_operator_record(const stored_record& record);
     void pass_worker_list();
--- a/src/cell_host/cell_member_leader.cpp
+++ b/src/cell_host/cell_member_leader.cpp
@@ -153,13 +153,29 @@
 /// Applies what the predecessor knew of workers that did not answer it. Without that, the wait for
 /// their leases would begin anew with each planned restart.
 void cell_member::apply_resignation() {
+    if (const std::optional<outstanding_orders> orders = inherited_account())
+        coordinator_->apply_outstanding(*orders);
+}
+
+/// Returns what a predecessor that resigned last knew of workers out of reach, as of now.
+std::optional<outstanding_orders> cell_member::inherited_account() const {
     const std::optional<resigned_term>& resigned = reign_.resigned_predecessor();
     std::optional<outstanding_orders> orders =
         resigned ? decode_outstanding(resigned->outstanding) : std::nullopt;
-    if (!orders)
-        return;
-    reduce_times(*orders, time_.now() - resigned->written_by);
-    coordinator_->apply_outstanding(*orders);
+    if (orders)
+        reduce_times(*orders, time_.now() - resigned->written_by);
+    return orders;
+}
+
+/// Returns the encoded account that a resignation leaves. A leader that hasn't begun to coordinate
+/// sent no orders, so its predecessor's account still holds.
+std::string cell_member::account_for_successor() const {
+    if (coordinator_)
+        return encode_outstanding(coordinator_->outstanding_unreachable());
+    if (!reign_.is_leader())
+        return "";
+    const std::optional<outstanding_orders> inherited = inherited_account();
+    return inherited ? encode_outstanding(inherited) : "";
 }
 
 /// Asks the predecessor to step down. It may go on for seconds without the log, and it alone knows
