Drop a resignation's account when later terms are unread

What callers saw: nothing yet; a task could run twice. Cause: a host that had read a resignation, and then learnt that the log has discarded records it hadn't read, kept the account of that resignation as the one of its immediate predecessor. A coordinator of the unread terms may have sent orders to workers that the account releases. Change: the account is dropped with the history that would show the last term.

--- a/src/cell/leader_election_records.cpp
+++ b/src/cell/leader_election_records.cpp
@@ -89,6 +89,7 @@
 void leader_election::handle_lost_history() {
     history_lost_at_ = time_.now();
     may_lack_terms_ = true;
+    last_resignation_.reset();
 }
 
 /// Reckons with coordinators of which no record was read: they may have renewed their term up to
--- a/tests/cell/leader_election_test.cpp
+++ b/tests/cell/leader_election_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(a_host_that_finds_no_history_leaves_the_lead_to_a_live_coordinator);
     CPPUNIT_TEST(a_coordinator_before_unread_terms_is_not_the_predecessor);
     CPPUNIT_TEST(a_coordinator_with_unread_terms_in_between_is_not_the_predecessor);
+    CPPUNIT_TEST(a_resignation_before_unread_terms_is_not_the_last_one);
     CPPUNIT_TEST(a_host_with_more_cpu_claims_first);
     CPPUNIT_TEST(unreadable_records_of_others_are_passed_over);
     CPPUNIT_TEST_SUITE_END();
@@ -234,6 +235,29 @@
         CPPUNIT_ASSERT(other.election.is_leader());
         CPPUNIT_ASSERT(!other.election.predecessor());
     }
+    /// Guards against the account of a coordinator that resigned being taken for that of the last
+    /// one, which came after it and is unread.
+    void a_resignation_before_unread_terms_is_not_the_last_one() {
+        start(2);
+        time_.run_for(seconds(5));
+        const std::size_t first = leader();
+        candidate& other = *hosts_[1 - first];
+        other.election.set_candidate(false);
+        hosts_[first]->election.resign("account");
+        time_.run_for(seconds(1));
+        other.log.state = sim_log::way::refused;
+        hosts_[first].reset();
+        start(1);
+        time_.run_for(seconds(5));
+        CPPUNIT_ASSERT(hosts_.back()->election.is_leader());
+        hosts_.back().reset();
+        store_.compact(cell_stream::reigns);
+        other.log.state = sim_log::way::open;
+        other.election.set_candidate(true);
+        time_.run_for(seconds(5));
+        CPPUNIT_ASSERT(other.election.is_leader());
+        CPPUNIT_ASSERT(!other.election.resigned_predecessor());
+    }
     /// Guards against the account of a coordinator's earlier term being taken for that of its last
     /// one, before which another host was coordinator.
     void a_coordinator_with_unread_terms_in_between_is_not_the_predecessor() {
