Start all occurrences of lasting tasks, and bound them at submission

What callers saw: nothing yet; occurrence 256 of a recurring lasting job would never have started (LOST). Cause: the limit of open occurrences waits for earlier ones to end, which lasting tasks never do. Change: jobs with lasting tasks have no such limit. Since all of their occurrences may be open at once, the limits on a new job's tasks count every occurrence of them. Before: repeats_test::every_occurrence_of_lasting_tasks_starts and records_test::jobs_out_of_bounds_are_refused fail on. After: they pass.

--- a/src/cell/coordinator_jobs.cpp
+++ b/src/cell/coordinator_jobs.cpp
@@ -20,7 +20,11 @@
 constexpr std::uint32_t max_open_tasks = 10'000;
 constexpr std::uint32_t min_open_occurrences = 2;
 
+/// Service tasks never end, so that a limit would keep later occurrences from ever starting; such
+/// jobs are bounded when they are submitted.
 std::uint32_t open_occurrences_limit(const job_spec& spec) {
+    if (std::ranges::any_of(spec.steps, &step_spec::is_service))
+        return std::max(1U, spec.repeats);
     std::uint32_t tasks = 0;
     for (const step_spec& step : spec.steps)
         tasks += step.tasks;
--- a/src/cell/job_spec.cpp
+++ b/src/cell/job_spec.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace figwinch {
 namespace {
 
@@ -50,17 +52,25 @@
     return absl::OkStatus();
 }
 
+/// Occurrences with service tasks never end, so that all of a job's may be open at once.
 absl::Status validate_job_size(const job_spec& job) {
-    std::uint32_t tasks = 0;
-    std::uint32_t service_tasks = 0;
+    std::uint64_t tasks = 0;
+    std::uint64_t service_tasks = 0;
     for (const step_spec& step : job.steps) {
         tasks += step.tasks;
         service_tasks += step.is_service ? step.tasks : 0;
     }
+    if (service_tasks > 0) {
+        const std::uint64_t occurrences = std::max(1U, job.repeats);
+        tasks *= occurrences;
+        service_tasks *= occurrences;
+    }
     if (tasks > max_job_tasks)
-        return make_error(result_code::invalid_value, "the job has more than 80000 tasks");
+        return make_error(result_code::invalid_value,
+                          "the job may have more than 80000 tasks at once");
     if (service_tasks > max_service_tasks)
-        return make_error(result_code::invalid_value, "the job has more than 4000 service tasks");
+        return make_error(result_code::invalid_value,
+                          "the job may have more than 4000 service tasks at once");
     return absl::OkStatus();
 }
 
--- a/tests/cell/records_test.cpp
+++ b/tests/cell/records_test.cpp
@@ -167,6 +167,16 @@
         CPPUNIT_ASSERT(validate_job_size(job).ok());
         job.steps.front().is_service = true;
         CPPUNIT_ASSERT(!validate_job_size(job).ok());
+        job.steps.front().tasks = 1;
+        job.repeats = 4'000;
+        CPPUNIT_ASSERT(validate_job_size(job).ok());
+        job.repeats = 4'001;
+        CPPUNIT_ASSERT(!validate_job_size(job).ok());
+        job.repeats = 4'000;
+        job.steps.push_back(step_of(20));
+        CPPUNIT_ASSERT(!validate_job_size(job).ok());
+        job.steps.front().is_service = false;
+        CPPUNIT_ASSERT(validate_job_size(job).ok());
     }
     void older_records_never_undo_newer_ones() {
         cell_state state;
--- a/tests/cell/repeats_test.cpp
+++ b/tests/cell/repeats_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(no_occurrence_starts_after_a_cancellation);
     CPPUNIT_TEST(a_long_past_schedule_holds_up_no_other_job);
     CPPUNIT_TEST(a_past_schedule_is_made_up_for);
+    CPPUNIT_TEST(every_occurrence_of_lasting_tasks_starts);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::int64_t first_after_ms = 2000;
@@ -157,6 +158,21 @@
         CPPUNIT_ASSERT(begun(times - 1));
         assert_invariants();
     }
+    /// Guards against occurrences that wait for the end of earlier ones whose tasks never end.
+    void every_occurrence_of_lasting_tasks_starts() {
+        constexpr std::uint32_t times = 300;
+        start_cell();
+        step_spec lasting = cell_world::make_step(1, 10);
+        lasting.size = {10, 10, 0};
+        lasting.is_service = true;
+        job_spec scheduled = repeated(times, {lasting});
+        scheduled.first_due_ms = now_ms() - times * interval_ms;
+        world_.submit(0, "a", scheduled);
+        world_.time().run_for(seconds(20));
+        for (std::uint32_t number = 0; number < times; ++number)
+            CPPUNIT_ASSERT(begun(number));
+        assert_invariants();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(repeats_test);
