Refuse a record whose key is longer than the log's keys may be

What callers saw: nothing yet; a record with a key of more than 255 bytes would have been sent forever, before all others. Cause: the size check counted one byte for the key's length but took keys of any length. Change: such a record is refused as one that is too large is, with a line. Before: progress_writer_test::a_value_that_the_log_does_not_take_holds_up_no_other fails on. After: it passes.

--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -24,8 +24,9 @@
 // A batch of this size passes a link of 1 Mbit/s in about one second; later records wait for it.
 constexpr std::size_t max_batch_bytes = std::size_t{128} * 1024;
 
-// Part of a record's size.
+// A keyed record begins with its key's length in one byte.
 constexpr std::size_t key_length_bytes = 1;
+constexpr std::size_t max_key_bytes = 255;
 
 std::size_t size_of(const stored_record& record) {
     return record.key.size() + (record.value ? record.value->size() : 0);
@@ -46,9 +47,10 @@
 }
 
 bool progress_writer::put(std::string key, std::string value, std::function<void()> committed) {
-    if (value.empty() || key.size() + value.size() + key_length_bytes > max_record_bytes_) {
+    const std::size_t bytes = key_length_bytes + key.size() + value.size();
+    if (value.empty() || key.size() > max_key_bytes || bytes > max_record_bytes_) {
         log_event(log_level::error, "record_refused",
-                  {{"key", key}, {"bytes", static_cast<std::int64_t>(value.size())}});
+                  {{"key", key}, {"bytes", static_cast<std::int64_t>(bytes)}});
         return false;
     }
     queue({std::move(key), std::move(value), 0}, std::move(committed));
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -48,6 +48,7 @@
     void a_value_that_the_log_does_not_take_holds_up_no_other() {
         CPPUNIT_ASSERT(!writer_.put("p1", std::string(most_bytes, 'v')));
         CPPUNIT_ASSERT(!writer_.put("p2", ""));
+        CPPUNIT_ASSERT(!writer_.put("p" + std::string(255, 'k'), "v"));
         CPPUNIT_ASSERT(writer_.put("p3", std::string(most_bytes - 3, 'v')));
         run_for(seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
