--- a/bench/cell_backlog.cpp
+++ b/bench/cell_backlog.cpp
@@ -246,8 +246,12 @@
     sim_advisor advisor_{time_, fleet_.policy};
     measured_log log_{sim_log_, stopwatch_};
     measured_orders orders_{sim_orders_, stopwatch_};
-    progress_writer progress_writer_{time_.clock(), log_, lease_epoch(1),
-                                     [](const stored_record&) {}, [] {}};
+    progress_writer progress_writer_{time_.clock(),
+                                     log_,
+                                     lease_epoch(1),
+                                     cell_settings{}.max_record_bytes,
+                                     [](const stored_record&) {},
+                                     [] {}};
     std::unique_ptr<coordinator> coordinator_ = coordinator::create(
         {time_.clock(), orders_, advisor_, progress_writer_, [this] { return time_.now(); },
          [] { return true; }, [] { return true; }, [] {},
