Start service tasks beside trials once they have waited too long

Cause: workers with room are kept free for the trials of suspects, one trial after the other. Suspects among service tasks have a limit on that wait, all other service tasks had none. Change: a service task that has waited for 1.5 s takes a worker whose trial hasn't begun, and after 2 s any worker with room. A suspect whose trial isn't alone any more needs more crashes to be given up, as with suspects that waited.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -327,6 +327,7 @@
     void hold_for_trial(const candidates& found, const task_state& task);
     bool is_kept_for_trial(const worker_state& worker) const;
     void record_trial(task_state& task, worker_state& worker);
+    worker_state* choose_kept_worker(const job_state& job, const task_state& task);
     candidates without_trials(candidates found) const;
     candidates without_kept_workers(candidates found) const;
     const task_state* trial_to_wait_for(const step_state& step) const;
--- a/src/cell/coordinator_placement.cpp
+++ b/src/cell/coordinator_placement.cpp
@@ -94,8 +94,10 @@
         }
         if (any_worker && (!found || found->empty()))
             found = without_kept_workers(search(job, step, rack_id()));
-        worker_state* const worker =
+        worker_state* worker =
             any_worker ? best_candidate(*found, task) : choose_recorded(job, task);
+        if (worker == nullptr && any_worker)
+            worker = choose_kept_worker(job, task);
         if (worker == nullptr) {
             request_advice(job, task);
             return false;
--- a/src/cell/coordinator_trials.cpp
+++ b/src/cell/coordinator_trials.cpp
@@ -13,6 +13,8 @@
 constexpr duration hold_slack = std::chrono::milliseconds(500);
 // A service task may be down for three seconds longer than its worker's lease lasts.
 constexpr duration max_trial_wait = std::chrono::milliseconds(1500);
+// Beside a trial it may crash with its worker, and more crashes are needed to give the suspect up.
+constexpr duration max_wait_beside_trials = std::chrono::milliseconds(2000);
 // Share of the workers that may be kept free of new starts for trials at the same time.
 constexpr std::size_t min_held = 2;
 constexpr std::size_t max_held_share = 8;
@@ -51,9 +53,9 @@
     return best_candidate(quiet, task);
 }
 
-/// Whether a service task has waited for a quiet worker for so long that its trial is started
-/// beside others. It is late by the time that it waits, and so many tasks may be suspects that
-/// there are not enough quiet workers; more crashes are then needed to give it up.
+/// Whether a service task has waited for a quiet worker for so long that it is started beside
+/// others. It is late by the time that it waits, and so many tasks may be suspects that there are
+/// not enough quiet workers; more crashes are then needed to give a suspect up.
 bool cell_coordinator::has_waited_for_trial(const task_state& task) const {
     return task.step->spec->is_service && deps_.time.now() - task.down_since >= max_trial_wait;
 }
@@ -143,6 +145,18 @@
     return found;
 }
 
+/// Returns a worker that is kept for trials, for a service task that has waited too
+/// long for any other: one whose trial hasn't begun, and at last any. Null if the task can wait.
+worker_state* cell_coordinator::choose_kept_worker(const job_state& job, const task_state& task) {
+    if (!has_waited_for_trial(task))
+        return nullptr;
+    const candidates all = search(job, *task.step, rack_id());
+    if (worker_state* const worker = best_candidate(without_trials(all), task))
+        return worker;
+    const bool is_urgent = deps_.time.now() - task.down_since >= max_wait_beside_trials;
+    return is_urgent ? best_candidate(all, task) : nullptr;
+}
+
 /// Returns the suspect of the step whose trial the other tasks wait for, since they probably do the
 /// same: one that has just begun a trial, or was alone when its worker was lost. Null if there is
 /// none. Service tasks are late by the time that they wait, so they wait only if two of them were.
