--- a/tests/cell/absent_evidence_test.cpp
+++ b/tests/cell/absent_evidence_test.cpp
@@ -26,11 +26,6 @@
         world_.time().run_for(seconds(10));
         CPPUNIT_ASSERT(worker("w1").running() > 0);
     }
-    void replace_coordinator() {
-        const std::size_t leading = *world_.coordinator();
-        world_.kill_host(leading);
-        world_.start_host(leading);
-    }
     void restart(std::size_t host) {
         world_.kill_host(host);
         world_.start_host(host);
@@ -80,12 +75,7 @@
         world_.time().run_for(seconds(18));
         const auto idle = decode_worker(record(record_kind::worker, "w1"));
         CPPUNIT_ASSERT(idle && idle->lease_expired);
-        replace_coordinator();
-        run_until([&] { return world_.coordinator().has_value(); });
-        const auto* const acting = world_.host(*world_.coordinator())->member().coordinating();
-        run_until([&] { return acting->counts().workers > 0; });
-        world_.time().run_for(milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acting->counts().workers_unresolved);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unresolved_after_replacement());
     }
     /// Guards against a wait for the lease of a lost worker that begins anew because a host
     /// resigned before its coordinator began, and left no account.
--- a/tests/cell/empty_record_test.cpp
+++ b/tests/cell/empty_record_test.cpp
@@ -3,7 +3,6 @@
 namespace figwinch::sim {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// The log takes a keyed record without a value for a deletion: no record that must stay may be
@@ -20,12 +19,6 @@
 
     static constexpr std::uint32_t task_count = 8;
 
-    /// Replaces the coordinator; another host takes over at once.
-    void replace_coordinator() {
-        const std::size_t leading = *world_.coordinator();
-        world_.kill_host(leading);
-        world_.start_host(leading);
-    }
     /// Restarts a worker while the coordinator is replaced, so that it may hold a longer lease than
     /// any that its successor requests.
     void restart_beside_change(const std::string& name) {
@@ -86,12 +79,7 @@
         world_.time().run_for(seconds(12));
         const auto idle = decode_worker(record(record_kind::worker, "w1"));
         CPPUNIT_ASSERT(idle && idle->lease_expired);
-        replace_coordinator();
-        run_until([&] { return world_.coordinator().has_value(); });
-        const auto* const acting = world_.host(*world_.coordinator())->member().coordinating();
-        run_until([&] { return acting->counts().workers > 0; });
-        world_.time().run_for(milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acting->counts().workers_unresolved);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unresolved_after_replacement());
     }
     /// Guards against records of workers that no coordinator will ever list again.
     void records_of_workers_that_are_gone_are_removed() {
--- a/tests/cell/recovery_fixture.h
+++ b/tests/cell/recovery_fixture.h
@@ -71,6 +71,22 @@
         worker(name).reborn();
         world_.time().after(std::chrono::seconds(3), [this, name] { world_.unlist_worker(name); });
     }
+    /// Replaces the coordinator; another host takes over at once.
+    void replace_coordinator() {
+        const std::size_t leading = *world_.coordinator();
+        world_.kill_host(leading);
+        world_.start_host(leading);
+    }
+    /// Replaces the coordinator and returns how many workers its successor waits for once it has
+    /// heard of the others.
+    std::size_t unresolved_after_replacement() {
+        replace_coordinator();
+        run_until([&] { return world_.coordinator().has_value(); });
+        const auto* const acting = world_.host(*world_.coordinator())->member().coordinating();
+        run_until([&] { return acting->counts().workers > 0; });
+        world_.time().run_for(std::chrono::milliseconds(100));
+        return acting->counts().workers_unresolved;
+    }
     void assert_all_run(const std::string& job, std::uint32_t tasks) {
         for (std::uint32_t index = 0; index < tasks; ++index)
             CPPUNIT_ASSERT(world_.checker().is_running(task(job, index)));
