Mark a worker in doubt before the next placement round

What callers saw: a batch task could run twice (TWICE). Cause: the marks of unresolved workers are rebuilt when their number changes. Since workers also come into doubt during a term; where as many others had reported by the next placement round, the marks lacked those in doubt. Change: a doubt resets the marks. Before: unresolved_marks_test:: a_doubt_counts_although_another_worker_has_reported fails on: TWICE b.0.0.0 at 18975 ms. After: it passes.

--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -416,7 +416,7 @@
     instant longest_leases_expired_at_{};
     /// Workers of which the log has a record.
     std::set<worker_id> recorded_;
-    std::size_t marked_unresolved_ = 0;
+    std::optional<std::size_t> marked_unresolved_;
     ended_page_queue ended_pages_{max_ended_pages};
     /// When a worker last crashed at an address.
     std::map<endpoint, instant> last_crashes_;
--- a/src/cell/coordinator_incarnations.cpp
+++ b/src/cell/coordinator_incarnations.cpp
@@ -45,6 +45,7 @@
     if (recorded_.contains(id) || deps_.time.now() >= longest_leases_expired_at_)
         return;
     unresolved_[id] = longest_leases_expired_at_;
+    marked_unresolved_.reset();
     // The worker may be listed no more when a successor begins.
     record_worker(id, {});
 }
--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -155,7 +155,8 @@
 }
 
 /// Rebuilds the marks of unresolved workers, once per placement round, since many workers report at
-/// the same moment. Marks of workers that have reported since only make the check stricter.
+/// the same moment. Marks of workers that have reported since only make the check stricter; an
+/// addition resets `marked_unresolved_`.
 void cell_coordinator::update_unresolved_marks() {
     const std::size_t count = unresolved_.size() + unread_.size();
     if (marked_unresolved_ == count)
