Keep the records of unlisted workers whose leases may last

What callers saw: nothing yet; where workers grant more than 15 s, a task could run twice (TWICE) after a change of coordinator. Cause: a worker that isn't listed is forgotten after 15 s, and its record removed, although its leases are still waited for. The next coordinator takes the absent record for proof. Change: such a worker is kept until it is resolved, as records of workers that were never listed are.

--- a/src/cell/coordinator_leases.cpp
+++ b/src/cell/coordinator_leases.cpp
@@ -107,7 +107,8 @@
     std::vector<worker_id> gone;
     for (const auto& [id, worker] : workers_)
         if (!worker->listed && worker->tasks.empty() && !worker->renewal_in_flight &&
-            !worker->registering && now - worker->reported_at > unlisted_retention)
+            !worker->registering && !unresolved_.contains(id) &&
+            now - worker->reported_at > unlisted_retention)
             gone.push_back(id);
     for (const worker_id& id : gone) {
         log_event(log_level::info, "worker_forgotten", {{"worker", id.str()}});
