Pass a resignation's account on from a host that resigns while it claims

Cause: a host that resigned while its claim was on its way to the log wasn't leader yet, and left a resignation without an account after one that had one. Change: such a host passes on the account of the newest resignation.

--- a/include/figwinch/cell/leader_election.h
+++ b/include/figwinch/cell/leader_election.h
@@ -84,6 +84,9 @@
     const std::optional<resigned_term>& resigned_predecessor() const {
         return resigned_predecessor_;
     }
+    /// The newest record that this host has read, if it is a resignation. This host's term, if its
+    /// claim succeeds, follows it.
+    const std::optional<resigned_term>& last_resignation() const { return last_resignation_; }
     /// The time until which predecessors may have sent orders: their resignation, or
     /// `max_unconfirmed_leadership` after their last record in the log.
     instant predecessors_acted_until() const { return acted_until_; }
--- a/src/cell_host/cell_member_leader.cpp
+++ b/src/cell_host/cell_member_leader.cpp
@@ -157,9 +157,11 @@
         coordinator_->apply_outstanding(*orders);
 }
 
-/// Returns what a predecessor that resigned last knew of workers out of reach, as of now.
+/// Returns what the predecessor knew of workers out of reach, as of now, if it resigned. A host
+/// whose claim is under way has the newest term for predecessor.
 std::optional<outstanding_orders> cell_member::inherited_account() const {
-    const std::optional<resigned_term>& resigned = reign_.resigned_predecessor();
+    const std::optional<resigned_term>& resigned =
+        reign_.is_leader() ? reign_.resigned_predecessor() : reign_.last_resignation();
     std::optional<outstanding_orders> orders =
         resigned ? decode_outstanding(resigned->outstanding) : std::nullopt;
     if (orders)
@@ -172,8 +174,6 @@
 std::string cell_member::account_for_successor() const {
     if (coordinator_)
         return encode_outstanding(coordinator_->outstanding_unreachable());
-    if (!reign_.is_leader())
-        return "";
     const std::optional<outstanding_orders> inherited = inherited_account();
     return inherited ? encode_outstanding(inherited) : "";
 }
