Tell callers of a job that the log never takes so, and fail it alone

What callers saw: a job whose record is larger than the log takes got 503 with Retry-After from every host, for ever; jobs that stood in the same append were refused with it. Cause: the log's refusal for good (400) was decoded as an outage, the intake had no bound on a record, and an append was refused or retried as a whole. Change: log_fault::rejected for 400 and 413. One rule of a record's size, record_limits, checked where callers' records enter: 413 job_too_large (307) with the limit, at once. A rejected append is split until the record at fault is alone; a rejected handover is appended by its sender. The simulated log rejects records and calls over its limits.

--- a/bench/cell_backlog.cpp
+++ b/bench/cell_backlog.cpp
@@ -249,7 +249,7 @@
     progress_writer progress_writer_{time_.clock(),
                                      log_,
                                      lease_epoch(1),
-                                     cell_settings{}.max_record_bytes,
+                                     record_limits(cell_settings{}.max_record_bytes),
                                      [](const stored_record&) {},
                                      [] {}};
     std::unique_ptr<coordinator> coordinator_ = coordinator::create(
--- a/bench/cell_worker_list.cpp
+++ b/bench/cell_worker_list.cpp
@@ -74,7 +74,7 @@
     const system_clock time;
     const cell_state known;
     progress_writer journal(
-        time, platform.log(), lease_epoch(1), cell_settings{}.max_record_bytes,
+        time, platform.log(), lease_epoch(1), record_limits(cell_settings{}.max_record_bytes),
         [](const stored_record&) {}, [] {});
     const auto coordinates = coordinator::create(
         {time, platform, platform, journal, [&time] { return time.now(); }, [] { return true; },
--- a/include/figwinch/base/result_code.h
+++ b/include/figwinch/base/result_code.h
@@ -44,6 +44,7 @@
     job_failed_everywhere = 304,
     no_scheduler = 305,
     job_cancelled = 306,
+    job_too_large = 307,
     // 4xx: configuration
     manifest_malformed = 400,
     manifest_unknown_field = 401,
--- a/include/figwinch/cell.h
+++ b/include/figwinch/cell.h
@@ -19,6 +19,7 @@
 #include "figwinch/cell/progress_writer.h"
 #include "figwinch/cell/queue_name.h"
 #include "figwinch/cell/record_codec.h"
+#include "figwinch/cell/record_limits.h"
 #include "figwinch/cell/step_down.h"
 #include "figwinch/cell/step_spec.h"
 #include "figwinch/cell/stream_reads.h"
--- a/include/figwinch/cell/durable_log.h
+++ b/include/figwinch/cell/durable_log.h
@@ -60,6 +60,9 @@
     /// The requested records are no longer kept. The result holds the offset of the oldest record
     /// that is.
     expired,
+    /// The log doesn't take these records, now or later: one of them, or all together, exceed its
+    /// limits. The append had no effect.
+    rejected,
 };
 
 /// The name of a fault for log events, such as "silent".
--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figwinch/cell/durable_log.h"
+#include "figwinch/cell/record_limits.h"
 
 #include <deque>
 #include <functional>
@@ -19,7 +20,7 @@
     /// `applied` is called with each record, in order, once the log has stored it. `on_superseded`
     /// is called when the log has seen a higher epoch.
     progress_writer(const clock& time, durable_log& log, lease_epoch epoch,
-                    std::size_t max_record_bytes, std::function<void(const stored_record&)> applied,
+                    const record_limits& limits, std::function<void(const stored_record&)> applied,
                     std::function<void()> on_superseded);
 
     /// Fences earlier epochs. Calls `done` with the end offset of the stream once no earlier epoch
@@ -59,7 +60,7 @@
     const clock& time_;
     durable_log& log_;
     lease_epoch epoch_;
-    std::size_t max_record_bytes_;
+    record_limits limits_;
     std::function<void(const stored_record&)> applied_;
     std::function<void()> on_superseded_;
     std::deque<queued_record> queued_;
--- a/include/figwinch/simulation/sim_store.h
+++ b/include/figwinch/simulation/sim_store.h
@@ -60,6 +60,12 @@
         return read_free_at_ - now;
     }
 
+    /// Size limits of one record with its key, and of the records of one append.
+    std::size_t max_record_bytes = cell_settings{}.max_record_bytes;
+    std::size_t max_append_bytes = std::size_t{2} * 1024 * 1024;
+    /// Appends that were rejected because they exceed a limit.
+    std::size_t rejected = 0;
+
     stream& of(cell_stream name) { return streams_[name]; }
 
     append_result append(cell_stream name, std::vector<stored_record> records,
@@ -71,8 +77,9 @@
             answer.fault = log_fault::moved;
             return answer;
         }
-        if (std::ranges::any_of(records, is_too_large)) {
-            answer.fault = log_fault::unavailable;
+        if (exceeds_limits(name, records)) {
+            ++rejected;
+            answer.fault = log_fault::rejected;
             return answer;
         }
         if (guard.epoch && !admit_writer(to, guard, answer))
@@ -108,10 +115,18 @@
     }
 
 private:
-    /// The store appends nothing of a call that has a record over its limit.
-    static bool is_too_large(const stored_record& record) {
-        return record.key.size() + record.value.value_or("").size() >=
-               cell_settings{}.max_record_bytes;
+    /// The store appends nothing of a call that exceeds a limit.
+    bool exceeds_limits(cell_stream name, const std::vector<stored_record>& records) const {
+        constexpr std::size_t length_bytes = 4;
+        std::size_t sum = 0;
+        for (const stored_record& record : records) {
+            const std::size_t bytes = name == cell_stream::reigns ? record.value.value_or("").size()
+                                                                  : record_bytes(record);
+            if (bytes > max_record_bytes)
+                return true;
+            sum += length_bytes + bytes;
+        }
+        return sum > max_append_bytes;
     }
     static bool admit_writer(stream& to, const append_guard& guard, append_result& answer) {
         const std::uint64_t epoch = guard.epoch->value();
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -73,6 +73,8 @@
     result_info{rc::no_scheduler, "no_scheduler", 503, no, 2s,
                 "no scheduler of this data centre answers"},
     result_info{rc::job_cancelled, "job_cancelled", 200, unknown, never, "the job was cancelled"},
+    result_info{rc::job_too_large, "job_too_large", 413, no, never,
+                "the job's record is larger than the platform's log takes"},
     result_info{rc::manifest_malformed, "manifest_malformed", 400, no, never,
                 "the manifest is not valid JSON of the schema"},
     result_info{rc::manifest_unknown_field, "manifest_unknown_field", 400, no, never,
--- a/src/cell/durable_log.cpp
+++ b/src/cell/durable_log.cpp
@@ -10,8 +10,8 @@
 }
 
 const char* to_string(log_fault fault) {
-    static constexpr std::array names = {"none",   "unavailable",     "silent", "moved",
-                                         "fenced", "out_of_sequence", "expired"};
+    static constexpr std::array names = {"none",   "unavailable",     "silent",  "moved",
+                                         "fenced", "out_of_sequence", "expired", "rejected"};
     return names[static_cast<std::size_t>(fault)];
 }
 
--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -24,21 +24,13 @@
 // A batch of this size passes a link of 1 Mbit/s in about one second; later records wait for it.
 constexpr std::size_t max_batch_bytes = std::size_t{128} * 1024;
 
-// A keyed record begins with its key's length in one byte.
-constexpr std::size_t key_length_bytes = 1;
-constexpr std::size_t max_key_bytes = 255;
-
-std::size_t size_of(const stored_record& record) {
-    return record.key.size() + (record.value ? record.value->size() : 0);
-}
-
 } // namespace
 
 progress_writer::progress_writer(const clock& time, durable_log& log, lease_epoch epoch,
-                                 std::size_t max_record_bytes,
+                                 const record_limits& limits,
                                  std::function<void(const stored_record&)> applied,
                                  std::function<void()> on_superseded)
-    : time_(time), log_(log), epoch_(epoch), max_record_bytes_(max_record_bytes),
+    : time_(time), log_(log), epoch_(epoch), limits_(limits),
       applied_(std::move(applied)), on_superseded_(std::move(on_superseded)) {}
 
 void progress_writer::fence(std::function<void(std::uint64_t)> done) {
@@ -47,13 +39,12 @@
 }
 
 bool progress_writer::put(std::string key, std::string value, std::function<void()> committed) {
-    const std::size_t bytes = key_length_bytes + key.size() + value.size();
-    if (value.empty() || key.size() > max_key_bytes || bytes > max_record_bytes_) {
-        log_event(log_level::error, "record_refused",
-                  {{"key", key}, {"bytes", static_cast<std::int64_t>(bytes)}});
+    stored_record record{std::move(key), std::move(value), 0};
+    if (!limits_.allow(record)) {
+        log_refused_record(record);
         return false;
     }
-    queue({std::move(key), std::move(value), 0}, std::move(committed));
+    queue(std::move(record), std::move(committed));
     return true;
 }
 
@@ -103,7 +94,7 @@
 void progress_writer::fill_batch() {
     std::size_t bytes = 0;
     while (!queued_.empty() && batch_.size() < max_batch_records && bytes < max_batch_bytes) {
-        bytes += size_of(queued_.front().record);
+        bytes += record_bytes(queued_.front().record);
         batch_.push_back(std::move(queued_.front()));
         queued_.pop_front();
     }
--- a/src/cell_host/cell_member.cpp
+++ b/src/cell_host/cell_member.cpp
@@ -66,7 +66,7 @@
       jobs_(local_jobs_, peer_jobs_,
             [this] { return has_replica() || role_.readers().entries().empty(); }),
       query_server_(time, local_jobs_, [this] { return has_replica(); }),
-      writer_({time, platform.log(),
+      writer_({time, platform.log(), record_limits(settings.max_record_bytes),
                [this](const stored_record& record) {
                    if (!keeps_replica())
                        return;
--- a/src/cell_host/cell_member_leader.cpp
+++ b/src/cell_host/cell_member_leader.cpp
@@ -105,7 +105,7 @@
     term_epoch_ = reign_.epoch();
     term_lost_ = false;
     progress_writer_ = std::make_unique<progress_writer>(
-        time_, platform_.log(), term_epoch_, settings_.max_record_bytes,
+        time_, platform_.log(), term_epoch_, record_limits(settings_.max_record_bytes),
         [this](const stored_record& record) {
             state_.apply(cell_stream::progress, record);
             progress_.on_own_append(record);
--- a/src/cell_host/cell_metrics.cpp
+++ b/src/cell_host/cell_metrics.cpp
@@ -97,6 +97,8 @@
         "late appends that the cell's writer settled");
     set("figwinch_cell_intake_handed", counts.handed_over, "callers handed to the cell's writer");
     set("figwinch_cell_doubts_left", counts.left_in_doubt, "callers told that nobody knows");
+    set("figwinch_cell_records_rejected", counts.rejected,
+        "callers' writes that the log doesn't take, now or later");
 }
 
 void cell_metrics::set_coordinator(const coordinator_counts& counts) {
--- a/src/cell_host/handover_codec.cpp
+++ b/src/cell_host/handover_codec.cpp
@@ -15,6 +15,7 @@
     std::pair{kind::not_stored, pb::HANDOVER_NOT_STORED},
     std::pair{kind::not_taken, pb::HANDOVER_NOT_TAKEN},
     std::pair{kind::unknown, pb::HANDOVER_UNKNOWN},
+    std::pair{kind::rejected, pb::HANDOVER_REJECTED},
 };
 
 bool parse(google::protobuf::MessageLite& into, std::string_view bytes) {
--- a/src/cell_host/handover_server.cpp
+++ b/src/cell_host/handover_server.cpp
@@ -14,6 +14,8 @@
         return handover_result::kind::stored;
     case intake_outcome::not_stored:
         return handover_result::kind::not_stored;
+    case intake_outcome::rejected:
+        return handover_result::kind::rejected;
     case intake_outcome::unknown:
         break;
     }
--- a/src/cell_host/intake_entry.h
+++ b/src/cell_host/intake_entry.h
@@ -16,6 +16,8 @@
     not_stored,
     /// The records may be in the log or may still be appended.
     unknown,
+    /// The log doesn't take the records, now or later. They aren't in the log.
+    rejected,
 };
 
 /// A pending write of one caller's records to the intake stream. Owned by `intake_writer`.
@@ -33,6 +35,9 @@
     instant append_not_before{};
     /// The records are appended by this host and not handed over to the cell's shared writer.
     bool append_locally = false;
+    /// Number of entries that one append with this entry may have, after the log has rejected a
+    /// larger one; 0: no such limit.
+    std::size_t max_batch_entries = 0;
 
     /// Reports the outcome to the caller. Only the first call has an effect.
     void complete(intake_outcome outcome, std::uint64_t offset = 0);
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -1,5 +1,7 @@
 #include "cell_host/intake_writer.h"
 
+#include "figwinch/observe.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -26,8 +28,7 @@
       }) {}
 
 void intake_writer::write(std::vector<stored_record> records, instant deadline, handler done) {
-    waiting_.push({std::move(records), deadline, std::move(done)});
-    send_waiting();
+    add({std::move(records), deadline, std::move(done)});
 }
 
 void intake_writer::write_for_other(std::vector<stored_record> records, instant deadline,
@@ -35,6 +36,18 @@
     intake_entry entry{std::move(records), deadline, std::move(done)};
     entry.append_locally = true;
     last_handover_at_ = deps_.time.now();
+    add(std::move(entry));
+}
+
+/// Queues an entry. One that the log doesn't take fails at once: the log would refuse it for ever,
+/// and everything in the same append with it.
+void intake_writer::add(intake_entry entry) {
+    const auto is_refused = [this](const auto& record) { return !deps_.limits.allow(record); };
+    const auto refused = std::ranges::find_if(entry.records, is_refused);
+    if (refused != entry.records.end()) {
+        log_refused_record(*refused);
+        return complete_as_rejected(entry);
+    }
     waiting_.push(std::move(entry));
     send_waiting();
 }
@@ -73,7 +86,7 @@
         if (deps_.time.now() < waiting.deadline)
             keep.push_back(std::move(waiting));
         else
-            reject(waiting);
+            refuse(waiting);
     }
     waiting_.put_back(std::move(keep));
 }
@@ -200,7 +213,7 @@
 void intake_writer::fail_all() {
     for (intake_entry& sent : std::exchange(batch_, {}))
         complete_as_unknown(sent);
-    reject_all(waiting_.take_all());
+    refuse_all(waiting_.take_all());
     abandon_append();
 }
 
@@ -216,7 +229,9 @@
     if (result.fault != log_fault::silent)
         unanswered_since_.reset();
     if (result.fault == log_fault::unavailable)
-        return handle_append_rejection();
+        return handle_unavailable_log();
+    if (result.fault == log_fault::rejected)
+        return split_rejected_batch();
     if (result.fault != log_fault::none)
         return handle_append_timeout();
     log_queue_full_ = false;
@@ -245,16 +260,16 @@
     waiting_.put_back(std::move(again));
 }
 
-/// Handles an append that the log rejected. If the log answers other calls, its queue is full, and
-/// entries that can be handed over or can wait for as long as the longest queue are retried. The
-/// others fail now, so that their callers can go to another host. For entries of which an earlier
-/// append timed out the outcome stays unknown, because that append may still be stored.
-void intake_writer::handle_append_rejection() {
+/// Handles an append while the log is unavailable. If the log answers other calls, its queue is
+/// full, and entries that can be handed over or can wait for as long as the longest queue are
+/// retried. The others fail now, so that their callers can go to another host. For entries of which
+/// an earlier append timed out the outcome stays unknown, because that append may still be stored.
+void intake_writer::handle_unavailable_log() {
     next_send_ = deps_.time.now() + retry_period;
     intake_entries refused = std::exchange(batch_, {});
     log_queue_full_ = deps_.log_answers();
     if (!log_queue_full_)
-        return reject_all(std::move(refused));
+        return refuse_all(std::move(refused));
     append_latency_.on_queue_full();
     intake_entries again;
     for (intake_entry& entry : refused) {
@@ -262,24 +277,53 @@
         if (can_wait || (uses_shared_writer() && !entry.append_locally))
             again.push_back(std::move(entry));
         else
-            reject(entry);
+            refuse(entry);
     }
     waiting_.put_back(std::move(again));
 }
 
-void intake_writer::reject(intake_entry& entry) {
+/// Handles an append that the log will never take. Its entries are sent again in halves, so that
+/// the one at fault ends up alone and the others are stored.
+void intake_writer::split_rejected_batch() {
+    next_send_ = deps_.time.now();
+    intake_entries batch = std::exchange(batch_, {});
+    log_event(log_level::warn, "append_rejected",
+              {{"entries", static_cast<std::int64_t>(batch.size())},
+               {"key", batch.front().records.front().key}});
+    if (batch.size() == 1) {
+        complete_as_rejected(batch.front());
+        return send_waiting();
+    }
+    const std::size_t half = (batch.size() + 1) / 2;
+    for (intake_entry& entry : batch)
+        entry.max_batch_entries = half;
+    waiting_.put_back(std::move(batch));
+    send_waiting();
+}
+
+void intake_writer::complete_as_rejected(intake_entry& entry) {
+    if (entry.is_complete())
+        return;
+    if (entry.may_be_stored)
+        return complete_as_unknown(entry);
+    ++counts_.rejected;
+    entry.complete(intake_outcome::rejected);
+}
+
+void intake_writer::refuse(intake_entry& entry) {
     if (entry.may_be_stored)
         return complete_as_unknown(entry);
     entry.complete(intake_outcome::not_stored);
 }
 
-void intake_writer::reject_all(intake_entries entries) {
+void intake_writer::refuse_all(intake_entries entries) {
     for (intake_entry& entry : entries)
-        reject(entry);
+        refuse(entry);
 }
 
 /// Handles the outcome of a handover. Entries are handed over only once: if the shared writer
-/// didn't take them, or its answer was lost, this host appends them itself.
+/// didn't take them, the log rejected one of them, or the writer's answer was lost, this host
+/// appends them itself.
 void intake_writer::handle_handover_result(intake_entries entries, const handover_result& result) {
     switch (result.outcome) {
     case handover_result::kind::stored:
@@ -287,12 +331,13 @@
         counts_.settled_by_writer += count_maybe_stored(entries);
         return commit(std::move(entries), result.offset);
     case handover_result::kind::not_stored:
-        return reject_all(std::move(entries));
+        return refuse_all(std::move(entries));
     case handover_result::kind::unknown:
         for (intake_entry& entry : entries)
             entry.may_be_stored = true;
         break;
     case handover_result::kind::not_taken:
+    case handover_result::kind::rejected:
         break;
     }
     for (intake_entry& entry : entries)
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -26,14 +26,17 @@
     std::uint64_t handed_over = 0;
     /// Callers who were told that the outcome is unknown.
     std::uint64_t left_in_doubt = 0;
+    /// Callers whose records the log doesn't take.
+    std::uint64_t rejected = 0;
 };
 
 /// Appends jobs and cancellations to the intake stream in batches, one append at a time. An append
 /// that is late is looked up in the stream, and retried only once it can no longer be in the log's
 /// queue. While the log is slow, records are handed over to the cell's shared writer, which appends
 /// those of all hosts together. While the log doesn't respond at all, callers' requests fail at
-/// once. An append is limited in records and bytes so that it passes a narrow link in time. Owned
-/// by the host's daemon.
+/// once. An append is limited in records and bytes so that it passes a narrow link in time. Records
+/// that the log doesn't take are rejected at once; an append that the log rejects all the same is
+/// split, so that it fails only the records at fault. Owned by the host's daemon.
 class intake_writer {
 public:
     using handler = std::function<void(intake_outcome, std::uint64_t offset)>;
@@ -42,6 +45,7 @@
     struct dependencies {
         const clock& time;
         durable_log& log;
+        record_limits limits;
         /// Called with each record that the log has stored, before the record's caller is told.
         std::function<void(const stored_record&)> applied;
         /// Whether the log has answered any call of this host recently.
@@ -72,6 +76,7 @@
     /// Estimated time until a record written now is stored, by this host's measurements; zero while
     /// the log isn't slow.
     duration expected_wait() const;
+    const record_limits& limits() const { return deps_.limits; }
     std::size_t waiting() const {
         return waiting_.size() + batch_.size() + handover_sender_.size();
     }
@@ -79,6 +84,7 @@
     const intake_counts& counts() const { return counts_; }
 
 private:
+    void add(intake_entry entry);
     void send_waiting();
     bool uses_shared_writer() const {
         return append_latency_.is_slow() && handover_sender_.is_available();
@@ -88,7 +94,8 @@
     void send();
     void handle_append_result(const append_result& result);
     void handle_append_timeout();
-    void handle_append_rejection();
+    void handle_unavailable_log();
+    void split_rejected_batch();
     bool is_log_unresponsive() const;
     void check_append();
     void look_up_append();
@@ -101,8 +108,9 @@
     bool writes_for_others() const;
     void expire_sent(intake_entries& entries);
     void complete_as_unknown(intake_entry& entry);
-    void reject(intake_entry& entry);
-    void reject_all(intake_entries entries);
+    void complete_as_rejected(intake_entry& entry);
+    void refuse(intake_entry& entry);
+    void refuse_all(intake_entries entries);
     void complete_stored(intake_entries& entries, const stored_record& record);
     void commit(intake_entries stored, std::uint64_t offset);
 
--- a/src/cell_host/job_api.cpp
+++ b/src/cell_host/job_api.cpp
@@ -100,6 +100,11 @@
     switch (outcome) {
     case intake_outcome::not_stored:
         return refuse(answer, result_code::log_unavailable, "not stored", id.str());
+    case intake_outcome::rejected:
+        return refuse(answer, result_code::job_too_large,
+                      absl::StrCat("the job's record exceeds the log's limit of ",
+                                   deps_.writer.limits().max_record_bytes(), " bytes"),
+                      id.str());
     case intake_outcome::unknown:
         // A refusal would promise that the job never runs, but its record may be in the log or may
         // still be appended.
--- a/src/cell_host/shared_writer.h
+++ b/src/cell_host/shared_writer.h
@@ -18,6 +18,8 @@
         not_taken,
         /// The records may be in the log or may still be appended.
         unknown,
+        /// The log doesn't take one of the records, so that it has none of them.
+        rejected,
     };
     kind outcome = kind::unknown;
     /// Offset of the first record, if stored.
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -30,7 +30,7 @@
     progress_writer writer_{time_.clock(),
                             log_,
                             lease_epoch(3),
-                            most_bytes,
+                            record_limits(most_bytes),
                             [this](const stored_record& record) { applied_.push_back(record.key); },
                             [this] { superseded_ = true; }};
 
@@ -104,7 +104,7 @@
         writer_.put("p1", "v");
         run_for(milliseconds(100));
         progress_writer next(
-            time_.clock(), log_, lease_epoch(4), most_bytes, [](const stored_record&) {}, [] {});
+            time_.clock(), log_, lease_epoch(4), record_limits(most_bytes), [](const stored_record&) {}, [] {});
         bool fenced = false;
         next.fence([&fenced](std::uint64_t) { fenced = true; });
         time_.run_for(milliseconds(50));
--- a/tests/cell/restarted_worker_clock_test.cpp
+++ b/tests/cell/restarted_worker_clock_test.cpp
@@ -32,7 +32,7 @@
     progress_writer writer_{time_.clock(),
                             log_,
                             lease_epoch(1),
-                            cell_settings{}.max_record_bytes,
+                            record_limits(cell_settings{}.max_record_bytes),
                             [](const stored_record&) {},
                             [] {}};
     std::unique_ptr<coordinator> coordinator_;
--- a/tests/cell_host/fake_platform.h
+++ b/tests/cell_host/fake_platform.h
@@ -71,11 +71,12 @@
     std::unique_ptr<event_handle> serving_;
 };
 
-/// Ignores bodies; the header `Patience-Ms` holds the caller's timeout.
+/// A body is a job's payload; the header `Patience-Ms` holds the caller's timeout.
 class fake_job_codec final : public job_api_codec {
 public:
-    absl::StatusOr<job_spec> decode_submission(std::string_view) const override {
+    absl::StatusOr<job_spec> decode_submission(std::string_view body) const override {
         job_spec job;
+        job.payload = std::string(body);
         job.steps.emplace_back();
         return job;
     }
--- a/tests/cell_host/intake_writer_test.cpp
+++ b/tests/cell_host/intake_writer_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(a_slow_log_is_fast_again_within_a_second);
     CPPUNIT_TEST(a_record_that_cant_be_stored_in_time_is_refused_before_the_deadline);
     CPPUNIT_TEST(a_full_log_is_tried_again_while_there_is_time);
+    CPPUNIT_TEST(a_record_over_the_limit_is_rejected_at_once);
+    CPPUNIT_TEST(a_record_that_the_log_rejects_fails_alone);
     CPPUNIT_TEST_SUITE_END();
 
     sim::sim_time time_;
@@ -122,6 +124,42 @@
         time_.run_for(seconds(4));
         assert_told(intake_outcome::stored, *answer);
     }
+    /// Guards against a caller who is told for ever to come back, with a job that no host can
+    /// store.
+    void a_record_over_the_limit_is_rejected_at_once() {
+        sim::intake_host host(time_, store_);
+        const std::size_t key_bytes = 1 + std::string("ja").size();
+        const std::size_t most = cell_settings{}.max_record_bytes - key_bytes;
+        const auto fitting = host.submit("a", caller_timeout, std::string(most, 'v'));
+        const auto larger = host.submit("b", caller_timeout, std::string(most + 1, 'v'));
+        assert_told(intake_outcome::rejected, *larger);
+        time_.run_for(seconds(1));
+        assert_told(intake_outcome::stored, *fitting);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, store_.rejected);
+    }
+    /// Guards against jobs that are refused because a job in the same append is one that the log
+    /// doesn't take, and against a log that counts as slow or full for it.
+    void a_record_that_the_log_rejects_fails_alone() {
+        constexpr int jobs = 100;
+        constexpr int large = 30;
+        sim::intake_host host(time_, store_);
+        store_.max_record_bytes = 1000;
+        time_.run_for(milliseconds(100));
+        std::vector<std::shared_ptr<sim::submission_result>> answers;
+        for (int index = 0; index < jobs; ++index)
+            answers.push_back(host.submit(std::to_string(index), caller_timeout,
+                                          std::string(index == large ? 1000 : 10, 'v')));
+        const instant begun = time_.now();
+        time_.run_for(seconds(1));
+        for (int index = 0; index < jobs; ++index) {
+            const sim::submission_result& answer = *answers[static_cast<std::size_t>(index)];
+            assert_told(index == large ? intake_outcome::rejected : intake_outcome::stored, answer);
+            CPPUNIT_ASSERT(answer.at - begun < milliseconds(200));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{jobs - 1}, stored_records());
+        CPPUNIT_ASSERT(store_.rejected <= 8);
+        CPPUNIT_ASSERT(!host.writer.append_latency().is_slow());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(intake_writer_test);
--- a/tests/cell_host/shared_writer_test.cpp
+++ b/tests/cell_host/shared_writer_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(a_writer_killed_between_append_and_answer_leaves_no_doubt);
     CPPUNIT_TEST(a_host_that_doesnt_write_leaves_records_to_their_own_host);
     CPPUNIT_TEST(a_request_that_was_lost_is_made_good_by_the_writer);
+    CPPUNIT_TEST(a_record_that_the_log_rejects_fails_alone_after_a_handover);
     CPPUNIT_TEST(records_are_the_same_after_the_way_over_the_bus);
     CPPUNIT_TEST(a_writer_over_the_bus_takes_records);
     CPPUNIT_TEST(a_writer_whose_log_is_slow_is_asked_again);
@@ -183,6 +184,25 @@
         CPPUNIT_ASSERT(answer->outcome == intake_outcome::stored);
         CPPUNIT_ASSERT(answer->at - begun < seconds(1));
     }
+    /// Guards against jobs that are refused because another job of the same handover is one that
+    /// the log doesn't take.
+    void a_record_that_the_log_rejects_fails_alone_after_a_handover() {
+        constexpr std::size_t jobs = 20;
+        start(2);
+        load_for(seconds(1));
+        store_.service[cell_stream::intake] = milliseconds(100);
+        load_for(seconds(2));
+        time_.run_for(seconds(1));
+        CPPUNIT_ASSERT(hosts_[1]->writer.append_latency().is_slow());
+        store_.max_record_bytes = 1000;
+        results_.clear();
+        const auto large = hosts_[1]->submit("large", caller_timeout, std::string(1000, 'v'));
+        for (std::size_t index = 0; index < jobs; ++index)
+            submit(1);
+        time_.run_for(seconds(4));
+        CPPUNIT_ASSERT(large->outcome == intake_outcome::rejected);
+        CPPUNIT_ASSERT_EQUAL(jobs, count(intake_outcome::stored));
+    }
     /// Guards against the deletion of a key that arrives as an empty value.
     void records_are_the_same_after_the_way_over_the_bus() {
         const auto read = decode_handover(
@@ -198,6 +218,9 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, result.offset);
         CPPUNIT_ASSERT(result.writer_latency == milliseconds(100));
         CPPUNIT_ASSERT(decode_handover_result("?").outcome == handover_result::kind::unknown);
+        const auto rejected = decode_handover_result(
+            encode_handover_result({handover_result::kind::rejected, 0, {}}));
+        CPPUNIT_ASSERT(rejected.outcome == handover_result::kind::rejected);
     }
 
 private:
--- a/tests/cell_host/sim_intake.h
+++ b/tests/cell_host/sim_intake.h
@@ -25,7 +25,7 @@
         : time_(time), log(time, store, [random] { return random; }),
           follower_(time.clock(), log, cell_stream::intake, {{}, std::chrono::seconds(1)},
                     [this](const stored_record& record) { writer.on_record_read(record); }),
-          writer({time.clock(), log,
+          writer({time.clock(), log, record_limits(cell_settings{}.max_record_bytes),
                   [this](const stored_record& record) { follower_.on_own_append(record); },
                   [this] { return log.state == sim_log::way::open; },
                   [this](const std::vector<std::string>&, const std::function<void()>& done) {
@@ -36,9 +36,10 @@
     ~intake_host() { log.kill(); }
 
     /// Submits a job for a caller with the timeout `caller_timeout`.
-    std::shared_ptr<submission_result> submit(const std::string& job, duration caller_timeout) {
+    std::shared_ptr<submission_result> submit(const std::string& job, duration caller_timeout,
+                                              const std::string& spec = "what it is") {
         auto answer = std::make_shared<submission_result>();
-        writer.write({{"j" + job, "what it is", 0}}, time_.now() + caller_timeout,
+        writer.write({{"j" + job, spec, 0}}, time_.now() + caller_timeout,
                      [this, answer](intake_outcome outcome, std::uint64_t) {
                          answer->outcome = outcome;
                          answer->at = time_.now();
@@ -117,6 +118,8 @@
                     result.outcome = handover_result::kind::stored;
                 if (outcome == intake_outcome::not_stored)
                     result.outcome = handover_result::kind::not_stored;
+                if (outcome == intake_outcome::rejected)
+                    result.outcome = handover_result::kind::rejected;
                 if (!writer_.killed)
                     time_.after(latency, [answer, result] { answer(result); });
             });
--- a/tests/platform/store_log_test.cpp
+++ b/tests/platform/store_log_test.cpp
@@ -7,7 +7,9 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <optional>
+#include <utility>
 
 namespace figwinch::platform {
 namespace {
@@ -26,6 +28,7 @@
     CPPUNIT_TEST(the_largest_page_arrives_over_a_slow_link);
     CPPUNIT_TEST(an_append_of_many_records_gets_its_answer_over_a_slow_link);
     CPPUNIT_TEST(an_append_that_waits_in_the_log_gets_its_answer);
+    CPPUNIT_TEST(a_refusal_for_good_is_no_outage);
     CPPUNIT_TEST_SUITE_END();
 
     event_loop loop_;
@@ -36,6 +39,7 @@
     /// How long the store takes before it answers an append.
     duration append_delay_{};
     std::unique_ptr<event_handle> append_timer_;
+    int append_status_ = 200;
 
     void start(std::size_t value_bytes, std::size_t bytes_per_s) {
         value_bytes_ = value_bytes;
@@ -46,7 +50,7 @@
             [this](const http_request& request, const std::shared_ptr<http_responder>& to) {
                 if (request.method == http_method::get)
                     return to->respond(page());
-                append_timer_ = loop_.after(append_delay_, [to] { to->respond(stored()); });
+                append_timer_ = loop_.after(append_delay_, [this, to] { to->respond(stored()); });
             });
         CPPUNIT_ASSERT(listening.ok());
         store_ = std::move(*listening);
@@ -60,8 +64,9 @@
                                    R"(","offset":3}],"hasMore":false,"end":4})");
         return answer;
     }
-    static http_response stored() {
+    http_response stored() const {
         http_response answer;
+        answer.status = append_status_;
         answer.body = R"({"offset":0,"end":1})";
         return answer;
     }
@@ -119,6 +124,19 @@
         start(0, normal_link_bytes_per_s);
         CPPUNIT_ASSERT(append({{"k", "v", 0}}) == log_fault::none);
     }
+    /// Guards against a record that the store never takes and that is sent again for ever.
+    void a_refusal_for_good_is_no_outage() {
+        start(0, normal_link_bytes_per_s);
+        const std::array expected = {
+            std::pair{400, log_fault::rejected},    std::pair{413, log_fault::rejected},
+            std::pair{429, log_fault::unavailable}, std::pair{503, log_fault::unavailable},
+            std::pair{507, log_fault::unavailable},
+        };
+        for (const auto& [status, fault] : expected) {
+            append_status_ = status;
+            CPPUNIT_ASSERT(append({{"k", "v", 0}}) == fault);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_log_test);
