Drop a progress record that the log rejects, instead of sending it for ever

While one record was over a limit of the log that the hosts don't know, no job of the cell was started or shown as ended any more, under this coordinator and each successor. Cause: the progress writer sent a rejected batch again each 0.15 s, and all later records wait behind a batch. Change: a rejected batch is split under the same sequence number until the record at fault is alone; it is dropped with a line and its job ends as one that can't be recorded. Barriers behind it wait for what replaces it.

--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -13,7 +13,8 @@
 /// batches, one batch at a time. Each batch carries the epoch and a sequence number: a batch that
 /// is sent twice takes effect once, and batches of a superseded coordinator are refused. All later
 /// records wait for the batch in flight, so a batch that gets no answer for several times the usual
-/// latency is sent again without pending for the first append to time out. Owned by the
+/// latency is sent again without pending for the first append to time out. A batch that the log
+/// rejects is split until the record at fault is alone, which is then dropped. Owned by the
 /// coordinator's host for one leadership term.
 class progress_writer {
 public:
@@ -27,12 +28,18 @@
     /// can append any more.
     void fence(std::function<void(std::uint64_t end)> done);
     /// Queues the newest value of a key. Calls `committed` once this record and all earlier ones
-    /// are stored. Returns false, and queues nothing, if the value is empty, which the log would
-    /// take for a removal, or larger than the log takes: all later records would wait for it.
+    /// are stored, and never if the log rejects this one. Returns false, and queues nothing, if
+    /// the value is empty, which the log would take for a removal, or larger than the log takes.
     bool put(std::string key, std::string value, std::function<void()> committed = nullptr);
     /// Queues the removal of a key.
     void remove(std::string key);
-    /// Calls `committed` once all records queued so far are stored; immediately if none is pending.
+    /// Sets the handler of records that were queued and that the log rejected. It may queue others
+    /// in their place: barriers behind the rejected record then wait for these.
+    void on_rejected(std::function<void(const stored_record&)> handler) {
+        on_rejected_ = std::move(handler);
+    }
+    /// Calls `committed` once all records queued so far are stored or dropped; immediately if none
+    /// is pending.
     void barrier(std::function<void()> committed);
     /// Sends or resends a batch when it is due.
     void tick();
@@ -44,7 +51,8 @@
 private:
     struct queued_record {
         stored_record record;
-        std::vector<std::function<void()>> committed;
+        std::function<void()> committed;
+        std::vector<std::function<void()>> barriers;
     };
 
     bool has_append_in_flight() const { return appends_in_flight_ > 0; }
@@ -55,6 +63,8 @@
     void append_batch();
     void on_append_result(const append_result& result);
     void commit(std::uint64_t offset);
+    void split_rejected_batch();
+    void drop_rejected_record();
     void handle_superseded();
 
     const clock& time_;
@@ -63,6 +73,7 @@
     record_limits limits_;
     std::function<void(const stored_record&)> applied_;
     std::function<void()> on_superseded_;
+    std::function<void(const stored_record&)> on_rejected_;
     std::deque<queued_record> queued_;
     std::vector<queued_record> batch_;
     std::function<void(std::uint64_t)> fence_done_;
@@ -70,9 +81,9 @@
     std::size_t appends_in_flight_ = 0;
     bool stopped_ = false;
     std::uint64_t sequence_ = 0;
-    /// The number of batches that have been stored. Answers to further appends of a stored batch
+    /// Number of the current batch. Answers to appends of earlier ones, which were stored or split,
     /// are ignored.
-    std::uint64_t stored_batches_ = 0;
+    std::uint64_t batch_number_ = 0;
     instant next_send_at_{};
     instant next_resend_at_{};
     /// How long the last answered append took.
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -52,6 +52,11 @@
             unresolved_[id] = std::max(unresolved_[id], longest_leases_expired_at_);
         leased_incarnations_[id] = worker.incarnation;
     }
+    deps_.progress_log.on_rejected(
+        [this, weak = std::weak_ptr(alive_)](const stored_record& record) {
+            if (!weak.expired() && !superseded_)
+                handle_rejected_record(record);
+        });
     update_unresolved_marks();
     slowdowns_.restore(known.slowdowns());
     // In the order of acceptance, since that of the known jobs depends on their hashes.
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -89,6 +89,7 @@
     void add_ordered_to(job_state& job, const worker_state& worker);
     void write_dirty();
     void write_progress(job_state& job);
+    void handle_rejected_record(const stored_record& record);
     void give_up_unrecordable(job_state& job);
     static bool has_record_per_task(const step_spec& step);
     static bool is_recorded_at(const task_state& task, const worker_state& worker);
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -71,8 +71,19 @@
         give_up_unrecordable(job);
 }
 
-/// Ends a job whose progress is larger than a record. Without a record its tasks would run again
-/// after a change of coordinator.
+/// Handles a record that the log rejected although it was within the configured limit. A worker
+/// without a record gets no starts; learned slowdowns are recorded again when they change.
+void cell_coordinator::handle_rejected_record(const stored_record& record) {
+    const auto kind = static_cast<record_kind>(record.key.front());
+    if (kind != record_kind::progress && kind != record_kind::ordered_to)
+        return;
+    if (job_state* const job = find_job(job_id(record.key.substr(1))))
+        give_up_unrecordable(*job);
+    write_dirty();
+}
+
+/// Ends a job whose progress or workers the log doesn't take as a record. Without the record its
+/// tasks would run again after a change of coordinator.
 void cell_coordinator::give_up_unrecordable(job_state& job) {
     log_event(log_level::error, "job_too_large", {{"job", job.id.str()}});
     if (job.phase == job_phase::open)
@@ -127,9 +138,12 @@
         task->job->recorded_to.add(worker.listing.id);
     if (task->run.current_phase != task_run::phase::starting)
         return;
-    // The log may not have answered for seconds: by now the worker may be leaving, or have shrunk.
+    // The log may not have answered for seconds: by now the worker may be leaving, have shrunk, or
+    // be another incarnation with other labels.
     if (!has_current_notices())
         return handle_refused_start(*task, worker, "view_old", duration::zero());
+    if (worker.born_ms != task->run.incarnation)
+        return handle_refused_start(*task, worker, "other_incarnation", duration::zero());
     if (!is_usable(worker, *task->job))
         return handle_refused_start(*task, worker, "unusable", duration::zero());
     if (!is_within_capacity(worker))
--- a/src/cell/coordinator_runs.cpp
+++ b/src/cell/coordinator_runs.cpp
@@ -29,6 +29,7 @@
                              const std::string& checkpoint) {
     task.run = task_run{};
     task.run.number = run;
+    task.run.incarnation = worker.born_ms;
     task.run.checkpoint = checkpoint;
     task.job->waiting_since = deps_.time.now();
     if (task.assigned_worker == nullptr)
--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -3,6 +3,7 @@
 #include "figwinch/observe.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace figwinch {
@@ -30,8 +31,8 @@
                                  const record_limits& limits,
                                  std::function<void(const stored_record&)> applied,
                                  std::function<void()> on_superseded)
-    : time_(time), log_(log), epoch_(epoch), limits_(limits),
-      applied_(std::move(applied)), on_superseded_(std::move(on_superseded)) {}
+    : time_(time), log_(log), epoch_(epoch), limits_(limits), applied_(std::move(applied)),
+      on_superseded_(std::move(on_superseded)) {}
 
 void progress_writer::fence(std::function<void(std::uint64_t)> done) {
     fence_done_ = std::move(done);
@@ -53,16 +54,14 @@
 }
 
 void progress_writer::queue(stored_record record, std::function<void()> committed) {
-    queued_.push_back({std::move(record), {}});
-    if (committed)
-        queued_.back().committed.push_back(std::move(committed));
+    queued_.push_back({std::move(record), std::move(committed), {}});
 }
 
 void progress_writer::barrier(std::function<void()> committed) {
     if (!queued_.empty())
-        return queued_.back().committed.push_back(std::move(committed));
+        return queued_.back().barriers.push_back(std::move(committed));
     if (!batch_.empty())
-        return batch_.back().committed.push_back(std::move(committed));
+        return batch_.back().barriers.push_back(std::move(committed));
     committed();
 }
 
@@ -112,9 +111,9 @@
     next_resend_at_ = sent_at + std::max(min_resend_delay, last_append_duration_ * resend_factor);
     ++appends_in_flight_;
     log_.append(cell_stream::progress, records, guard,
-                [this, sent_at, batch = stored_batches_,
+                [this, sent_at, batch = batch_number_,
                  weak = std::weak_ptr(alive_)](const append_result& result) {
-                    if (weak.expired() || batch != stored_batches_)
+                    if (weak.expired() || batch != batch_number_)
                         return;
                     if (result.fault != log_fault::silent)
                         last_append_duration_ = time_.now() - sent_at;
@@ -132,13 +131,15 @@
     case log_fault::fenced:
     case log_fault::out_of_sequence:
         return handle_superseded();
+    case log_fault::rejected:
+        return split_rejected_batch();
     default:
         next_send_at_ = time_.now() + retry_period;
     }
 }
 
 void progress_writer::commit(std::uint64_t offset) {
-    ++stored_batches_;
+    ++batch_number_;
     appends_in_flight_ = 0;
     if (fence_done_) {
         const auto done = std::exchange(fence_done_, nullptr);
@@ -149,9 +150,45 @@
         committed.record.offset = offset++;
         applied_(committed.record);
     }
-    for (const queued_record& written : batch)
-        for (const std::function<void()>& call : written.committed)
+    for (const queued_record& written : batch) {
+        if (written.committed)
+            written.committed();
+        for (const std::function<void()>& call : written.barriers)
             call();
+    }
+}
+
+/// Handles a batch that the log will never take. Its second half goes back to the queue; the first
+/// is sent under the same sequence number, which the log has not used.
+void progress_writer::split_rejected_batch() {
+    if (batch_.empty()) {
+        next_send_at_ = time_.now() + retry_period;
+        return;
+    }
+    ++batch_number_;
+    appends_in_flight_ = 0;
+    if (batch_.size() == 1)
+        return drop_rejected_record();
+    const auto middle = batch_.begin() + static_cast<std::ptrdiff_t>(batch_.size() / 2);
+    queued_.insert(queued_.begin(), std::make_move_iterator(middle),
+                   std::make_move_iterator(batch_.end()));
+    batch_.erase(middle, batch_.end());
+    append_batch();
+}
+
+/// Drops the only record of a batch. All later records would wait for it for ever.
+void progress_writer::drop_rejected_record() {
+    --sequence_;
+    const queued_record dropped = std::move(batch_.front());
+    batch_.clear();
+    std::vector<std::function<void()>> barriers = dropped.barriers;
+    for (queued_record& behind : queued_)
+        std::ranges::move(std::exchange(behind.barriers, {}), std::back_inserter(barriers));
+    log_refused_record(dropped.record);
+    if (on_rejected_)
+        on_rejected_(dropped.record);
+    for (std::function<void()>& call : barriers)
+        barrier(std::move(call));
 }
 
 void progress_writer::handle_superseded() {
--- a/src/cell/task_run.h
+++ b/src/cell/task_run.h
@@ -21,6 +21,8 @@
     };
 
     run_number number;
+    /// The incarnation of the worker that the run was placed on, by its start time.
+    std::uint64_t incarnation = 0;
     /// The task's name in orders and reports; empty before the start order.
     std::string name;
     /// Number of the newest report of the worker that shows the run.
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(a_fenced_writer_appends_nothing_more);
     CPPUNIT_TEST(a_barrier_waits_for_all_that_was_written);
     CPPUNIT_TEST(a_value_that_the_log_does_not_take_holds_up_no_other);
+    CPPUNIT_TEST(a_record_that_the_log_rejects_is_dropped_alone);
+    CPPUNIT_TEST(a_barrier_waits_for_what_replaces_a_rejected_record);
     CPPUNIT_TEST_SUITE_END();
 
     sim_time time_;
@@ -54,6 +56,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored());
         CPPUNIT_ASSERT_EQUAL(std::string("p3"), applied_.front());
     }
+    /// Guards against a record that the log rejects although it is within the configured limit:
+    /// all later records waited behind it.
+    void a_record_that_the_log_rejects_is_dropped_alone() {
+        constexpr int records = 600;
+        constexpr int large = 250;
+        store_.max_record_bytes = most_bytes / 2;
+        std::string rejected;
+        bool large_stored = false;
+        bool next_stored = false;
+        writer_.on_rejected([&](const stored_record& record) { rejected += record.key; });
+        for (int index = 0; index < records; ++index) {
+            const std::string key = "p" + std::to_string(index);
+            if (index == large)
+                writer_.put(key, std::string(most_bytes / 2, 'v'), [&] { large_stored = true; });
+            else if (index == large + 1)
+                writer_.put(key, "v", [&] { next_stored = true; });
+            else
+                writer_.put(key, "v");
+        }
+        run_for(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::string("p250"), rejected);
+        CPPUNIT_ASSERT(!large_stored && next_stored);
+        CPPUNIT_ASSERT(writer_.is_idle() && !superseded_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{records - 1}, stored());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{records - 1}, applied_.size());
+        CPPUNIT_ASSERT(store_.rejected <= 10);
+    }
+    /// Guards against an acknowledgement of ended runs before the log has what stands in for the
+    /// record that it rejected: the next coordinator would run these tasks again.
+    void a_barrier_waits_for_what_replaces_a_rejected_record() {
+        store_.max_record_bytes = most_bytes / 2;
+        writer_.on_rejected([&](const stored_record&) { writer_.put("p1", "ended"); });
+        bool passed = false;
+        bool replaced_before = false;
+        const auto check = [&] {
+            passed = true;
+            replaced_before = store_.of(cell_stream::progress).newest.contains("p1");
+        };
+        writer_.put("p1", std::string(most_bytes / 2, 'v'));
+        writer_.put("p2", "v");
+        writer_.barrier(check);
+        run_for(seconds(1));
+        CPPUNIT_ASSERT(passed && replaced_before);
+    }
     void records_are_applied_in_order_and_once() {
         for (int index = 0; index < 1200; ++index)
             writer_.put("p" + std::to_string(index), "v");
@@ -104,7 +150,8 @@
         writer_.put("p1", "v");
         run_for(milliseconds(100));
         progress_writer next(
-            time_.clock(), log_, lease_epoch(4), record_limits(most_bytes), [](const stored_record&) {}, [] {});
+            time_.clock(), log_, lease_epoch(4), record_limits(most_bytes),
+            [](const stored_record&) {}, [] {});
         bool fenced = false;
         next.fence([&fenced](std::uint64_t) { fenced = true; });
         time_.run_for(milliseconds(50));
