End a job whose workers can't be recorded, before its tasks are ordered

What callers saw: TWICE. A task was started on a worker that the log doesn't name; after a change of coordinator, with that worker out of reach, it was started elsewhere while it ran. Cause: the answer of put was not looked at for the record of a job's workers, so its starts went out though the record was refused for its size. Likewise the end of a job whose progress is refused was queued only at the next round: the ends of its runs were acknowledged to workers before the log had it. Change: such a job ends, as one whose progress can't be recorded, and that end is queued before any barrier. Before, with each change undone on a scratch copy: tasks_on_workers_that_cannot_be_recorded_run_once (a second start at 8225 ms) and ends_of_an_unrecordable_job_are_noted_after_its_own_end fail; after: they pass.

--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -51,12 +51,16 @@
 void cell_coordinator::write_dirty() {
     for (job_state* const job : std::exchange(ordered_to_changed_, {})) {
         job->ordered_to_changed = false;
-        deps_.progress_log.put(record_key(record_kind::ordered_to, job->id.str()),
-                               job->ordered_to.encode());
+        if (!deps_.progress_log.put(record_key(record_kind::ordered_to, job->id.str()),
+                                    job->ordered_to.encode()))
+            give_up_unrecordable(*job);
     }
-    for (job_state* const job : std::exchange(dirty_, {})) {
-        job->dirty = false;
-        write_progress(*job);
+    // A job that can't be recorded ends, which is recorded as well before any barrier behind it.
+    while (!dirty_.empty()) {
+        for (job_state* const job : std::exchange(dirty_, {})) {
+            job->dirty = false;
+            write_progress(*job);
+        }
     }
 }
 
--- a/tests/cell/invariant_checker.h
+++ b/tests/cell/invariant_checker.h
@@ -47,6 +47,8 @@
     /// All events so far, to be shown with a violation.
     std::vector<std::string> trace;
     std::uint64_t starts = 0;
+    /// Ended runs of which workers were told that the log has them.
+    std::uint64_t ends_noted = 0;
     /// Tasks that crash every worker that starts them, and how long after the start.
     std::map<std::string, duration> crashing_tasks;
     /// Called after a task has crashed a worker.
@@ -100,6 +102,7 @@
                 failed_runs_[member].insert(run);
     }
     void on_noted(const std::string& worker, const ended_run& row) override {
+        ++ends_noted;
         record_event("acknowledged " + row.task + " run " + std::to_string(row.run.value()) +
                      " on " + worker);
         if (row.reason == run_end::done) {
--- a/tests/cell/unrecordable_job_test.cpp
+++ b/tests/cell/unrecordable_job_test.cpp
@@ -10,7 +10,9 @@
 /// lower one of the log.
 class unrecordable_job_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(unrecordable_job_test);
+    CPPUNIT_TEST(tasks_on_workers_that_cannot_be_recorded_run_once);
     CPPUNIT_TEST(a_record_that_the_log_rejects_holds_up_no_other_job);
+    CPPUNIT_TEST(ends_of_an_unrecordable_job_are_noted_after_its_own_end);
     CPPUNIT_TEST(a_start_behind_a_rejected_record_reaches_no_other_incarnation);
     CPPUNIT_TEST_SUITE_END();
 
@@ -19,7 +21,13 @@
     static constexpr std::size_t record_limit_bytes = 160;
     static constexpr std::size_t first_workers = 60;
     static constexpr std::size_t all_workers = 110;
+    static constexpr std::size_t spare_workers = 110;
 
+    static cell_settings with_limit(std::size_t max_record_bytes) {
+        cell_settings settings;
+        settings.max_record_bytes = max_record_bytes;
+        return settings;
+    }
     static void add_workers(cell_world& world, std::size_t from, std::size_t end) {
         for (std::size_t index = from; index < end; ++index)
             world.add_worker("w" + std::to_string(index));
@@ -49,6 +57,18 @@
     }
 
 public:
+    /// Guards against a task that runs twice: it was started although the record of its worker was
+    /// refused, and the next coordinator starts it elsewhere while its worker is out of reach.
+    void tasks_on_workers_that_cannot_be_recorded_run_once() {
+        cell_world world(7, 2, first_workers, with_limit(record_limit_bytes));
+        start_wide_job(world);
+        for (std::size_t index = first_workers; index < all_workers; ++index)
+            world.fleet().workers.at("w" + std::to_string(index)).cut = true;
+        world.kill_host(*world.coordinator());
+        add_workers(world, all_workers, all_workers + spare_workers);
+        world.time().run_for(seconds(10));
+        assert_no_violation(world);
+    }
     /// Guards against a coordinator that sends a record for ever that the log rejects, while the
     /// records of all other jobs wait behind it.
     void a_record_that_the_log_rejects_holds_up_no_other_job() {
@@ -64,6 +84,26 @@
         CPPUNIT_ASSERT(world.job(0, "a")->phase == job_phase::failed);
         assert_no_violation(world);
     }
+    /// Guards against workers that forget the ends of runs before the log has that their job has
+    /// ended: the next coordinator would start these tasks again.
+    void ends_of_an_unrecordable_job_are_noted_after_its_own_end() {
+        constexpr std::uint32_t tasks = 20;
+        cell_world world(7, 1, 1, with_limit(record_limit_bytes));
+        world.checker().failure_probability = 1;
+        world.checker().long_tasks = true;
+        world.time().run_for(seconds(2));
+        world.submit(0, "a", cell_world::make_job({cell_world::make_step(tasks, 100)}));
+        world.time().run_for(seconds(1));
+        world.store().service[cell_stream::progress] = milliseconds(100);
+        const instant begun = world.time().now();
+        while (world.checker().ends_noted == 0 && world.time().now() - begun < seconds(10))
+            world.time().run_for(milliseconds(1));
+        CPPUNIT_ASSERT(world.checker().ends_noted > 0);
+        const auto& newest = world.store().of(cell_stream::progress).newest;
+        const auto record = newest.find(record_key(record_kind::progress, "a"));
+        CPPUNIT_ASSERT(record != newest.end());
+        CPPUNIT_ASSERT(decode_progress(*record->second.value)->phase == job_phase::failed);
+    }
     /// Guards against tasks that start on a worker without the label that they require: while their
     /// record waited behind a rejected one, the worker restarted as another kind and was recorded.
     void a_start_behind_a_rejected_record_reaches_no_other_incarnation() {
