Keep a resignation's account within a record of the log

What callers saw: with thousands of workers out of reach, a planned stop of the coordinator held them up until renewals were missed, as a crash does. Found by asking for each writer's largest record; not reported. At 20,000 workers it is larger than the log takes; the resignation was refused, and tried again until the process ended. Change: the account keeps to 64 KiB, with one row a worker. What is left out costs a successor the wait that it had without an account. A resignation that the log rejects all the same goes without its account.

--- a/include/figwinch/cell/step_down.h
+++ b/include/figwinch/cell/step_down.h
@@ -45,4 +45,12 @@
 std::string encode_outstanding(const std::optional<outstanding_orders>& orders);
 std::optional<outstanding_orders> decode_outstanding(std::string_view bytes);
 
+/// Returns one row for each worker. The time of a worker with several rows is the longest of them,
+/// or unknown if that of one is.
+std::vector<unresolved_worker> merge_by_worker(const std::vector<unresolved_worker>& workers);
+
+/// Like `encode_outstanding`, but in at most `max_bytes`: workers and tasks that don't fit are left
+/// out. For these a successor waits as if there were no account of them.
+std::string encode_outstanding_within(const outstanding_orders& orders, std::size_t max_bytes);
+
 } // namespace figwinch
--- a/src/cell/coordinator_step_down.cpp
+++ b/src/cell/coordinator_step_down.cpp
@@ -80,13 +80,8 @@
 void cell_coordinator::apply_outstanding(const outstanding_orders& orders) {
     const instant now = deps_.time.now();
     absl::flat_hash_map<worker_id, std::optional<duration>> left;
-    for (const unresolved_worker& held : orders.unresolved_workers) {
-        const auto [known, added] = left.try_emplace(held.id, held.expires_in);
-        if (!added)
-            known->second = held.expires_in && known->second
-                                ? std::optional(std::max(*held.expires_in, *known->second))
-                                : std::nullopt;
-    }
+    for (const unresolved_worker& held : merge_by_worker(orders.unresolved_workers))
+        left.emplace(held.id, held.expires_in);
     for (auto& [id, until] : unresolved_) {
         const auto held = left.find(id);
         const worker_state* const worker = find_worker(id);
--- a/src/cell/resignation_writer.cpp
+++ b/src/cell/resignation_writer.cpp
@@ -20,8 +20,7 @@
 
 resignation_writer::resignation_writer(const clock& time, durable_log& log,
                                        const election_record& resignation, std::uint64_t end)
-    : time_(time), log_(log), holder_(resignation.holder),
-      record_(encode_election_record(resignation)), end_offset_(end), started_at_(time.now()) {
+    : time_(time), log_(log), resignation_(resignation), end_offset_(end), started_at_(time.now()) {
     send();
 }
 
@@ -39,12 +38,14 @@
     append_guard guard;
     guard.expected_end = end_offset_;
     log_.append(
-        cell_stream::reigns, {{"", record_, 0}}, guard,
+        cell_stream::reigns, {{"", encode_election_record(resignation_), 0}}, guard,
         [this, weak = std::weak_ptr(alive_), at = end_offset_](const append_result& result) {
             if (weak.expired() || settled_)
                 return;
             if (result.fault == log_fault::none)
                 return settle_stored();
+            if (result.fault == log_fault::rejected)
+                return drop_account();
             // If the end offset has changed since this attempt, newer records have been
             // read already.
             if (result.fault == log_fault::moved && at == end_offset_)
@@ -72,7 +73,7 @@
         const auto read = decode_election_record(record.value.value_or(""));
         if (!read)
             continue;
-        if (read->holder != holder_)
+        if (read->holder != resignation_.holder)
             return settle_unconfirmed("followed");
         if (read->type == election_record::kind::resignation)
             return settle_stored();
@@ -81,6 +82,17 @@
     send();
 }
 
+/// The log doesn't take the record with the account. A resignation without one costs a successor a
+/// wait for workers; no resignation costs callers the time until renewals are missed.
+void resignation_writer::drop_account() {
+    if (resignation_.outstanding.empty())
+        return;
+    log_event(log_level::error, "resignation_account_dropped",
+              {{"bytes", static_cast<std::int64_t>(resignation_.outstanding.size())}});
+    resignation_.outstanding.clear();
+    send();
+}
+
 void resignation_writer::settle_stored() {
     settled_ = true;
     log_event(log_level::info, "resignation_stored",
--- a/src/cell/resignation_writer.h
+++ b/src/cell/resignation_writer.h
@@ -27,13 +27,13 @@
     void send();
     void read_newer_records();
     void handle_read(const read_result& read);
+    void drop_account();
     void settle_stored();
     void settle_unconfirmed(std::string_view why);
 
     const clock& time_;
     durable_log& log_;
-    incarnation_id holder_;
-    std::string record_;
+    election_record resignation_;
     /// The offset up to which the stream has been read; up to here `holder` is coordinator.
     std::uint64_t end_offset_;
     instant started_at_;
--- a/src/cell_host/cell_member_leader.cpp
+++ b/src/cell_host/cell_member_leader.cpp
@@ -11,6 +11,9 @@
 // How long a leader that stepped down because it couldn't send orders stays out of elections. Kept
 // short, as is the time before it steps down, because workers' leases run meanwhile.
 constexpr duration ineligible_period = std::chrono::milliseconds(3000);
+// A resignation of this size passes a link of 1 Mbit/s in about half a second, and holds the rows
+// of some 1,500 workers.
+constexpr std::size_t max_account_bytes = std::size_t{64} * 1024;
 
 /// Takes the time that has passed off the times that are left.
 void reduce_times(outstanding_orders& orders, duration passed) {
@@ -172,10 +175,11 @@
 /// Returns the encoded account that a resignation leaves. A leader that hasn't begun to coordinate
 /// sent no orders, so its predecessor's account still holds.
 std::string cell_member::account_for_successor() const {
-    if (coordinator_)
-        return encode_outstanding(coordinator_->outstanding_unreachable());
-    const std::optional<outstanding_orders> inherited = inherited_account();
-    return inherited ? encode_outstanding(inherited) : "";
+    const std::optional<outstanding_orders> account =
+        coordinator_ ? coordinator_->outstanding_unreachable() : inherited_account();
+    // The rest of the record is the host's name and address.
+    const std::size_t max_bytes = std::min(max_account_bytes, settings_.max_record_bytes / 2);
+    return account ? encode_outstanding_within(*account, max_bytes) : "";
 }
 
 /// Asks the predecessor to step down. It may go on for seconds without the log, and it alone knows
--- a/tests/cell/resignation_test.cpp
+++ b/tests/cell/resignation_test.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(a_resignation_whose_answer_was_lost_is_written_once);
     CPPUNIT_TEST(a_late_resignation_ends_nobody_elses_term);
     CPPUNIT_TEST(a_host_that_has_resigned_orders_nothing_while_it_tries);
+    CPPUNIT_TEST(a_resignation_whose_account_the_log_rejects_is_followed_at_once);
+    CPPUNIT_TEST(an_account_of_many_workers_keeps_to_its_limit);
     CPPUNIT_TEST_SUITE_END();
 
     /// The coordinator resigns while its connection to the store is in this state, for less than a
@@ -232,6 +234,44 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, world.checker().starts);
         CPPUNIT_ASSERT(world.checker().violations.empty());
     }
+    /// Guards against a resignation that is sent for ever because the log doesn't take its account:
+    /// callers wait until renewals are missed.
+    void a_resignation_whose_account_the_log_rejects_is_followed_at_once() {
+        cell_of_candidates cell;
+        candidate& first = cell.add();
+        cell.time.run_for(seconds(1));
+        candidate& second = cell.add();
+        cell.time.run_for(seconds(2));
+        CPPUNIT_ASSERT(first.election.is_leader());
+        first.election.resign(std::string(cell.store.max_record_bytes, 'a'));
+        cell.time.run_for(at_once);
+        CPPUNIT_ASSERT(second.election.is_leader());
+        CPPUNIT_ASSERT(second.election.predecessor_has_ended());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.store.rejected);
+    }
+    /// Guards against an account that outgrows a record while many workers are out of reach, and
+    /// against one that gives a worker a shorter time than one of its rows.
+    void an_account_of_many_workers_keeps_to_its_limit() {
+        constexpr std::size_t workers = 20'000;
+        constexpr std::size_t max_bytes = 64'000;
+        outstanding_orders orders;
+        for (std::size_t index = 0; index < workers; ++index)
+            orders.unresolved_workers.push_back(
+                {worker_id("i-" + std::to_string(1'000'000 + index)), milliseconds(index)});
+        orders.unresolved_workers.push_back({worker_id("i-1000001"), milliseconds(70)});
+        orders.unresolved_workers.push_back({worker_id("i-1000002"), std::nullopt});
+        const std::string bytes = encode_outstanding_within(orders, max_bytes);
+        CPPUNIT_ASSERT(bytes.size() <= max_bytes && bytes.size() > max_bytes / 3);
+        const auto read = decode_outstanding(bytes);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->unresolved_workers.size() > 1000);
+        for (const unresolved_worker& row : read->unresolved_workers) {
+            CPPUNIT_ASSERT(row.id != worker_id("i-1000002"));
+            if (row.id == worker_id("i-1000001"))
+                CPPUNIT_ASSERT(*row.expires_in >= milliseconds(70));
+        }
+        CPPUNIT_ASSERT(decode_outstanding(encode_outstanding_within(orders, 0)).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(resignation_test);
