Take the limit of a record's size from the platform's settings

What callers would see: on a platform whose log takes less than 256 KiB, jobs and progress above its limit are found out only by its refusals, at the cost of an append each. Cause: the program's default was the only value. The setting's range begins at 4 KiB, so that hosts of such a platform start.

--- a/src/cell_host/cell_host_settings.cpp
+++ b/src/cell_host/cell_host_settings.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/flags/flag.h>
 
+#include <algorithm>
+
 ABSL_FLAG(std::string, node, "", "name of this host, the same after a restart");
 ABSL_FLAG(std::string, data_centre, "", "data centre of this host");
 ABSL_FLAG(std::string, callers, "127.0.0.1:8080", "IP number and port for callers");
@@ -14,7 +16,8 @@
 ABSL_FLAG(double, cpu_share, 1, "share of a core that this process may use; 1: a whole one");
 ABSL_FLAG(double, link_mbps, 1000, "what this host's own link carries, megabits/s");
 ABSL_FLAG(int, grace_s, 6, "from SIGTERM until the platform kills the process, s");
-ABSL_FLAG(int, max_record_bytes, 262'144, "largest record that the log takes, bytes");
+ABSL_FLAG(int, max_record_bytes, 262'144,
+          "largest record that the log takes, bytes; figwinch writes none over 262144");
 ABSL_FLAG(int, max_hold_ms, 6000, "longest lease that a worker grants, ms");
 ABSL_FLAG(int, stop_ms, 900, "longest time that a stop takes on a worker, ms");
 ABSL_FLAG(int, status_s, 120, "how long the state of ended jobs is kept, s");
@@ -54,7 +57,7 @@
     const double link = absl::GetFlag(FLAGS_link_mbps);
     reader.require(link > 0 && link <= 1e6, "link_mbps", std::to_string(link), "0 to 1000000");
     reader.require_range("grace_s", absl::GetFlag(FLAGS_grace_s), 1, 600, "s");
-    reader.require_range("max_record_bytes", absl::GetFlag(FLAGS_max_record_bytes), 65'536,
+    reader.require_range("max_record_bytes", absl::GetFlag(FLAGS_max_record_bytes), 4096,
                          1'000'000'000, "bytes");
     reader.require_range("max_hold_ms", absl::GetFlag(FLAGS_max_hold_ms), 1000, 600'000, "ms");
     reader.require_range("stop_ms", absl::GetFlag(FLAGS_stop_ms), 1, 60'000, "ms");
@@ -82,7 +85,8 @@
     settings.grace = std::chrono::seconds(absl::GetFlag(FLAGS_grace_s));
     settings.cell.max_granted_lease = read_ms(FLAGS_max_hold_ms);
     settings.cell.max_record_bytes =
-        static_cast<std::size_t>(absl::GetFlag(FLAGS_max_record_bytes));
+        std::min(static_cast<std::size_t>(absl::GetFlag(FLAGS_max_record_bytes)),
+                 cell_settings{}.max_record_bytes);
     settings.cell.stop_timeout = read_ms(FLAGS_stop_ms);
     settings.cell.status_retention = std::chrono::seconds(absl::GetFlag(FLAGS_status_s));
     settings.cell.gang_start_window = read_ms(FLAGS_gang_ms);
