--- a/tests/cell_host/intake_writer_test.cpp
+++ b/tests/cell_host/intake_writer_test.cpp
@@ -146,6 +146,7 @@
         store_.max_record_bytes = 1000;
         time_.run_for(milliseconds(100));
         std::vector<std::shared_ptr<sim::submission_result>> answers;
+        answers.reserve(jobs);
         for (int index = 0; index < jobs; ++index)
             answers.push_back(host.submit(std::to_string(index), caller_timeout,
                                           std::string(index == large ? 1000 : 10, 'v')));
