End no job for a log that rejects every append

What callers would see: if the log, or something before it, answers every append as it answers one over its limits, all jobs would end as failed one after the other, and callers would be told never to come back. Cause: that a record is rejected alone was taken for proof that its size is at fault. Before, each undone on a scratch copy: a_log_that_rejects_everything_for_a_while_ends_no_job and a_log_that_rejects_everything_is_worth_another_try fail; after: they pass, as do the other cases of these suites.

--- a/include/figwinch/cell/progress_writer.h
+++ b/include/figwinch/cell/progress_writer.h
@@ -33,11 +33,12 @@
     bool put(std::string key, std::string value, std::function<void()> committed = nullptr);
     /// Queues the removal of a key.
     void remove(std::string key);
-    /// Sets the handler of records that were queued and that the log rejected. It may queue others
-    /// in their place: barriers behind the rejected record then wait for these.
-    void on_rejected(std::function<void(const stored_record&)> handler) {
-        on_rejected_ = std::move(handler);
-    }
+    /// Handles a record that the log rejects although it comes alone. Returns whether the record is
+    /// to be dropped; if not, it is sent again. The handler may queue others in place of a dropped
+    /// record: barriers behind it then wait for these.
+    using rejection_handler = std::function<bool(const stored_record&)>;
+    /// Without a handler, rejected records are dropped.
+    void on_rejected(rejection_handler handler) { on_rejected_ = std::move(handler); }
     /// Calls `committed` once all records queued so far are stored or dropped; immediately if none
     /// is pending.
     void barrier(std::function<void()> committed);
@@ -64,7 +65,7 @@
     void on_append_result(const append_result& result);
     void commit(std::uint64_t offset);
     void split_rejected_batch();
-    void drop_rejected_record();
+    void handle_rejected_record();
     void handle_superseded();
 
     const clock& time_;
@@ -73,7 +74,7 @@
     record_limits limits_;
     std::function<void(const stored_record&)> applied_;
     std::function<void()> on_superseded_;
-    std::function<void(const stored_record&)> on_rejected_;
+    rejection_handler on_rejected_;
     std::deque<queued_record> queued_;
     std::vector<queued_record> batch_;
     std::function<void(std::uint64_t)> fence_done_;
--- a/src/cell/cell_coordinator.cpp
+++ b/src/cell/cell_coordinator.cpp
@@ -54,8 +54,7 @@
     }
     deps_.progress_log.on_rejected(
         [this, weak = std::weak_ptr(alive_)](const stored_record& record) {
-            if (!weak.expired() && !superseded_)
-                handle_rejected_record(record);
+            return weak.expired() || superseded_ || handle_rejected_record(record);
         });
     update_unresolved_marks();
     slowdowns_.restore(known.slowdowns());
--- a/src/cell/cell_coordinator.h
+++ b/src/cell/cell_coordinator.h
@@ -89,7 +89,7 @@
     void add_ordered_to(job_state& job, const worker_state& worker);
     void write_dirty();
     void write_progress(job_state& job);
-    void handle_rejected_record(const stored_record& record);
+    bool handle_rejected_record(const stored_record& record);
     void give_up_unrecordable(job_state& job);
     static bool has_record_per_task(const step_spec& step);
     static bool is_recorded_at(const task_state& task, const worker_state& worker);
@@ -456,6 +456,9 @@
     std::string recorded_slowdowns_;
     instant next_slowdowns_{};
     /// Expires with this object, so that late callbacks are dropped.
+    /// The record that the log rejected last, and since when it rejects it.
+    std::string rejected_key_;
+    instant rejected_since_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/cell/coordinator_records.cpp
+++ b/src/cell/coordinator_records.cpp
@@ -75,15 +75,23 @@
         give_up_unrecordable(job);
 }
 
-/// Handles a record that the log rejected although it was within the configured limit. A worker
-/// without a record gets no starts; learned slowdowns are recorded again when they change.
-void cell_coordinator::handle_rejected_record(const stored_record& record) {
+/// Handles a record that the log rejects although it is within the configured limit. Returns
+/// whether to drop it: only once the log has taken another append since, because a log that rejects
+/// everything would end all jobs. A worker without a record gets no starts; learned slowdowns are
+/// recorded again when they change.
+bool cell_coordinator::handle_rejected_record(const stored_record& record) {
+    if (std::exchange(rejected_key_, record.key) != record.key)
+        rejected_since_ = {};
+    if (!is_confirmed_since(rejected_since_))
+        return false;
+    rejected_key_.clear();
     const auto kind = static_cast<record_kind>(record.key.front());
     if (kind != record_kind::progress && kind != record_kind::ordered_to)
-        return;
+        return true;
     if (job_state* const job = find_job(job_id(record.key.substr(1))))
         give_up_unrecordable(*job);
     write_dirty();
+    return true;
 }
 
 /// Ends a job whose progress or workers the log doesn't take as a record. Without the record its
--- a/src/cell/progress_writer.cpp
+++ b/src/cell/progress_writer.cpp
@@ -168,7 +168,7 @@
     ++batch_number_;
     appends_in_flight_ = 0;
     if (batch_.size() == 1)
-        return drop_rejected_record();
+        return handle_rejected_record();
     const auto middle = batch_.begin() + static_cast<std::ptrdiff_t>(batch_.size() / 2);
     queued_.insert(queued_.begin(), std::make_move_iterator(middle),
                    std::make_move_iterator(batch_.end()));
@@ -176,17 +176,20 @@
     append_batch();
 }
 
-/// Drops the only record of a batch. All later records would wait for it for ever.
-void progress_writer::drop_rejected_record() {
+/// Drops the only record of a batch, unless the handler wants it sent again. All later records
+/// would wait for it for ever.
+void progress_writer::handle_rejected_record() {
+    if (on_rejected_ && !on_rejected_(batch_.front().record)) {
+        next_send_at_ = time_.now() + retry_period;
+        return;
+    }
     --sequence_;
     const queued_record dropped = std::move(batch_.front());
     batch_.clear();
+    log_refused_record(dropped.record);
     std::vector<std::function<void()>> barriers = dropped.barriers;
     for (queued_record& behind : queued_)
         std::ranges::move(std::exchange(behind.barriers, {}), std::back_inserter(barriers));
-    log_refused_record(dropped.record);
-    if (on_rejected_)
-        on_rejected_(dropped.record);
     for (std::function<void()>& call : barriers)
         barrier(std::move(call));
 }
--- a/src/cell_host/intake_writer.cpp
+++ b/src/cell_host/intake_writer.cpp
@@ -13,6 +13,11 @@
 // callers are told that the outcome is unknown, if the log answers no other call either.
 constexpr duration late_append_threshold = std::chrono::milliseconds(500);
 
+// Every log takes records of this size.
+constexpr std::size_t always_storable_bytes = 4096;
+// An append that was stored within this time shows that the log takes records.
+constexpr duration recent_append_age = std::chrono::seconds(5);
+
 /// Counts the entries whose callers still wait and whose records may be stored already.
 std::uint64_t count_maybe_stored(const intake_entries& entries) {
     return static_cast<std::uint64_t>(std::ranges::count_if(
@@ -291,7 +296,10 @@
               {{"entries", static_cast<std::int64_t>(batch.size())},
                {"key", batch.front().records.front().key}});
     if (batch.size() == 1) {
-        complete_as_rejected(batch.front());
+        if (is_rejected_for_size(batch.front()))
+            complete_as_rejected(batch.front());
+        else
+            refuse(batch.front());
         return send_waiting();
     }
     const std::size_t half = (batch.size() + 1) / 2;
@@ -301,6 +309,13 @@
     send_waiting();
 }
 
+/// Returns whether the log takes other records. If it rejects all of them, the fault isn't the
+/// caller's, who may try again later.
+bool intake_writer::is_rejected_for_size(const intake_entry& entry) const {
+    return entry.bytes() > always_storable_bytes ||
+           append_latency_.measured_within(recent_append_age);
+}
+
 void intake_writer::complete_as_rejected(intake_entry& entry) {
     if (entry.is_complete())
         return;
--- a/src/cell_host/intake_writer.h
+++ b/src/cell_host/intake_writer.h
@@ -96,6 +96,7 @@
     void handle_append_timeout();
     void handle_unavailable_log();
     void split_rejected_batch();
+    bool is_rejected_for_size(const intake_entry& entry) const;
     bool is_log_unresponsive() const;
     void check_append();
     void look_up_append();
--- a/tests/cell/progress_writer_test.cpp
+++ b/tests/cell/progress_writer_test.cpp
@@ -65,7 +65,10 @@
         std::string rejected;
         bool large_stored = false;
         bool next_stored = false;
-        writer_.on_rejected([&](const stored_record& record) { rejected += record.key; });
+        writer_.on_rejected([&](const stored_record& record) {
+            rejected += record.key;
+            return true;
+        });
         for (int index = 0; index < records; ++index) {
             const std::string key = "p" + std::to_string(index);
             if (index == large)
@@ -87,7 +90,7 @@
     /// record that it rejected: the next coordinator would run these tasks again.
     void a_barrier_waits_for_what_replaces_a_rejected_record() {
         store_.max_record_bytes = most_bytes / 2;
-        writer_.on_rejected([&](const stored_record&) { writer_.put("p1", "ended"); });
+        writer_.on_rejected([&](const stored_record&) { return writer_.put("p1", "ended"); });
         bool passed = false;
         bool replaced_before = false;
         const auto check = [&] {
--- a/tests/cell/unrecordable_job_test.cpp
+++ b/tests/cell/unrecordable_job_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_record_that_the_log_rejects_holds_up_no_other_job);
     CPPUNIT_TEST(ends_of_an_unrecordable_job_are_noted_after_its_own_end);
     CPPUNIT_TEST(a_start_behind_a_rejected_record_reaches_no_other_incarnation);
+    CPPUNIT_TEST(a_log_that_rejects_everything_for_a_while_ends_no_job);
     CPPUNIT_TEST_SUITE_END();
 
     // A job's record of its workers takes two bytes for each: it fits for the first workers, and no
@@ -129,6 +130,23 @@
         CPPUNIT_ASSERT(!world.checker().has_started("a.0.0.0"));
         CPPUNIT_ASSERT(!world.checker().has_started("a.0.0.1"));
     }
+    /// Guards against jobs that end as failed because the log, or something before it, answers
+    /// every append as it answers one over its limits.
+    void a_log_that_rejects_everything_for_a_while_ends_no_job() {
+        cell_world world(7, 2, 4);
+        world.checker().failure_probability = 0;
+        world.time().run_for(seconds(2));
+        const std::size_t limit = world.store().max_record_bytes;
+        world.submit(0, "a", cell_world::make_job({cell_world::make_step(8, 500)}));
+        world.time().run_for(milliseconds(100));
+        world.store().max_record_bytes = 0;
+        world.time().run_for(seconds(3));
+        CPPUNIT_ASSERT(world.store().rejected > 0);
+        world.store().max_record_bytes = limit;
+        world.time().run_for(seconds(10));
+        CPPUNIT_ASSERT(world.job(0, "a")->phase == job_phase::succeeded);
+        assert_no_violation(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(unrecordable_job_test);
--- a/tests/cell_host/intake_writer_test.cpp
+++ b/tests/cell_host/intake_writer_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_full_log_is_tried_again_while_there_is_time);
     CPPUNIT_TEST(a_record_over_the_limit_is_rejected_at_once);
     CPPUNIT_TEST(a_record_that_the_log_rejects_fails_alone);
+    CPPUNIT_TEST(a_log_that_rejects_everything_is_worth_another_try);
     CPPUNIT_TEST_SUITE_END();
 
     sim::sim_time time_;
@@ -161,6 +162,15 @@
         CPPUNIT_ASSERT(store_.rejected <= 8);
         CPPUNIT_ASSERT(!host.writer.append_latency().is_slow());
     }
+    /// Guards against callers who are told never to come back because the log, or something before
+    /// it, answers every append as it answers one over its limits.
+    void a_log_that_rejects_everything_is_worth_another_try() {
+        sim::intake_host host(time_, store_);
+        store_.max_record_bytes = 0;
+        const auto answer = host.submit("a", caller_timeout);
+        time_.run_for(seconds(1));
+        assert_told(intake_outcome::not_stored, *answer);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(intake_writer_test);
